Keep a server's in-flight limit at one request a node or more

Late answers and full queues each take one off a server's limit, answers in time give back a tenth. With three nodes the limit fell to 0.05 to 0.5: a server with nothing in flight was refused for want of room, and without answers from it nothing raised the limit again. The least is now 3 for all nodes together; one of very many nodes keeps its old least.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -32,10 +32,12 @@
 const FEW_NODES: u32 = 100;
 /// For so long what a server said of its queue tells of its present state: reports are this old at most.
 const REPORT_FRESH: Duration = Duration::from_millis(500);
-/// In-flight limit: its start for all nodes together, its least, its steps for answers in time and late, and
-/// for those late with no queue.
+/// In-flight limit: its start and its least for all nodes together, its least for one of very many, its steps
+/// for answers in time and late, and for those late with no queue. A server that has nothing of a node's must
+/// get its next request: refused for want of room there, no answer would ever raise the limit again.
 const LIMIT_START: f64 = 16.0;
-const LIMIT_LEAST: f64 = 0.05;
+const LIMIT_LEAST: f64 = 3.0;
+const LIMIT_LEAST_EACH: f64 = 0.05;
 const LIMIT_UP: f64 = 0.1;
 const LIMIT_DOWN: f64 = 1.0;
 const LIMIT_EASE: f64 = 0.3;
@@ -247,6 +249,7 @@
     follow_at: Option<Timestamp>,
     retry_budget: f64,
     limit_start: f64,
+    limit_least: f64,
     /// By class: what its answers take of late, in seconds.
     usual: Vec<f64>,
     usual_work: f64,
@@ -272,7 +275,9 @@
 impl Balancer {
     /// A balancer that knows no server yet. `seed` should differ between nodes.
     pub fn new(mut settings: Settings, seed: u64) -> Self {
-        let limit_start = (LIMIT_START / f64::from(settings.nodes.max(1))).max(1.0);
+        let nodes = f64::from(settings.nodes.max(1));
+        let limit_start = (LIMIT_START / nodes).max(1.0);
+        let limit_least = (LIMIT_LEAST / nodes).max(LIMIT_LEAST_EACH);
         // The last class is for requests of none: the most careful one.
         settings.classes.push(Class::default());
         let usual = settings.classes.iter().map(|class| class.aim.as_secs_f64()).collect();
@@ -296,6 +301,7 @@
             armed: None,
             follow_at: Some(Timestamp::default()),
             limit_start,
+            limit_least,
             retry_budget: RETRY_SAVED,
             good: 0.0,
             bad: 0.0,
@@ -591,10 +597,10 @@
             if answered && in_time && f64::from(server.in_flight) * 2.0 >= server.limit {
                 server.limit += LIMIT_UP;
             } else if answered && !in_time && !spare && unqueued {
-                server.limit = (server.limit - LIMIT_EASE).max(LIMIT_LEAST);
+                server.limit = (server.limit - LIMIT_EASE).max(self.limit_least);
             } else if answered && !in_time && !spare || jammed {
                 self.bad += f64::from(u8::from(!excused));
-                server.limit = (server.limit - LIMIT_DOWN).max(LIMIT_LEAST);
+                server.limit = (server.limit - LIMIT_DOWN).max(self.limit_least);
             }
             server.in_flight = server.in_flight.saturating_sub(1);
             // Each of many nodes meets a server now and then: left open, their connections fill its table.
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -65,6 +65,23 @@
     assert!(to_slow < 100, "{to_slow} of 3000 went to the slow server, 500 would be its share");
 }
 
+#[test]
+fn a_server_with_nothing_in_flight_gets_the_next_request() {
+    // The danger: late answers cut its limit to a fraction of a request. It stands idle and is refused, and with
+    // no answers from it nothing raises the limit again.
+    let mut node = Node::with_servers(Settings { nodes: 3, ..settings() }, 1);
+    for _ in 0..40 {
+        let id = node.request(0, 7, ms(400));
+        node.pass(ms(140));
+        if node.out(&id).is_some() {
+            node.answer(&id, Status::Ok);
+        }
+    }
+    node.pass(ms(5_000));
+    let sent = (0..100).filter(|_| node.call(7, Status::Ok).is_some()).count();
+    assert_eq!(sent, 100, "asked one at a time, an idle server has room");
+}
+
 #[test]
 fn an_overloaded_fleet_is_spared() {
     // The danger: all answers late, none in time, because nothing is refused.
