Count no breaker failure for a full queue at a server that still answers

A few requests that met at a queue of two or three places were 'full' answers enough to trip a server's breaker: it lost all its keys for 6 s, one full trial of three at once reopened it, and its load filled the next server's queue. A 'full' answer now counts only where the server holds nothing else of this node's and has not answered for a second; its in-flight limit heeds the others as before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -16,6 +16,10 @@
 const CLASS_WINDOW: Duration = Duration::from_secs(1);
 const COOLDOWN: Duration = Duration::from_secs(6);
 const TRIALS: u32 = 3;
+/// For so long after its last answer a server that turns requests away is busy, not broken: its in-flight
+/// limit heeds that. A breaker would block all it can do for a cooldown, its load would fill the next server's
+/// queue, and one after another they would trip. One that drains or hangs soon answers no more.
+const BUSY_SPAN: Duration = Duration::from_secs(1);
 /// No breaker trips while the other servers fail at this rate: the cause is not that one server's.
 const COMMON_RATE: f64 = TRIP_RATE / 2.0;
 /// Share of a cold server's stated multiple that is used: a span can touch three half-span slots.
@@ -165,6 +169,8 @@
     /// When it was last sent to, and how long after the send before.
     sent: Timestamp,
     gap: Duration,
+    /// When it last answered.
+    answered: Option<Timestamp>,
     /// When it last told of no queue, unless it told of one since.
     unqueued: Option<Timestamp>,
 }
@@ -377,7 +383,7 @@
                     });
                     let (entry, breaker, gap) = (entry.clone(), Breaker::new(WINDOW, now), Duration::MAX);
                     let (slot, used, in_flight, limit, sent) = (0, 0, 0, self.limit_start, now);
-                    let unqueued = None;
+                    let (answered, unqueued) = (None, None);
                     let by_class =
                         self.settings.classes.iter().map(|_| Breaker::new(CLASS_WINDOW, now)).collect();
                     let fresh = Server {
@@ -392,6 +398,7 @@
                         limit,
                         sent,
                         gap,
+                        answered,
                         unqueued,
                     };
                     self.servers.insert(i, fresh);
@@ -603,6 +610,12 @@
                 server.limit = (server.limit - LIMIT_DOWN).max(self.limit_least);
             }
             server.in_flight = server.in_flight.saturating_sub(1);
+            if answered {
+                server.answered = Some(now);
+            }
+            // What it still holds of this node's will be answered or time out, and tell more.
+            let busy = outcome.status == Status::QueueFull
+                && (server.in_flight > 0 || server.answered.is_some_and(|at| now.since(at) < BUSY_SPAN));
             // Each of many nodes meets a server now and then: left open, their connections fill its table.
             if server.in_flight == 0 && server.gap > KEPT_OPEN / self.settings.nodes.max(1) {
                 actions.push(Action::Close { server: server.entry.id.clone() });
@@ -616,7 +629,9 @@
                 actions.push(Action::Log(format!("breaker of {} tripped for class {class}", outcome.server)));
             }
             let server = &mut self.servers[i];
-            if server.breaker.on_outcome(epoch, ok.filter(|_| !barred), now) && self.is_outlier(i, now) {
+            if server.breaker.on_outcome(epoch, ok.filter(|_| !barred && !busy), now)
+                && self.is_outlier(i, now)
+            {
                 self.servers[i].breaker.enter(State::Open { until: now + COOLDOWN }, now);
                 actions.push(Action::Log(format!("breaker of {} tripped", outcome.server)));
             }
--- a/tests/breaker.rs
+++ b/tests/breaker.rs
@@ -236,6 +236,48 @@
     assert_ne!(node.call(7, Status::Ok), Some(own), "a tenth of the usual calls is enough");
 }
 
+#[test]
+fn a_server_that_is_busy_with_others_is_limited_and_not_blocked() {
+    // The danger: a few requests meet at a small queue, the breaker takes the whole server away for a cooldown, and
+    // its load trips the next one's.
+    let (mut node, own) = pair();
+    let tripped = |node: &Node| node.trace.iter().any(|action| matches!(action, Action::Log(_)));
+    for _ in 0..2 {
+        // Of five at once the server takes one.
+        let ids: Vec<RequestId> = (0..5).map(|_| node.request(0, 7, ms(400))).collect();
+        for id in &ids[1..] {
+            assert_eq!(node.out(id).expect("sent").1, own);
+            node.answer(id, Status::QueueFull);
+        }
+        node.pass(ms(50));
+        for id in &ids {
+            node.answer(id, Status::Ok);
+        }
+        node.pass(ms(1_000));
+    }
+    assert!(!tripped(&node));
+}
+
+#[test]
+fn a_server_that_turns_all_away_is_blocked() {
+    let (mut node, own) = pair();
+    node.pass(ms(1_000));
+    let declined = (0..50).take_while(|_| node.call(7, Status::QueueFull).as_ref() == Some(&own)).count();
+    assert_eq!(declined, 2, "two of three calls of the window");
+}
+
+#[test]
+fn a_half_open_trial_that_met_the_other_trials_gives_its_place_back() {
+    let (mut node, own) = pair();
+    trip(&mut node, &own);
+    node.pass(ms(6_000));
+    let ids: Vec<RequestId> = (0..3).map(|_| node.request(0, 7, ms(400))).collect();
+    node.answer(&ids[1], Status::QueueFull);
+    node.answer(&ids[2], Status::QueueFull);
+    node.answer(&ids[0], Status::Ok);
+    assert_eq!(node.call(7, Status::Ok), Some(own), "not reopened");
+}
+
 #[test]
 fn a_class_turned_away_where_nobody_waits_is_blocked_soon_and_alone() {
     // The danger: each such request loses its time there, and what was served before hides it for a whole window;
