--- a/src/balance.rs
+++ b/src/balance.rs
@@ -17,8 +17,8 @@
 const COOLDOWN: Duration = Duration::from_secs(6);
 const TRIALS: u32 = 3;
 /// For so long after its last answer a server that turns requests away is busy, not broken: its in-flight
-/// limit heeds that. A breaker would block all it can do for a cooldown, its load would fill the next server's
-/// queue, and one after another they would trip. One that drains or hangs soon answers no more.
+/// limit heeds that. A breaker would block all it can do for a cooldown, and its load would fill the queue of
+/// the next one, until that trips too. One that drains or hangs soon answers no more.
 const BUSY_SPAN: Duration = Duration::from_secs(1);
 /// No breaker trips while the other servers fail at this rate: the cause is not that one server's.
 const COMMON_RATE: f64 = TRIP_RATE / 2.0;
