Learn after what idle time servers drop kept connections, and keep none so long

The node now counts drops by idle time and retires connections before the shortest span that costs requests.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -39,6 +39,14 @@
 /// close would take a request only to end it as a reset.
 const IDLE_SHARE: u32 = 2;
 const SWEEP: Duration = Duration::from_secs(1);
+/// So many requests lost on connections that had stood idle about as long, and such a share of all there, show
+/// that servers drop them without a word after that time.
+const DROPS: u32 = 3;
+const DROP_SHARE: f64 = 0.2;
+/// Connections break for other causes too, used ones as well: idleness is to blame past this multiple of that.
+const DROP_EXCESS: f64 = 3.0;
+/// What was learnt of drops is forgotten after this: the cause may have gone.
+const RELEARN: Duration = Duration::from_secs(120);
 
 /// What of a client's request goes on to a cache server.
 #[derive(Debug)]
@@ -182,6 +190,49 @@
     }
 }
 
+/// How kept connections fared by how long they had stood idle, and how long one is kept for it. Servers state
+/// when they close idle connections at the latest; some drop them far earlier and say nothing, and the next
+/// request there is lost: its class may not allow another.
+struct Idling {
+    stated: Duration,
+    /// Of the idle times under each power of two of milliseconds: requests, and those that met a drop.
+    spans: [(u32, u32); Self::SPANS],
+    since: Instant,
+}
+
+impl Idling {
+    /// The last one holds all times over about half a minute.
+    const SPANS: usize = 17;
+
+    fn new(stated: Duration, now: Instant) -> Self {
+        Self { stated, spans: [(0, 0); Self::SPANS], since: now }
+    }
+
+    fn note(&mut self, idle: Duration, dropped: bool, now: Instant) {
+        if now - self.since >= RELEARN {
+            *self = Self::new(self.stated, now);
+        }
+        let bits = u64::BITS - (idle.as_millis() as u64).leading_zeros();
+        let (all, lost) = &mut self.spans[(bits as usize).min(Self::SPANS - 1)];
+        *all += 1;
+        *lost += u32::from(dropped);
+    }
+
+    /// The shortest idle time that costs requests, or what is stated.
+    fn limit(&self) -> Duration {
+        let (mut all, mut lost) = (0, 0);
+        for (bits, span) in self.spans.iter().enumerate() {
+            let share = f64::from(span.1) / f64::from(span.0.max(1));
+            let usual = f64::from(lost) / f64::from(all.max(1));
+            if all > 0 && span.1 >= DROPS && share >= DROP_SHARE.max(usual * DROP_EXCESS) {
+                return Duration::from_millis(1 << bits >> 1).min(self.stated);
+            }
+            (all, lost) = (all + span.0, lost + span.1);
+        }
+        self.stated
+    }
+}
+
 /// A place among the descriptors that connections to cache servers may hold.
 struct Slot(Rc<Cell<usize>>);
 
@@ -220,7 +271,7 @@
     open: Rc<Cell<usize>>,
     most: usize,
     connect_timeout: Duration,
-    idle_limit: Duration,
+    idling: RefCell<Idling>,
 }
 
 impl Upstream {
@@ -231,7 +282,7 @@
             open: Rc::default(),
             most,
             connect_timeout,
-            idle_limit: keepalive / IDLE_SHARE,
+            idling: RefCell::new(Idling::new(keepalive / IDLE_SHARE, Instant::now())),
         }
     }
 
@@ -282,7 +333,7 @@
     }
 
     fn fresh(&self, connection: &Connection) -> bool {
-        !connection.sender.is_closed() && connection.kept.elapsed() < self.idle_limit
+        !connection.sender.is_closed() && connection.kept.elapsed() < self.idling.borrow().limit()
     }
 
     /// One attempt, until its answer is whole, its connection breaks or `until` comes.
@@ -304,8 +355,12 @@
                 return Ended::without_answer(Status::ConnectError);
             };
             connection.written.reset();
+            let idle = connection.kept.elapsed();
             let answer = timeout_at(until, exchange(&mut connection.sender, request)).await;
             let Written { begun, whole, reused } = &*connection.written;
+            if reused.get() && begun.get() {
+                self.idling.borrow_mut().note(idle, matches!(answer, Ok(Err(_))), Instant::now());
+            }
             return match answer {
                 Ok(Ok((ended, reusable))) => {
                     if reusable && peer.takes_work.get() && !connection.sender.is_closed() {
@@ -434,3 +489,40 @@
         _ => Status::Failed,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const STATED: Duration = Duration::from_secs(30);
+
+    /// Requests on connections that had stood idle for so many milliseconds, of which so many were lost.
+    fn notes(idling: &mut Idling, idle: u64, all: u32, lost: u32, now: Instant) {
+        (0..all).for_each(|i| idling.note(Duration::from_millis(idle), i < lost, now));
+    }
+
+    // Guards against requests lost on connections that servers have dropped without a word.
+    #[test]
+    fn an_idle_time_after_which_connections_are_dropped_is_learnt_and_forgotten() {
+        let now = Instant::now();
+        let mut idling = Idling::new(STATED, now);
+        notes(&mut idling, 5, 100, 4, now);
+        notes(&mut idling, 200, 4, 2, now);
+        assert_eq!(idling.limit(), STATED, "two drops are too few");
+        notes(&mut idling, 200, 4, 2, now);
+        assert_eq!(idling.limit(), Duration::from_millis(128));
+        notes(&mut idling, 5, 1, 0, now + RELEARN);
+        assert_eq!(idling.limit(), STATED, "tried again after a while");
+    }
+
+    // Guards against a handshake for each request where connections break at any time.
+    #[test]
+    fn breaks_that_do_not_grow_with_idleness_leave_connections_kept() {
+        let now = Instant::now();
+        let mut idling = Idling::new(STATED, now);
+        for idle in [0, 1, 10, 100, 1_000, 10_000, 100_000] {
+            notes(&mut idling, idle, 30, 9, now);
+        }
+        assert_eq!(idling.limit(), STATED);
+    }
+}
--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -89,6 +89,18 @@
 
 impl CacheServer {
     pub fn start(does: impl Fn(&Message) -> Does + Send + Sync + 'static) -> Self {
+        Self::start_with(does, None)
+    }
+
+    /// One that serves, but for requests on connections that have stood idle for longer: those it drops.
+    pub fn dropping_idle(after: Duration) -> Self {
+        Self::start_with(|_| Does::Answer(answer("200 OK", "", "value")), Some(after))
+    }
+
+    fn start_with(
+        does: impl Fn(&Message) -> Does + Send + Sync + 'static,
+        drops_after: Option<Duration>,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let server = Self {
             address: listener.local_addr().unwrap(),
@@ -106,7 +118,12 @@
                 thread::spawn(move || {
                     let mut reader = BufReader::new(stream.try_clone().unwrap());
                     let mut stream = stream;
+                    let mut answered: Option<Instant> = None;
                     while let Ok(Some(message)) = Message::read(&mut reader) {
+                        if answered.zip(drops_after).is_some_and(|(at, after)| at.elapsed() > after) {
+                            return;
+                        }
+                        answered = Some(Instant::now());
                         asked.lock().unwrap().push(message.clone());
                         match does(&message) {
                             Does::Answer(text) => drop(stream.write_all(text.as_bytes())),
--- a/tests/node_servers.rs
+++ b/tests/node_servers.rs
@@ -50,6 +50,30 @@
     assert_eq!((server.count(), server.connections.load(Ordering::SeqCst)), (10, 10));
 }
 
+// Guards against requests lost on idle connections that a server drops long before the time it states: one of an
+// unsafe class may not be sent again.
+#[test]
+fn connections_that_a_server_drops_when_idle_are_no_longer_kept_that_long() {
+    let idle = std::time::Duration::from_millis(150);
+    let server = CacheServer::dropping_idle(idle / 2);
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    let (mut key, mut served) = (0, 0);
+    // Each round shows what a connection in use is good for, then lets the next one stand.
+    wait_for("unsafe requests served after a pause, one after another", || {
+        let mut ask = |class| {
+            key += 1;
+            node.read(class, key).status()
+        };
+        for _ in 0..4 {
+            ask("read");
+        }
+        std::thread::sleep(idle);
+        served = if ask("once") == 200 { served + 1 } else { 0 };
+        served == 5
+    });
+}
+
 // Guards against a new connection, and its handshake, for each request.
 #[test]
 fn a_connection_is_kept_for_the_next_request() {
