Send a Retry-After with every refusal, whatever the simulator's clients are told

limits.retry_after says whether the simulator's clients get advice; the node took it for a cap of zero, and on this deployment each 503 said "Retry-After: 0.000": come back at once. PROTOCOL lets every refusal carry the header, and a refused client is to be told when to come back.

--- a/src/api.rs
+++ b/src/api.rs
@@ -176,7 +176,7 @@
     pub cancelling: bool,
     /// Whether servers may be probed.
     pub probing: bool,
-    /// Longest stay-away advice a client honours; zero where clients are told none.
+    /// Longest stay-away advice a client honours.
     pub max_retry_after: Duration,
     /// A new connection not established within this time fails.
     pub connect_timeout: Duration,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -325,7 +325,6 @@
     let origin = fields.optional::<i64>("family_info.origin_kind")?.unwrap_or(-1);
     let kinds = fields.text("shapes").unwrap_or("");
     let origin_kind = usize::try_from(origin).ok().and_then(|kind| kinds.split(',').nth(kind));
-    let retry_after = fields.flag("limits.retry_after")?.unwrap_or(false);
     let or = |name: &str, other: Duration| Ok::<_, WireError>(fields.micros(name)?.unwrap_or(other));
     Ok(Settings {
         zone: fields.text("az").map(Name::from),
@@ -343,8 +342,7 @@
         second_copies: fields.flag("limits.second_copies")?.unwrap_or(base.second_copies),
         cancelling: fields.flag("limits.cancelling")?.unwrap_or(base.cancelling),
         probing: fields.flag("limits.probing")?.unwrap_or(base.probing),
-        max_retry_after: or("limits.max_retry_after_us", base.max_retry_after)?
-            .saturating_mul(retry_after.into()),
+        max_retry_after: or("limits.max_retry_after_us", base.max_retry_after)?,
         connect_timeout: or("limits.connect_timeout_us", base.connect_timeout)?,
         keepalive: or("limits.keepalive_us", base.keepalive)?,
         cold_share: fields.number("safety.cold_share", 1.0)?.unwrap_or(base.cold_share),
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -93,7 +93,10 @@
 fn a_refusal_comes_at_once_and_says_when_to_come_back() {
     let server = CacheServer::serving("value");
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
-    let node = Node::ready(&config(discovery.address));
+    let mut told = config(discovery.address);
+    // Of the simulator's clients: those on sockets read the header whatever stands here.
+    told["settings"]["limits"]["retry_after"] = json!(false);
+    let node = Node::ready(&told);
     discovery.tell(false, &[server.entry("s-1", "draining")]);
     discovery.wait_until_told(2);
     let mut client = node.client();
