--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -121,7 +121,11 @@
 ) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
     // Clients keep the connections they have: left idle, they would keep all others out of a full table, and
     // the machine takes requests on connections that the node has not accepted yet.
-    while slots.available_permits() == 0 && !table.make_room() {
+    loop {
+        table.full.set(slots.available_permits() == 0);
+        if !table.full.get() || table.make_room() {
+            break;
+        }
         sleep(ROOM_PAUSE).await;
     }
     let slot = slots.clone().acquire_owned().await.map_err(std::io::Error::other)?;
@@ -166,7 +170,9 @@
     };
     // A client that sends what can't be used comes again at once: not on this connection, where it would cost
     // the others the least of waits between two.
-    if !usable || *front.stage.borrow() >= Stage::Leaving {
+    // Where the table is full an answered connection makes room at once: kept, it would stand idle for its time
+    // while requests wait unaccepted.
+    if !usable || place.wanted() || *front.stage.borrow() >= Stage::Leaving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -84,6 +84,8 @@
 #[derive(Debug, Default)]
 pub struct Table {
     next: Cell<u64>,
+    /// No place is left: others may wait unaccepted.
+    pub full: Cell<bool>,
     states: RefCell<BTreeMap<u64, Rc<State>>>,
 }
 
@@ -144,6 +146,11 @@
         Self { table, number, state }
     }
 
+    /// Whether others may wait for this one.
+    pub fn wanted(&self) -> bool {
+        self.table.full.get()
+    }
+
     /// A request's head has come; its body may follow.
     pub fn asked(&self) {
         self.state.ahead.set(false);
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -276,3 +276,22 @@
     assert_eq!(usual.ask(&read("read", 3, 20_000)).status(), 200);
     assert_eq!(server.count(), 3);
 }
+
+// Guards against answered connections that stand idle in a full table while requests wait unaccepted.
+#[test]
+fn an_answer_closes_its_connection_while_the_table_is_full() {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let mut small = config(discovery.address);
+    small["limits"]["sockets"] = json!(40);
+    let node = Node::ready(&small);
+    let mut roomy = node.client();
+    assert_eq!(roomy.ask(&read("read", 0, 20_000)).header("connection"), None);
+    let (mut held, mut key) = (Vec::new(), 0);
+    wait_for("an answer that closes its connection", || {
+        key += 1;
+        held.push(node.client());
+        let answered = held.last_mut().and_then(|client| client.try_ask(&read("read", key, 20_000)));
+        answered.is_some_and(|answered| answered.header("connection") == Some("close"))
+    });
+}
