--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,10 @@
 //! One real node: the decision module on sockets. Start-up, wiring, SIGHUP, SIGTERM and the exit code.
 #![forbid(unsafe_code)]
 
+mod features {
+    pub mod settings;
+}
+
 mod net {
     pub mod config;
     pub mod discovery;
@@ -10,6 +14,8 @@
     pub mod upstream;
 }
 
+use clap::Parser;
+use features::settings;
 use net::config::{self, Config};
 use net::discovery::Discovery;
 use net::driver::Driver;
@@ -18,6 +24,7 @@
 use pinhead::Balancer;
 use std::error::Error;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,17 +40,30 @@
 /// Descriptors left for the runtime, the listener, discovery and the standard streams.
 const SPARE_SOCKETS: usize = 24;
 
+/// A load-balancer node for a fleet of cache servers; LB_CONFIG and the other LB_ variables tell it its place.
+#[derive(Parser)]
+#[command(name = "slatelink", version)]
+struct Cli {
+    /// Settings of the operators' features, in TOML; without it all of them are off
+    #[arg(long, value_name = "FILE")]
+    features: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
-    match start() {
+    let cli = Cli::parse();
+    match start(cli.features) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("pinhead: {error}");
+            eprintln!("slatelink: {error}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn start() -> Result<(), Box<dyn Error>> {
+fn start(features: Option<PathBuf>) -> Result<(), Box<dyn Error>> {
+    if let Some(path) = features {
+        settings::load(path)?;
+    }
     let config = config::load(|name| std::env::var(name).ok())?;
     // A node has one core: one thread, and no locks between its parts.
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -236,6 +236,7 @@
     /// Its log, but for the first line.
     pub log: Arc<Mutex<Vec<String>>>,
     config: std::path::PathBuf,
+    features: Option<std::path::PathBuf>,
 }
 
 /// The configuration of a node that knows nothing but discovery.
@@ -268,7 +269,7 @@
 }
 
 pub fn command() -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_pinhead"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_slatelink"));
     for variable in ["LB_CONFIG", "LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
         command.env_remove(variable);
     }
@@ -278,11 +279,26 @@
 impl Node {
     /// Starts a node and waits until it listens.
     pub fn start(config: &Value) -> Self {
+        Self::start_with(config, None)
+    }
+
+    /// Starts a node with this text as its features' settings and waits until it is ready for clients.
+    pub fn with_features(config: &Value, features: &str) -> Self {
+        let node = Self::start_with(config, Some(features));
+        wait_for("the node's readiness", || node.get("/healthz").status() == 200);
+        node
+    }
+
+    fn start_with(config: &Value, features: Option<&str>) -> Self {
         let path = write_config(&config.to_string());
         // The platform sets this one beside the configuration.
         let discovery = config["discovery"].as_str().unwrap();
         let mut command = command();
         command.env("LB_CONFIG", &path).env("LB_DISCOVERY", discovery);
+        let features = features.map(write_config);
+        if let Some(features) = &features {
+            command.arg("--features").arg(features);
+        }
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
@@ -293,7 +309,7 @@
         let lines: Arc<Mutex<Vec<String>>> = Arc::default();
         let kept = lines.clone();
         thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| kept.lock().unwrap().push(l)));
-        Self { address, child, log: lines, config: path }
+        Self { address, child, log: lines, config: path, features }
     }
 
     /// Starts a node and waits until it is ready for clients.
@@ -322,7 +338,7 @@
         self.signal("-TERM");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(sent.success());
     }
@@ -350,6 +366,9 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        if let Some(features) = &self.features {
+            let _ = std::fs::remove_file(features);
+        }
     }
 }
 
--- a/tests/node_lifecycle.rs
+++ b/tests/node_lifecycle.rs
@@ -79,7 +79,7 @@
         let error = String::from_utf8(ended.stderr).unwrap();
         assert!(!ended.status.success(), "{path:?}");
         assert_eq!(error.lines().count(), 1, "{error}");
-        assert!(error.starts_with("pinhead: "), "{error}");
+        assert!(error.starts_with("slatelink: "), "{error}");
     }
 }
 
