--- /dev/null
+++ b/src/features/figures.rs
@@ -0,0 +1,624 @@
+//! Counters, gauges and timers of requests and attempts, in batches to a file, standard error or UDP.
+
+use crate::features::settings::{Figures as Settings, Format, Target};
+use crate::features::writer::{Lane, Log, Writer};
+use crate::net::discovery::{Host, Listing};
+use pinhead::{Availability, ClassId, Name, ServerId, Status};
+use std::borrow::Cow;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Write as _;
+use std::fs::File;
+use std::io::{self, Write as _};
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, UdpSocket};
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::time::{interval, timeout, MissedTickBehavior};
+
+/// What waits to go out, the batch that is being written included, is never more bytes than this.
+const BUFFER: usize = 256 << 10;
+/// Of these, kept free for the counters of what was lost, which a batch gets as it goes out.
+const CARRIED: usize = 256;
+/// A longer name of a class or host is cut.
+const LONGEST_TAG: usize = 64;
+/// Stands for the host where none was picked.
+const NO_HOST: &str = "none";
+
+/// How a request ended, as a tag's value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Served,
+    Refused,
+    Failed,
+    /// Its client left first.
+    Left,
+}
+
+impl End {
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Served => "200",
+            Self::Refused => "503",
+            Self::Failed => "502",
+            Self::Left => "left",
+        }
+    }
+}
+
+const fn outcome(status: Status) -> &'static str {
+    match status {
+        Status::Ok => "ok",
+        Status::Failed => "failed",
+        Status::QueueFull => "full",
+        Status::TimedOut => "timeout",
+        Status::ConnectError => "connect",
+        Status::Reset => "reset",
+        Status::Canceled => "canceled",
+        Status::Ignored => "unsent",
+        Status::Miss => "miss",
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Measure {
+    Counter,
+    Gauge,
+    Timer,
+}
+
+/// Where batches go.
+enum Output {
+    Udp(UdpSocket),
+    /// By the writer's thread, one batch at a time: what waits here can still give way to what is newer.
+    Queue {
+        lane: Lane,
+        /// `None` for standard error.
+        sink: Option<Arc<Mutex<Sink>>>,
+        results: UnboundedSender<bool>,
+    },
+}
+
+/// A file that batches are appended to.
+struct Sink {
+    path: PathBuf,
+    /// `None` while it cannot be opened: a FIFO that nobody reads.
+    file: Option<File>,
+    /// The last write broke off within a line.
+    torn: bool,
+}
+
+impl Sink {
+    fn open(path: &Path) -> io::Result<File> {
+        // Neither opening nor writing waits for a FIFO's reader.
+        File::options().append(true).create(true).custom_flags(libc::O_NONBLOCK).open(path)
+    }
+
+    fn write(&mut self, batch: &[u8]) -> io::Result<()> {
+        let file = match &mut self.file {
+            Some(file) => file,
+            none => none.insert(Self::open(&self.path)?),
+        };
+        if self.torn {
+            file.write_all(b"\n")?;
+            self.torn = false;
+        }
+        let mut rest = batch;
+        while !rest.is_empty() {
+            match file.write(rest) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => rest = &rest[n..],
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => {
+                    self.torn = rest.len() < batch.len();
+                    return Err(error);
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A batch on its way to the writer.
+#[derive(Clone, Copy, Default)]
+struct Flight {
+    bytes: usize,
+    dropped: u64,
+    pushed_out: u64,
+}
+
+#[derive(Default)]
+struct State {
+    /// Whole lines, the oldest first.
+    lines: VecDeque<u8>,
+    /// So many of these bytes have waited for a flush: they go out also where they fill no batch.
+    due: usize,
+    flight: Option<Flight>,
+    /// Batches dropped, and lines pushed out of a full buffer, that no batch that got out has told of.
+    dropped: u64,
+    pushed_out: u64,
+    dropped_ever: u64,
+    /// As standard error has it.
+    dropped_told: u64,
+    open: Vec<u64>,
+    /// By host: whether its breaker has tripped and nothing was sent there since.
+    blocked: BTreeMap<ServerId, bool>,
+    /// Points of one instant and the same tags would replace each other in InfluxDB.
+    stamp: u128,
+}
+
+/// See the module's page.
+pub struct Figures {
+    format: Format,
+    batch: usize,
+    flush: Duration,
+    classes: Vec<String>,
+    output: Output,
+    log: Log,
+    state: RefCell<State>,
+}
+
+impl Figures {
+    /// Descriptors that they hold.
+    pub const DESCRIPTORS: usize = 1;
+
+    /// Opens what they go to. The receiver is for [`Figures::run`].
+    pub fn open(
+        settings: &Settings,
+        classes: &[Name],
+        writer: &Writer,
+        log: Log,
+    ) -> Result<(Self, UnboundedReceiver<bool>), String> {
+        let (results, landed) = unbounded_channel();
+        let queue = |sink| Output::Queue { lane: writer.lane(1), sink, results };
+        let output = match &settings.target {
+            Target::Stderr => queue(None),
+            Target::File(path) => {
+                let file = match Sink::open(path) {
+                    Ok(file) => Some(file),
+                    // A FIFO without a reader: one may come.
+                    Err(error) if error.raw_os_error() == Some(libc::ENXIO) => None,
+                    Err(error) => return Err(format!("figures: cannot open {}: {error}", path.display())),
+                };
+                queue(Some(Arc::new(Mutex::new(Sink { path: path.clone(), file, torn: false }))))
+            }
+            Target::Udp(address) => {
+                let any = match address.ip() {
+                    IpAddr::V4(_) => IpAddr::V4(Ipv4Addr::UNSPECIFIED),
+                    IpAddr::V6(_) => IpAddr::V6(Ipv6Addr::UNSPECIFIED),
+                };
+                let socket = UdpSocket::bind((any, 0)).and_then(|socket| {
+                    socket.set_nonblocking(true)?;
+                    // Connected, it hears that nobody listens there.
+                    socket.connect(address)?;
+                    Ok(socket)
+                });
+                Output::Udp(socket.map_err(|error| format!("figures: cannot send to {address}: {error}"))?)
+            }
+        };
+        let format = settings.format;
+        let figures = Self {
+            format,
+            batch: settings.batch(),
+            flush: settings.flush(),
+            classes: classes.iter().map(|name| tag(format, name.as_str()).into_owned()).collect(),
+            output,
+            log,
+            state: RefCell::new(State { open: vec![0; classes.len()], ..State::default() }),
+        };
+        Ok((figures, landed))
+    }
+
+    /// A request of this class was taken.
+    pub fn taken(&self, class: ClassId) {
+        if let Some(open) = self.state.borrow_mut().open.get_mut(class.0) {
+            *open += 1;
+        }
+    }
+
+    /// It has its final answer; `host` is the server that served it, or was tried last.
+    pub fn answered(&self, class: ClassId, host: Option<&ServerId>, took: Duration, end: End) {
+        let state = &mut *self.state.borrow_mut();
+        if let Some(open) = state.open.get_mut(class.0) {
+            *open = open.saturating_sub(1);
+        }
+        let kind = self.kind(class);
+        let host = tag(self.format, host.map_or(NO_HOST, ServerId::as_str));
+        let tags = [("kind", kind), ("host", &*host), ("status", end.word())];
+        self.add(state, "req.count", &tags, 1, Measure::Counter);
+        let ms = u64::try_from((took + Duration::from_micros(500)).as_millis()).unwrap_or(u64::MAX);
+        self.add(state, "req.time", &tags[..2], ms, Measure::Timer);
+    }
+
+    /// An attempt begins.
+    pub fn sent(&self, host: &ServerId) {
+        if let Some(blocked) = self.state.borrow_mut().blocked.get_mut(host) {
+            *blocked = false;
+        }
+    }
+
+    /// An attempt has ended.
+    pub fn ended(&self, class: ClassId, host: &ServerId, status: Status) {
+        let host = tag(self.format, host.as_str());
+        let tags = [("kind", self.kind(class)), ("host", &*host), ("outcome", outcome(status))];
+        self.add(&mut self.state.borrow_mut(), "attempt.count", &tags, 1, Measure::Counter);
+    }
+
+    /// Discovery's word of hosts.
+    pub fn learned(&self, listing: &Listing) {
+        let blocked = &mut self.state.borrow_mut().blocked;
+        let mut held = if listing.whole { std::mem::take(blocked) } else { BTreeMap::new() };
+        for entry in listing.hosts.iter().map(Host::entry) {
+            if entry.availability == Availability::Gone {
+                blocked.remove(&entry.id);
+            } else {
+                let was = held.remove(&entry.id).unwrap_or(false);
+                blocked.entry(entry.id).or_insert(was);
+            }
+        }
+    }
+
+    /// The breaker of this host has tripped.
+    pub fn tripped(&self, host: &ServerId) {
+        if let Some(blocked) = self.state.borrow_mut().blocked.get_mut(host) {
+            *blocked = true;
+        }
+    }
+
+    /// Sends what waits each `flush_ms`, and on as the writer is done with a batch; never returns.
+    pub async fn run(self: Rc<Self>, mut landed: UnboundedReceiver<bool>) {
+        let mut turns = interval(self.flush);
+        turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = turns.tick() => self.flush(),
+                Some(well) = landed.recv() => {
+                    let state = &mut *self.state.borrow_mut();
+                    self.landed(state, well);
+                    self.send_on(state);
+                }
+            }
+        }
+    }
+
+    /// Flushes and waits until all is out, or for `limit`. [`Figures::run`] must be running.
+    pub async fn stop(&self, limit: Duration) {
+        const STEP: Duration = Duration::from_millis(2);
+        self.flush();
+        let empty = async {
+            while self.state.borrow().flight.is_some() || !self.state.borrow().lines.is_empty() {
+                tokio::time::sleep(STEP).await;
+            }
+        };
+        // What a stuck pipe does not take by then is lost.
+        let _ = timeout(limit, empty).await;
+        self.tell_dropped(&mut self.state.borrow_mut());
+    }
+
+    fn flush(&self) {
+        let state = &mut *self.state.borrow_mut();
+        for class in 0..self.classes.len() {
+            let open = state.open[class];
+            self.add(state, "req.open", &[("kind", self.kind(ClassId(class)))], open, Measure::Gauge);
+        }
+        let blocked = std::mem::take(&mut state.blocked);
+        for (host, &blocked) in &blocked {
+            let host = tag(self.format, host.as_str());
+            self.add(state, "host.blocked", &[("host", &host)], u64::from(blocked), Measure::Gauge);
+        }
+        state.blocked = blocked;
+        state.due = state.lines.len();
+        self.send_on(state);
+        self.tell_dropped(state);
+    }
+
+    /// Where no batch gets out, their number can only be told beside them.
+    fn tell_dropped(&self, state: &mut State) {
+        if state.dropped_ever > state.dropped_told {
+            state.dropped_told = state.dropped_ever;
+            self.log.line(&format!("figures: {} batches dropped so far", state.dropped_ever));
+        }
+    }
+
+    fn kind(&self, class: ClassId) -> &str {
+        self.classes.get(class.0).map_or(NO_HOST, String::as_str)
+    }
+
+    fn add(&self, state: &mut State, name: &str, tags: &[(&str, &str)], value: u64, measure: Measure) {
+        let line = self.line(state, name, tags, value, measure);
+        let flying = state.flight.map_or(0, |flight| flight.bytes);
+        while state.lines.len() + flying + line.len() > BUFFER - CARRIED {
+            // At most a batch is being written, so some line of those that wait can go.
+            let oldest = state.lines.iter().position(|&byte| byte == b'\n').map_or(0, |end| end + 1);
+            if oldest == 0 {
+                return;
+            }
+            state.lines.drain(..oldest);
+            state.due = state.due.saturating_sub(oldest);
+            state.pushed_out += 1;
+        }
+        let whole = state.lines.len() + line.len();
+        if whole > state.lines.capacity() {
+            // Grown by itself, it could take twice its bound.
+            state.lines.reserve_exact(whole.next_power_of_two().min(BUFFER) - state.lines.len());
+        }
+        state.lines.extend(line.as_bytes());
+        self.send_on(state);
+    }
+
+    fn line(
+        &self,
+        state: &mut State,
+        name: &str,
+        tags: &[(&str, &str)],
+        value: u64,
+        measure: Measure,
+    ) -> String {
+        let mut line = format!("slatelink.{name}");
+        // Writing to a string does not fail.
+        let _ = match self.format {
+            Format::Statsd => {
+                let unit = match measure {
+                    Measure::Counter => "c",
+                    Measure::Gauge => "g",
+                    Measure::Timer => "ms",
+                };
+                let _ = write!(line, ":{value}|{unit}");
+                for (i, (name, value)) in tags.iter().enumerate() {
+                    let _ = write!(line, "{}{name}:{value}", if i == 0 { "|#" } else { "," });
+                }
+                writeln!(line)
+            }
+            Format::Influx => {
+                let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos();
+                state.stamp = now.max(state.stamp + 1);
+                for (name, value) in tags {
+                    let _ = write!(line, ",{name}={value}");
+                }
+                writeln!(line, " value={value}i {}", state.stamp)
+            }
+        };
+        line
+    }
+
+    /// Sends batches while one is full or due and none is on its way.
+    fn send_on(&self, state: &mut State) {
+        while state.flight.is_none() && (state.lines.len() >= self.batch || state.due > 0) {
+            let batch = self.next_batch(state);
+            match &self.output {
+                Output::Udp(socket) => {
+                    let sent = socket.send(batch.trim_ascii_end());
+                    self.landed(state, sent.is_ok());
+                }
+                Output::Queue { lane, sink, results } => {
+                    let (sink, results) = (sink.clone(), results.clone());
+                    let put = lane.put(move |stderr| {
+                        let written = match &sink {
+                            None => stderr.write_all(&batch),
+                            Some(sink) => sink.lock().unwrap_or_else(PoisonError::into_inner).write(&batch),
+                        };
+                        // The node may have stopped meanwhile.
+                        let _ = results.send(written.is_ok());
+                    });
+                    if !put {
+                        self.landed(state, false);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The oldest lines that make a batch, and before them what was lost so far.
+    fn next_batch(&self, state: &mut State) -> Vec<u8> {
+        let mut batch = Vec::with_capacity(self.batch);
+        let (dropped, pushed_out) = (state.dropped, state.pushed_out);
+        for (name, count) in [("figures.dropped", dropped), ("figures.pushed_out", pushed_out)] {
+            if count > 0 {
+                batch.extend(self.line(state, name, &[], count, Measure::Counter).bytes());
+            }
+        }
+        let room = self.batch - batch.len();
+        let mut ends = state.lines.iter().enumerate().take(room).filter(|(_, &byte)| byte == b'\n');
+        let taken = ends.next_back().map_or(0, |(end, _)| end + 1);
+        batch.extend(state.lines.drain(..taken));
+        state.due = state.due.saturating_sub(taken);
+        state.flight = Some(Flight { bytes: batch.len(), dropped, pushed_out });
+        batch
+    }
+
+    fn landed(&self, state: &mut State, well: bool) {
+        let flight = state.flight.take().unwrap_or_default();
+        if well {
+            state.dropped -= flight.dropped;
+            state.pushed_out -= flight.pushed_out;
+        } else {
+            state.dropped += 1;
+            state.dropped_ever += 1;
+        }
+    }
+}
+
+/// A tag's value as the format takes it. StatsD has no escapes: what it would read otherwise is replaced.
+fn tag(format: Format, text: &str) -> Cow<'_, str> {
+    let cut = &text[..text.floor_char_boundary(LONGEST_TAG)];
+    if cut.is_empty() {
+        return "_".into();
+    }
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if cut.chars().all(plain) {
+        return cut.into();
+    }
+    let mut value = String::with_capacity(2 * cut.len());
+    for c in cut.chars() {
+        match (format, c) {
+            (_, c) if c.is_control() || c == '\\' => value.push('_'),
+            (Format::Influx, ',' | '=' | ' ') => value.extend(['\\', c]),
+            (Format::Statsd, ',' | ':' | '|' | '#' | '@') => value.push('_'),
+            (_, c) if c.is_whitespace() => value.push('_'),
+            (_, c) => value.push(c),
+        }
+    }
+    value.into()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::Ipv4Addr;
+    use std::sync::mpsc::channel;
+
+    fn figures(text: &str, writer: &Writer) -> (Figures, UnboundedReceiver<bool>) {
+        let settings: Settings = toml::from_str(text).unwrap();
+        Figures::open(&settings, &["look up".into(), "put".into()], writer, Log::Direct).unwrap()
+    }
+
+    /// The lines that `events` come to, sent in one datagram or more.
+    fn lines(format: &str, events: impl Fn(&Figures)) -> Vec<String> {
+        let receiver = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let target = receiver.local_addr().unwrap();
+        let writer = Writer::start().unwrap();
+        let (figures, _) = figures(&format!("format = \"{format}\"\ntarget = \"udp:{target}\""), &writer);
+        events(&figures);
+        figures.flush();
+        let (mut lines, mut buffer) = (Vec::new(), [0; 2000]);
+        receiver.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+        while !lines
+            .iter()
+            .any(|line: &String| line.starts_with("slatelink.req.open") && line.contains("put"))
+        {
+            let n = receiver.recv(&mut buffer).unwrap();
+            assert!(n <= 1400, "{n} bytes in a datagram");
+            lines.extend(std::str::from_utf8(&buffer[..n]).unwrap().lines().map(str::to_owned));
+        }
+        lines
+    }
+
+    fn some_events(figures: &Figures) {
+        let host = ServerId::from("s,=1 x");
+        figures.taken(ClassId(0));
+        figures.taken(ClassId(0));
+        figures.sent(&host);
+        figures.ended(ClassId(0), &host, Status::TimedOut);
+        figures.answered(ClassId(0), None, Duration::from_micros(411_600), End::Refused);
+    }
+
+    // Guards against lines that a StatsD server reads as something else.
+    #[test]
+    fn statsd_lines_carry_their_tags_with_what_the_format_reserves_replaced() {
+        assert_eq!(
+            lines("statsd", some_events),
+            [
+                "slatelink.attempt.count:1|c|#kind:look_up,host:s_=1_x,outcome:timeout",
+                "slatelink.req.count:1|c|#kind:look_up,host:none,status:503",
+                "slatelink.req.time:412|ms|#kind:look_up,host:none",
+                "slatelink.req.open:1|g|#kind:look_up",
+                "slatelink.req.open:0|g|#kind:put",
+            ]
+        );
+    }
+
+    // Guards against points that InfluxDB cannot read, or that replace each other.
+    #[test]
+    fn influx_lines_are_escaped_and_no_two_are_of_one_instant() {
+        let lines = lines("influx", some_events);
+        let (texts, stamps): (Vec<_>, Vec<_>) =
+            lines.iter().map(|line| line.rsplit_once(' ').unwrap()).unzip();
+        assert_eq!(
+            texts,
+            [
+                "slatelink.attempt.count,kind=look\\ up,host=s\\,\\=1\\ x,outcome=timeout value=1i",
+                "slatelink.req.count,kind=look\\ up,host=none,status=503 value=1i",
+                "slatelink.req.time,kind=look\\ up,host=none value=412i",
+                "slatelink.req.open,kind=look\\ up value=1i",
+                "slatelink.req.open,kind=put value=0i",
+            ]
+        );
+        let stamps: Vec<u64> = stamps.iter().map(|stamp| stamp.parse().unwrap()).collect();
+        assert!(stamps.windows(2).all(|pair| pair[0] < pair[1]), "{stamps:?}");
+    }
+
+    // Guards against memory that grows behind a writer that is stuck, and against losing the newest lines.
+    #[test]
+    fn the_buffer_keeps_its_bound_and_the_oldest_lines_go_first() {
+        let writer = Writer::start().unwrap();
+        let (figures, mut landed) = figures("target = \"file:/dev/null\"", &writer);
+        let stuck = writer.lane(1);
+        let (release, held) = channel::<()>();
+        assert!(stuck.put(move |_| held.recv().unwrap_or_default()));
+        let host = ServerId::from("h");
+        // The first batch is handed over and stays; what follows must share the rest of the room.
+        for i in 0..20_000 {
+            let ms = Duration::from_millis(i);
+            figures.taken(ClassId(1));
+            figures.answered(ClassId(1), Some(&host), ms, End::Served);
+            let state = figures.state.borrow();
+            assert!(state.lines.len() + state.flight.unwrap_or_default().bytes <= BUFFER);
+            assert!(state.lines.capacity() <= BUFFER);
+        }
+        let state = figures.state.borrow();
+        let text = String::from_utf8(state.lines.iter().copied().collect()).unwrap();
+        assert!(state.lines.len() > BUFFER - CARRIED - 2 * figures.batch, "{} used", state.lines.len());
+        assert!(text.starts_with("slatelink.") && text.ends_with("\n"), "whole lines only");
+        assert!(text.lines().last().unwrap().starts_with("slatelink.req.time:19999|ms|"));
+        let kept = text.lines().count() as u64;
+        let flown = state.flight.unwrap().bytes as u64;
+        assert!(state.pushed_out > 0 && state.pushed_out + kept < 40_000 && flown > 0);
+        assert!(40_000 - state.pushed_out - kept <= flown / 40, "no line is uncounted");
+        drop(state);
+        drop(release);
+        assert_eq!(landed.blocking_recv(), Some(true));
+    }
+
+    // Guards against a count of lost batches that is lost with the next batch.
+    #[test]
+    fn what_was_dropped_is_told_by_the_first_batch_that_gets_out() {
+        let writer = Writer::start().unwrap();
+        let (figures, _landed) = figures("target = \"file:/dev/null\"", &writer);
+        let state = &mut *figures.state.borrow_mut();
+        for _ in 0..3 {
+            figures.next_batch(state);
+            figures.landed(state, false);
+        }
+        let batch = figures.next_batch(state);
+        assert_eq!(batch, b"slatelink.figures.dropped:3|c\n");
+        figures.landed(state, true);
+        assert_eq!((state.dropped, state.dropped_ever), (0, 3));
+        assert_eq!(figures.next_batch(state), b"");
+    }
+
+    // Guards against a line that no batch can take: it would never leave.
+    #[test]
+    fn the_longest_line_fits_the_smallest_batch() {
+        let writer = Writer::start().unwrap();
+        let (figures, _landed) = figures("format = \"influx\"\nmax_batch_bytes = 512", &writer);
+        let long = tag(Format::Influx, &"=".repeat(1000)).into_owned();
+        assert_eq!(long.len(), 2 * LONGEST_TAG);
+        let state = &mut State::default();
+        let mut size = |name, tags: &[(&str, &str)], value, measure| {
+            figures.line(state, name, tags, value, measure).len()
+        };
+        let tags = [("kind", &*long), ("host", &long), ("outcome", "canceled")];
+        let attempt = size("attempt.count", &tags, 1, Measure::Counter);
+        let time = size("req.time", &tags[..2], u64::MAX, Measure::Timer);
+        let carried = size("figures.dropped", &[], u64::MAX, Measure::Counter)
+            + size("figures.pushed_out", &[], u64::MAX, Measure::Counter);
+        assert!(carried + attempt.max(time) <= figures.batch, "{carried} {attempt} {time}");
+        assert!(carried <= CARRIED);
+    }
+
+    // Guards against a file whose line broke off and swallows the next one, and against a FIFO's reader that is
+    // waited for.
+    #[test]
+    fn a_line_that_broke_off_does_not_take_the_next_one_with_it() {
+        let path = std::env::temp_dir().join(format!("slatelink-torn-{}", std::process::id()));
+        let mut sink = Sink { path: path.clone(), file: None, torn: false };
+        sink.write(b"half").unwrap();
+        sink.torn = true;
+        sink.write(b"whole\n").unwrap();
+        assert_eq!(std::fs::read(&path).unwrap(), b"half\nwhole\n");
+        std::fs::remove_file(&path).unwrap();
+    }
+}
--- /dev/null
+++ b/src/features/mod.rs
@@ -0,0 +1,97 @@
+//! What observes a node at the operators' wish. Nothing here decides anything: the driver and the clients' side
+//! say what happened, and each feature that is on takes from it what it needs.
+
+pub mod figures;
+pub mod settings;
+pub mod writer;
+
+use crate::net::discovery::Listing;
+use figures::{End, Figures};
+use pinhead::{ClassId, Name, ServerId, Status};
+use settings::Settings;
+use std::rc::Rc;
+use std::time::Duration;
+use writer::{Log, Writer};
+
+/// At a stop all features together wait no longer than about twice this for what is written slowly.
+const STOP: Duration = Duration::from_millis(500);
+
+/// The features that are on.
+pub struct Features {
+    pub log: Log,
+    writer: Option<Writer>,
+    figures: Option<Rc<Figures>>,
+}
+
+impl Features {
+    /// Begins what the settings name, for these classes of requests. Its tasks run on the present local set.
+    pub fn start(settings: &Settings, classes: &[Name]) -> Result<Rc<Self>, String> {
+        let writer = match settings.writes() {
+            true => Some(Writer::start().map_err(|error| format!("cannot start the writer: {error}"))?),
+            false => None,
+        };
+        let log = writer.as_ref().map_or(Log::Direct, Log::queued);
+        let mut features = Self { log, writer, figures: None };
+        if let (Some(settings), Some(writer)) = (&settings.figures, &features.writer) {
+            let (figures, landed) = Figures::open(settings, classes, writer, features.log.clone())?;
+            let figures = Rc::new(figures);
+            tokio::task::spawn_local(figures.clone().run(landed));
+            features.figures = Some(figures);
+        }
+        Ok(Rc::new(features))
+    }
+
+    /// A request was taken.
+    pub fn taken(&self, class: ClassId) {
+        if let Some(figures) = &self.figures {
+            figures.taken(class);
+        }
+    }
+
+    /// A request taken has its final answer, or its client has left. `host`: who served it or was tried last.
+    pub fn answered(&self, class: ClassId, host: Option<&ServerId>, took: Duration, end: End) {
+        if let Some(figures) = &self.figures {
+            figures.answered(class, host, took, end);
+        }
+    }
+
+    /// An attempt begins.
+    pub fn sent(&self, host: &ServerId) {
+        if let Some(figures) = &self.figures {
+            figures.sent(host);
+        }
+    }
+
+    /// An attempt has ended.
+    pub fn ended(&self, class: ClassId, host: &ServerId, status: Status) {
+        if let Some(figures) = &self.figures {
+            figures.ended(class, host, status);
+        }
+    }
+
+    /// Discovery's word, as the driver takes it in.
+    pub fn learned(&self, listing: &Listing) {
+        if let Some(figures) = &self.figures {
+            figures.learned(listing);
+        }
+    }
+
+    /// A line of the module's. That it tells of a breaker's trip is all that can be seen of breakers from here.
+    pub fn said(&self, text: &str) {
+        if let Some(figures) = &self.figures {
+            let host = text.strip_prefix("breaker of ").and_then(|rest| rest.strip_suffix(" tripped"));
+            host.into_iter().for_each(|host| figures.tripped(&host.into()));
+        }
+        self.log.line(text);
+    }
+
+    /// The node stops: what waits goes out, or is left after a while.
+    pub async fn stop(&self) {
+        if let Some(figures) = &self.figures {
+            figures.stop(STOP).await;
+        }
+        if let Some(writer) = &self.writer {
+            writer.settle(STOP).await;
+        }
+    }
+}
--- a/src/features/settings.rs
+++ b/src/features/settings.rs
@@ -1,7 +1,11 @@
 //! The operators' settings of the features: one TOML file, named on the command line and read at the start only.
 
+use crate::features::figures;
+use crate::features::writer::Writer;
 use serde::Deserialize;
+use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 use thiserror::Error;
 
 /// Why the file cannot be used. A node does not guess: it fails to start.
@@ -16,7 +20,98 @@
 /// What the file says. A feature is on when its section stands there.
 #[derive(Debug, Default, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Settings {}
+pub struct Settings {
+    pub figures: Option<Figures>,
+}
+
+impl Settings {
+    /// Whether any feature writes to a file or to standard error.
+    pub fn writes(&self) -> bool {
+        self.figures.is_some()
+    }
+
+    /// Descriptors that the features hold: they come out of the node's limit.
+    pub fn descriptors(&self) -> usize {
+        let writer = if self.writes() { Writer::DESCRIPTORS } else { 0 };
+        writer + self.figures.as_ref().map_or(0, |_| figures::Figures::DESCRIPTORS)
+    }
+}
+
+/// Section `figures`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Figures {
+    pub format: Format,
+    pub target: Target,
+    flush_ms: Within<10, 3_600_000>,
+    max_batch_bytes: Within<512, 65_507>,
+}
+
+impl Figures {
+    pub fn flush(&self) -> Duration {
+        Duration::from_millis(self.flush_ms.0 as u64)
+    }
+
+    pub fn batch(&self) -> usize {
+        self.max_batch_bytes.0
+    }
+}
+
+impl Default for Figures {
+    fn default() -> Self {
+        Self {
+            format: Format::Statsd,
+            target: Target::Stderr,
+            flush_ms: Within(1000),
+            max_batch_bytes: Within(1400),
+        }
+    }
+}
+
+/// How a line is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    Statsd,
+    Influx,
+}
+
+/// Where batches go.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(try_from = "String")]
+pub enum Target {
+    Stderr,
+    File(PathBuf),
+    Udp(SocketAddr),
+}
+
+impl TryFrom<String> for Target {
+    type Error = String;
+    fn try_from(text: String) -> Result<Self, String> {
+        match text.split_once(':') {
+            None if text == "stderr" => Ok(Self::Stderr),
+            Some(("file", path)) if !path.is_empty() => Ok(Self::File(path.into())),
+            Some(("udp", address)) => match address.parse::<SocketAddr>() {
+                Ok(address) if address.port() > 0 => Ok(Self::Udp(address)),
+                _ => Err(format!("target udp:{address:?} is not an address and port")),
+            },
+            _ => Err(format!("target {text:?} is not stderr, file:<path> or udp:<addr:port>")),
+        }
+    }
+}
+
+/// A whole number from `LEAST` to `MOST`.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(try_from = "i64")]
+pub struct Within<const LEAST: usize, const MOST: usize>(pub usize);
+
+impl<const LEAST: usize, const MOST: usize> TryFrom<i64> for Within<LEAST, MOST> {
+    type Error = String;
+    fn try_from(value: i64) -> Result<Self, String> {
+        let within = usize::try_from(value).ok().filter(|value| (LEAST..=MOST).contains(value));
+        within.map(Self).ok_or_else(|| format!("{value} is not from {LEAST} to {MOST}"))
+    }
+}
 
 /// Reads the file at `path`.
 pub fn load(path: PathBuf) -> Result<Settings, SettingsError> {
--- /dev/null
+++ b/src/features/writer.rs
@@ -0,0 +1,144 @@
+//! The one thread that writes files and standard error for the features. The node is one thread too: a pipe that
+//! nobody reads, a slow disk or a FIFO must stall this one and never that.
+
+use std::cell::Cell;
+use std::fs::File;
+use std::io::{self, Write};
+use std::os::fd::AsFd;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// Places in the queue, at least as many as all lanes have together: a lane that has one gets it.
+const QUEUE: usize = 1024;
+/// Lines of the node's log that may wait.
+const LOG_LINES: usize = 128;
+
+type Job = Box<dyn FnOnce(&mut File) + Send>;
+
+/// The way to the thread. It ends with the process, or when the last lane has gone.
+#[derive(Debug)]
+pub struct Writer {
+    jobs: SyncSender<Job>,
+}
+
+impl Writer {
+    /// Descriptors that it holds: its own one of standard error, whose lock would else bind two threads.
+    pub const DESCRIPTORS: usize = 1;
+
+    pub fn start() -> io::Result<Self> {
+        let mut stderr = File::from(io::stderr().as_fd().try_clone_to_owned()?);
+        let (jobs, queue) = sync_channel::<Job>(QUEUE);
+        thread::Builder::new().name("writer".to_owned()).spawn(move || {
+            for job in queue {
+                job(&mut stderr);
+            }
+        })?;
+        Ok(Self { jobs })
+    }
+
+    /// A share of the queue: one that is full takes no place from the others.
+    pub fn lane(&self, most: usize) -> Lane {
+        Lane { jobs: self.jobs.clone(), used: Arc::default(), most }
+    }
+
+    /// Waits until all that was put before is written, or for `limit`: a stop must not wait for a stuck pipe.
+    pub async fn settle(&self, limit: Duration) {
+        let (done, settled) = oneshot::channel();
+        let last = self.lane(1);
+        let told = last.put(move |_| {
+            // Nobody waits any more where it came too late.
+            let _ = done.send(());
+        });
+        if told {
+            let _ = timeout(limit, settled).await;
+        }
+    }
+}
+
+/// See [`Writer::lane`].
+#[derive(Debug)]
+pub struct Lane {
+    jobs: SyncSender<Job>,
+    used: Arc<AtomicUsize>,
+    most: usize,
+}
+
+impl Lane {
+    /// Has the thread do this, with standard error at hand; `false` where no place is left. Never waits.
+    pub fn put(&self, job: impl FnOnce(&mut File) + Send + 'static) -> bool {
+        // Only the node's own thread puts, so no other takes the place in between.
+        if self.used.load(Ordering::Acquire) >= self.most {
+            return false;
+        }
+        self.used.fetch_add(1, Ordering::AcqRel);
+        let used = self.used.clone();
+        let sent = self.jobs.try_send(Box::new(move |stderr| {
+            job(stderr);
+            used.fetch_sub(1, Ordering::AcqRel);
+        }));
+        if sent.is_err() {
+            self.used.fetch_sub(1, Ordering::AcqRel);
+        }
+        sent.is_ok()
+    }
+}
+
+/// The node's own log. Beside features that write to standard error it goes through the same queue: by itself,
+/// a line would stall the node behind theirs.
+#[derive(Clone, Debug)]
+pub enum Log {
+    Direct,
+    Queued { lane: Rc<Lane>, lost: Rc<Cell<u64>> },
+}
+
+impl Log {
+    pub fn queued(writer: &Writer) -> Self {
+        Self::Queued { lane: Rc::new(writer.lane(LOG_LINES)), lost: Rc::default() }
+    }
+
+    pub fn line(&self, text: &str) {
+        match self {
+            Self::Direct => eprintln!("{text}"),
+            Self::Queued { lane, lost } => {
+                let mut lines = match lost.get() {
+                    0 => String::new(),
+                    lost => format!("{lost} lines of the log are lost: standard error is not read\n"),
+                };
+                lines.push_str(text);
+                lines.push('\n');
+                // There is nowhere to report an error to.
+                let put = lane.put(move |stderr| drop(stderr.write_all(lines.as_bytes())));
+                lost.set(if put { 0 } else { lost.get() + 1 });
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::sync::mpsc::channel;
+
+    // Guards against a stuck write that stalls the node, and against one lane that starves another.
+    #[test]
+    fn a_full_lane_turns_away_at_once_and_leaves_the_others_their_places() {
+        let writer = Writer::start().unwrap();
+        let (one, two) = (writer.lane(2), writer.lane(1));
+        let (release, held) = channel::<()>();
+        let (done, ended) = channel();
+        assert!(one.put(move |_| held.recv().unwrap_or_default()));
+        assert!(one.put(|_| {}));
+        assert!(!one.put(|_| {}), "a third of two");
+        assert!(two.put(move |_| done.send(()).unwrap()));
+        release.send(()).unwrap();
+        ended.recv_timeout(Duration::from_secs(60)).unwrap();
+        // What came first has given its places back.
+        assert!(one.put(|_| {}) && one.put(|_| {}));
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,9 +1,7 @@
 //! One real node: the decision module on sockets. Start-up, wiring, SIGHUP, SIGTERM and the exit code.
 #![forbid(unsafe_code)]
 
-mod features {
-    pub mod settings;
-}
+mod features;
 
 mod net {
     pub mod config;
@@ -15,7 +13,9 @@
 }
 
 use clap::Parser;
-use features::settings;
+use features::settings::{self, Settings as FeatureSettings};
+use features::writer::Log;
+use features::Features;
 use net::config::{self, Config};
 use net::discovery::Discovery;
 use net::driver::Driver;
@@ -61,65 +61,70 @@
 }
 
 fn start(features: Option<PathBuf>) -> Result<(), Box<dyn Error>> {
-    if let Some(path) = features {
-        settings::load(path)?;
-    }
+    let features = features.map(settings::load).transpose()?.unwrap_or_default();
     let config = config::load(|name| std::env::var(name).ok())?;
     // A node has one core: one thread, and no locks between its parts.
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run(config, features))
 }
 
-async fn run(config: Config) -> Result<(), Box<dyn Error>> {
+async fn run(config: Config, features: FeatureSettings) -> Result<(), Box<dyn Error>> {
     // Before anything else: a signal without a handler ends the process.
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
     let Config { name, listen, discovery, seed, sockets, known, settings } = config;
     let listener =
         TcpListener::bind(listen).await.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
-    eprintln!("node {name} listens on {}", listener.local_addr()?);
-
     // A request holds a connection of its client for as long as one to a cache server.
-    let most = (sockets - SPARE_SOCKETS) / 2;
+    let most = sockets.saturating_sub(SPARE_SOCKETS + features.descriptors()) / 2;
+    if most == 0 {
+        return Err(format!("a limit of {sockets} sockets leaves no room beside the features").into());
+    }
+    let classes: Vec<_> = settings.classes.iter().map(|class| class.name.clone()).collect();
+    let features = Features::start(&features, &classes)?;
+    let log = features.log.clone();
+    log.line(&format!("node {name} listens on {}", listener.local_addr()?));
+
     // Unbounded, and bounded all the same by the connections: each has one request, or one attempt, in it.
     let (events, inputs) = mpsc::unbounded_channel();
     let (stages, stage) = watch::channel(Stage::Serving);
     let (follow, ready) = (Rc::new(Notify::new()), Rc::default());
     let upstream = Rc::new(Upstream::new(most, settings.connect_timeout, settings.keepalive));
-    let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone()));
+    let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone(), log.clone()));
     let seq = (!known.hosts.is_empty()).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let (addresses, address) = watch::channel(discovery);
-    let watching = Discovery { address, seq, random, events: events.clone() };
+    let watching = Discovery { address, seq, random, events: events.clone(), log: log.clone() };
 
     spawn_local(upstream.clone().sweep());
     spawn_local(front.table.clone().sweep());
     spawn_local(watching.run(follow.clone()));
-    spawn_local(reload(hangup, addresses));
+    spawn_local(reload(hangup, addresses, log.clone()));
     let balancer = Balancer::new(settings, seed);
-    spawn_local(Driver::new(balancer, upstream, follow, ready, events).run(known, inputs));
+    spawn_local(Driver::new(balancer, upstream, follow, ready, events, features.clone()).run(known, inputs));
     let serving = spawn_local(serve(listener, front, most));
 
     terminate.recv().await;
-    eprintln!("node {name} is told to stop");
+    log.line(&format!("node {name} is told to stop"));
     stages.send_replace(Stage::Leaving);
     sleep(LEAVING).await;
     stages.send_replace(Stage::Closing);
     serving.await?;
+    features.stop().await;
     Ok(())
 }
 
 /// Takes the configuration's `discovery` anew at each SIGHUP; the rest of it holds from the start. A file that
 /// cannot be used is one line in the log, and what the node had goes on.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, log: Log) {
     while hangup.recv().await.is_some() {
         match config::load(|name| std::env::var(name).ok().filter(|_| name != config::DISCOVERY)) {
             Ok(new) => {
-                eprintln!("configuration read again: discovery at {}", new.discovery);
+                log.line(&format!("configuration read again: discovery at {}", new.discovery));
                 // One that stays is not asked again: its watch is as good as it was.
                 discovery.send_if_modified(|held| std::mem::replace(held, new.discovery) != new.discovery);
             }
-            Err(error) => eprintln!("configuration not taken: {error}"),
+            Err(error) => log.line(&format!("configuration not taken: {error}")),
         }
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,5 +1,6 @@
 //! The list of cache servers: discovery's words as the module's, the watch on changes, backoff.
 
+use crate::features::writer::Log;
 use crate::net::driver::Input;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -120,6 +121,7 @@
     pub seq: Option<u64>,
     pub random: fastrand::Rng,
     pub events: UnboundedSender<Input>,
+    pub log: Log,
 }
 
 impl Discovery {
@@ -166,7 +168,7 @@
                         }
                     }
                     Err(error) => {
-                        eprintln!("discovery: {error}");
+                        self.log.line(&format!("discovery: {error}"));
                         failures += 1;
                         if self.events.send(Input::ListingFailed).is_err() {
                             return;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,6 +1,8 @@
 //! Drives the module: the only owner of the `Balancer` and of what is open. Events come in by channel and the
 //! module's actions are carried out in order; nothing is picked, repeated or refused here.
 
+use crate::features::figures::End;
+use crate::features::Features;
 use crate::net::discovery::Listing;
 use crate::net::upstream::{Ended, Message, Upstream};
 use bytes::Bytes;
@@ -91,10 +93,19 @@
     message: Rc<Message>,
     /// `None` once the final answer is given.
     answer: Option<oneshot::Sender<Answer>>,
+    class: ClassId,
+    at: Instant,
     until: Instant,
     attempts: Vec<Sent>,
 }
 
+impl Open {
+    /// Who was tried last.
+    fn last(&self) -> Option<&ServerId> {
+        self.attempts.last().map(|sent| &sent.server)
+    }
+}
+
 struct Sent {
     server: ServerId,
     at: Instant,
@@ -116,6 +127,7 @@
     follow: Rc<Notify>,
     ready: Rc<Cell<bool>>,
     events: UnboundedSender<Input>,
+    features: Rc<Features>,
     open: HashMap<RequestId, Open>,
     timers: BTreeSet<(Instant, Timer)>,
     due: VecDeque<Event>,
@@ -129,6 +141,7 @@
         follow: Rc<Notify>,
         ready: Rc<Cell<bool>>,
         events: UnboundedSender<Input>,
+        features: Rc<Features>,
     ) -> Self {
         Self {
             balancer,
@@ -137,6 +150,7 @@
             follow,
             ready,
             events,
+            features,
             open: HashMap::new(),
             timers: BTreeSet::new(),
             due: VecDeque::new(),
@@ -174,6 +188,7 @@
                 let id = request_id(ticket);
                 if let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) {
                     open.answer = None;
+                    self.features.answered(open.class, open.last(), open.at.elapsed(), End::Left);
                     self.due.push_back(Event::Abandoned(id.clone()));
                     self.tidy(&id);
                 }
@@ -192,6 +207,7 @@
     /// Hands a list to the connections and gives its entries back as the module's. It goes to both in one
     /// step, so that no attempt of the module's can overtake it.
     fn learn(&mut self, listing: &Listing) -> Arc<[ServerEntry]> {
+        self.features.learned(listing);
         let entries: Arc<[ServerEntry]> = listing.hosts.iter().map(|host| host.entry()).collect();
         if listing.whole {
             self.upstream.retain(|id| entries.iter().any(|entry| entry.id == *id));
@@ -211,8 +227,15 @@
     fn request(&mut self, taken: Taken) {
         let id = request_id(taken.ticket);
         let until = taken.at + taken.patience.saturating_sub(MARGIN);
-        let open =
-            Open { message: Rc::new(taken.message), answer: Some(taken.answer), until, attempts: Vec::new() };
+        self.features.taken(taken.class);
+        let open = Open {
+            message: Rc::new(taken.message),
+            answer: Some(taken.answer),
+            class: taken.class,
+            at: taken.at,
+            until,
+            attempts: Vec::new(),
+        };
         self.open.insert(id.clone(), open);
         self.timers.insert((until + GUARD, Timer::Guard(id.clone())));
         self.due.push_back(Event::Request(Request {
@@ -235,8 +258,9 @@
         };
         sent.task = None;
         let (server, took) = (sent.server.clone(), sent.at.elapsed());
+        self.features.ended(open.class, &server, ended.status);
         if let Some(body) = ended.body {
-            reply(open, Answer::Served(body));
+            reply(&self.features, open, Some(&server), Answer::Served(body));
         }
         let finished = open.answer.is_none();
         let Ended { status, note, load, .. } = ended;
@@ -279,7 +303,8 @@
     /// and the module learns that nothing is owed any more. What its attempts come to is still reported.
     fn guard(&mut self, id: RequestId) {
         let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) else { return };
-        reply(open, Answer::Failed);
+        let last = open.last().cloned();
+        reply(&self.features, open, last.as_ref(), Answer::Failed);
         self.tidy(&id);
         self.due.push_back(Event::Abandoned(id));
     }
@@ -313,9 +338,11 @@
             }
             Action::Close { server } => self.upstream.close_idle(&server),
             Action::Follow => self.follow.notify_one(),
-            Action::Log(text) => eprintln!("{text}"),
+            Action::Log(text) => self.features.said(&text),
             // The module never probes where the settings forbid it, as they do wherever this node runs.
-            Action::Probe { server } => eprintln!("no probe of {server}: this node sends none"),
+            Action::Probe { server } => {
+                self.features.log.line(&format!("no probe of {server}: this node sends none"));
+            }
         }
     }
 
@@ -323,6 +350,7 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let (at, attempt) = (Instant::now(), open.attempts.len() as u32);
         let until = open.until.min(at + timeout);
+        self.features.sent(&server);
         let (upstream, events) = (self.upstream.clone(), self.events.clone());
         let (message, over) = (open.message.clone(), open.answer.is_none());
         let target = server.clone();
@@ -340,14 +368,21 @@
 
     fn finish(&mut self, id: &RequestId, answer: Answer) {
         if let Some(open) = self.open.get_mut(id) {
-            reply(open, answer);
+            let last = open.last().cloned();
+            reply(&self.features, open, last.as_ref(), answer);
             self.tidy(id);
         }
     }
 }
 
-fn reply(open: &mut Open, answer: Answer) {
+fn reply(features: &Features, open: &mut Open, host: Option<&ServerId>, answer: Answer) {
     if let Some(sender) = open.answer.take() {
+        let end = match &answer {
+            Answer::Served(_) => End::Served,
+            Answer::Refused { .. } => End::Refused,
+            Answer::Failed => End::Failed,
+        };
+        features.answered(open.class, host, open.at.elapsed(), end);
         // A client that has gone meanwhile is owed nothing.
         let _ = sender.send(answer);
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,5 +1,6 @@
 //! The clients' side: reads requests, hands them to the driver, writes the answers, sees clients leave.
 
+use crate::features::writer::Log;
 use crate::net::driver::{Answer, Input, Taken};
 use crate::net::table::{Place, Table};
 use crate::net::upstream::{Message, OpenIds, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
@@ -56,6 +57,7 @@
     pub events: UnboundedSender<Input>,
     pub tickets: Cell<u64>,
     pub table: Rc<Table>,
+    pub log: Log,
     /// Ids of the requests that are open, or have an attempt out.
     open: OpenIds,
 }
@@ -66,6 +68,7 @@
         ready: Rc<Cell<bool>>,
         stage: watch::Receiver<Stage>,
         events: UnboundedSender<Input>,
+        log: Log,
     ) -> Self {
         Self {
             classes: settings.classes.iter().map(|class| (class.name.clone(), class.deadline)).collect(),
@@ -75,6 +78,7 @@
             events,
             tickets: Cell::new(0),
             table: Rc::default(),
+            log,
             open: OpenIds::default(),
         }
     }
@@ -104,7 +108,7 @@
                 });
             }
             Err(error) => {
-                eprintln!("accept: {error}");
+                front.log.line(&format!("accept: {error}"));
                 sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -383,6 +383,10 @@
 pub struct Client(BufReader<TcpStream>);
 
 impl Client {
+    pub fn on(stream: TcpStream) -> Self {
+        Self(BufReader::new(stream))
+    }
+
     pub fn send(&mut self, text: &str) {
         self.0.get_mut().write_all(text.as_bytes()).unwrap();
     }
--- a/tests/node_features.rs
+++ b/tests/node_features.rs
@@ -7,7 +7,21 @@
 // Guards against a node that starts on settings it does not understand, or on none where some were named.
 #[test]
 fn a_missing_or_broken_feature_file_is_one_line_and_a_failed_start() {
-    let texts = ["unknown = 1", "[nothing]", "[figures", "\u{0}"];
+    let texts = [
+        "unknown = 1",
+        "[nothing]",
+        "[figures",
+        "\u{0}",
+        "[figures]\ntarget = \"file:\"",
+        "[figures]\ntarget = \"udp\"",
+        "[figures]\ntarget = \"udp:localhost\"",
+        "[figures]\ntarget = \"stdout\"",
+        "[figures]\nformat = \"json\"",
+        "[figures]\nflush_ms = 0",
+        "[figures]\nflush_ms = \"1s\"",
+        "[figures]\nmax_batch_bytes = 10",
+        "[figures]\ncolour = \"red\"",
+    ];
     let mut paths: Vec<_> = texts.iter().map(|text| write_config(text)).collect();
     paths.push("no/such/file.toml".into());
     // What the node is told is in order: only the features' file can be to blame.
@@ -31,3 +45,135 @@
     node.terminate();
     assert!(node.exit().success());
 }
+
+fn temporary(name: &str) -> std::path::PathBuf {
+    std::env::temp_dir().join(format!("slatelink-{}-{name}", std::process::id()))
+}
+
+/// The sum of a StatsD counter over all lines that have it and `tag`.
+fn sum(lines: &str, name: &str, tag: &str) -> u64 {
+    let start = format!("{name}:");
+    let of = lines.lines().filter_map(|line| line.strip_prefix(&start)).filter(|line| line.contains(tag));
+    of.map(|line| line.split('|').next().unwrap().parse::<u64>().unwrap()).sum()
+}
+
+// Guards against requests or attempts that are not counted, or counted under another host, class or end.
+#[test]
+fn figures_tell_each_request_and_attempt_with_its_class_and_host() {
+    let server = CacheServer::start(|asked| match asked.header("req-kind") {
+        _ if asked.header("req-id") == Some("7") => Does::Answer(answer("500 No", "", "")),
+        _ => Does::Answer(answer("200 OK", "", "value")),
+    });
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let path = temporary("figures");
+    let features = format!("[figures]\ntarget = \"file:{}\"\nflush_ms = 50\n", path.display());
+    let node = Node::with_features(&config(discovery.address), &features);
+    for key in 0..5 {
+        assert_eq!(node.read("read", key).status(), 200);
+    }
+    assert_eq!(node.read("once", 7).status(), 502);
+    discovery.tell(false, &[server.entry("s-1", "draining")]);
+    discovery.wait_until_told(2);
+    assert_eq!(node.read("keyed", 8).status(), 503);
+    let read = || std::fs::read_to_string(&path).unwrap();
+    wait_for("a flush", || read().contains("status:503"));
+    assert!(read().contains("slatelink.req.open:0|g|#kind:read\n"), "{}", read());
+    // What has not been flushed goes out at the stop.
+    discovery.tell(false, &[server.entry("s-1", "ready")]);
+    discovery.wait_until_told(3);
+    assert_eq!(node.read("read", 9).status(), 200);
+    node.terminate();
+    assert!(node.exit().success());
+    let lines = read();
+    assert_eq!(sum(&lines, "slatelink.req.count", "#kind:read,host:s-1,status:200"), 6, "{lines}");
+    assert_eq!(sum(&lines, "slatelink.req.count", "#kind:once,host:s-1,status:502"), 1);
+    assert_eq!(sum(&lines, "slatelink.req.count", "#kind:keyed,host:none,status:503"), 1);
+    assert_eq!(sum(&lines, "slatelink.req.count", ""), 8);
+    assert_eq!(lines.matches("slatelink.req.time:").count(), 8);
+    assert_eq!(sum(&lines, "slatelink.attempt.count", "host:s-1,outcome:ok"), 6);
+    assert_eq!(sum(&lines, "slatelink.attempt.count", "host:s-1,outcome:failed"), 1);
+    assert!(lines.contains("slatelink.host.blocked:0|g|#host:s-1\n"));
+    assert!(lines.ends_with('\n') && lines.lines().all(|line| line.starts_with("slatelink.")));
+    std::fs::remove_file(path).unwrap();
+}
+
+// Guards against a gauge that misses a breaker's trip: the module's words are all that tells of it.
+#[test]
+fn figures_tell_of_a_blocked_host() {
+    let bad = CacheServer::start(|_| Does::Answer(answer("500 No", "", "")));
+    let good = CacheServer::serving("value");
+    let discovery = Discovery::start(&[bad.entry("s-bad", "ready"), good.entry("s-good", "ready")]);
+    let path = temporary("blocked");
+    let features = format!("[figures]\ntarget = \"file:{}\"\nflush_ms = 20\n", path.display());
+    let node = Node::with_features(&config(discovery.address), &features);
+    let mut key = 0;
+    wait_for("a blocked host", || {
+        key += 1;
+        node.read("read", key);
+        std::fs::read_to_string(&path).unwrap().contains("slatelink.host.blocked:1|g|#host:s-bad\n")
+    });
+    assert!(node.log.lock().unwrap().iter().any(|line| line == "breaker of s-bad tripped"));
+    assert!(!std::fs::read_to_string(&path).unwrap().contains("blocked:1|g|#host:s-good"));
+    std::fs::remove_file(path).unwrap();
+}
+
+// The operators' own check: every write to this target reports an error, requests flow and the count rises.
+#[test]
+fn figures_to_a_full_device_are_dropped_and_counted_while_requests_flow() {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let features = "[figures]\ntarget = \"file:/dev/full\"\nflush_ms = 20\n";
+    let node = Node::with_features(&config(discovery.address), features);
+    let dropped = || -> Vec<u64> {
+        let log = node.log.lock().unwrap();
+        let counts = log.iter().filter_map(|line| line.strip_prefix("figures: "));
+        counts.map(|rest| rest.strip_suffix(" batches dropped so far").unwrap().parse().unwrap()).collect()
+    };
+    let mut client = node.client();
+    let mut key = 0;
+    wait_for("a count that rises", || {
+        key += 1;
+        assert_eq!(client.ask(&read("read", key, 20_000)).status(), 200);
+        dropped().len() > 3
+    });
+    assert!(dropped().windows(2).all(|pair| pair[0] < pair[1]), "{:?}", dropped());
+}
+
+// Guards against a pipe that nobody reads, and that stalls the node once it is full.
+#[test]
+fn a_node_whose_standard_error_is_not_read_serves_and_stops_as_ever() {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let path = write_config(&config(discovery.address).to_string());
+    let features = write_config("[figures]\nflush_ms = 20\n");
+    let mut child = command()
+        .env("LB_CONFIG", &path)
+        .arg("--features")
+        .arg(&features)
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut log = std::io::BufReader::with_capacity(64, child.stderr.take().unwrap());
+    let mut line = String::new();
+    std::io::BufRead::read_line(&mut log, &mut line).unwrap();
+    let address: std::net::SocketAddr = line.trim_end().rsplit(' ').next().unwrap().parse().unwrap();
+    let stream = std::net::TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut client = Client::on(stream);
+    wait_for("readiness", || client.ask("GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n").status() == 200);
+    // Well over what a pipe of 64 KiB and the buffer of 256 KiB hold.
+    for key in 0..4_000 {
+        assert_eq!(client.ask(&read("read", key, 20_000)).status(), 200);
+    }
+    let killed = std::process::Command::new("kill").arg(child.id().to_string()).status().unwrap();
+    assert!(killed.success());
+    let mut ended = None;
+    wait_for("the node's exit", || {
+        ended = child.try_wait().unwrap();
+        ended.is_some()
+    });
+    assert!(ended.unwrap().success());
+    for path in [path, features] {
+        std::fs::remove_file(path).unwrap();
+    }
+}
