--- /dev/null
+++ b/src/features/audit.rs
@@ -0,0 +1,535 @@
+//! The audit trail: who started, stopped and reconfigured the node, and what discovery said of hosts. Each record is
+//! a line that names the hash of the one before it, so that no line can be changed or taken out unseen.
+
+use crate::features::writer::{Lane, Writer};
+use crate::net::discovery::Listing;
+use pinhead::ServerId;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::fs::{File, TryLockError};
+use std::io::{self, BufRead, Read, Seek, SeekFrom, Write};
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+
+/// The first line's `prev`.
+const NONE_BEFORE: &str = "0000000000000000000000000000000000000000000000000000000000000000";
+/// Records that may wait for the disk.
+const RECORDS: usize = 768;
+/// A line is longer than this in no trail, and at a start no more is read to find the last ones.
+const LONGEST: usize = 64 << 10;
+/// Longer names in discovery's words are cut.
+const LONGEST_NAME: usize = 256;
+/// What a host is before discovery names it and once its whole list lacks it.
+const ABSENT: &str = "absent";
+
+/// What a record tells.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "lowercase")]
+enum Event {
+    Start {
+        node: String,
+        pid: u32,
+        version: &'static str,
+    },
+    Stop {
+        signal: &'static str,
+    },
+    Config {
+        file: &'static str,
+        path: String,
+        sha256: String,
+    },
+    Health {
+        host: String,
+        from: String,
+        to: String,
+    },
+    /// The file ended within a line, which was cut off.
+    Torn {
+        bytes: usize,
+        sha256: String,
+        text: String,
+    },
+    /// So many records before this one could not be written.
+    Lost {
+        records: u64,
+    },
+}
+
+#[derive(Serialize)]
+struct Record<'a> {
+    seq: u64,
+    at_ms: u64,
+    #[serde(flatten)]
+    event: &'a Event,
+    prev: &'a str,
+}
+
+/// A signal that ended the node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stop {
+    pub signal: &'static str,
+    pub number: u8,
+}
+
+impl Stop {
+    /// The platform's own way: it drains the node.
+    pub const TERMINATE: Self = Self { signal: "SIGTERM", number: libc::SIGTERM as u8 };
+}
+
+/// Signals that end a process which does nothing about them, and that can be caught without harm.
+const STOPS: [(&str, i32); 12] = [
+    ("SIGINT", libc::SIGINT),
+    ("SIGQUIT", libc::SIGQUIT),
+    ("SIGABRT", libc::SIGABRT),
+    ("SIGUSR1", libc::SIGUSR1),
+    ("SIGUSR2", libc::SIGUSR2),
+    ("SIGALRM", libc::SIGALRM),
+    ("SIGVTALRM", libc::SIGVTALRM),
+    ("SIGPROF", libc::SIGPROF),
+    ("SIGXCPU", libc::SIGXCPU),
+    ("SIGIO", libc::SIGIO),
+    ("SIGPWR", libc::SIGPWR),
+    ("SIGSTKFLT", libc::SIGSTKFLT),
+];
+
+/// Catches them from now on, but for those in `but`, which have another use.
+pub fn catch(but: &[i32]) -> io::Result<UnboundedReceiver<Stop>> {
+    let (caught, stops) = unbounded_channel();
+    for (name, number) in STOPS.iter().filter(|(_, number)| !but.contains(number)) {
+        let mut signals = signal(SignalKind::from_raw(*number))?;
+        let (caught, stop) = (caught.clone(), Stop { signal: name, number: *number as u8 });
+        tokio::task::spawn_local(async move {
+            if signals.recv().await.is_some() {
+                // The first of them ends the node.
+                let _ = caught.send(stop);
+            }
+        });
+    }
+    Ok(stops)
+}
+
+/// The node's side of the trail. Records are made here and written by the writer's thread.
+pub struct Audit {
+    lane: Lane,
+    trail: Arc<Mutex<Trail>>,
+    lost: Arc<AtomicU64>,
+    health: RefCell<BTreeMap<ServerId, String>>,
+}
+
+impl Audit {
+    /// Descriptors that it holds.
+    pub const DESCRIPTORS: usize = 1;
+
+    /// Opens the trail for this node alone; without a path it goes to standard error.
+    pub fn open(path: Option<&Path>, writer: &Writer) -> Result<Self, String> {
+        let (trail, torn) = match path {
+            None => (Trail::default(), None),
+            Some(path) => Trail::open(path).map_err(|error| format!("audit: {}: {error}", path.display()))?,
+        };
+        let (lost, health) = (Arc::default(), RefCell::default());
+        let audit = Self { lane: writer.lane(RECORDS), trail: Arc::new(Mutex::new(trail)), lost, health };
+        torn.into_iter().for_each(|torn| audit.record(torn));
+        Ok(audit)
+    }
+
+    pub fn start(&self, node: &str) {
+        let (pid, version) = (std::process::id(), env!("CARGO_PKG_VERSION"));
+        self.record(Event::Start { node: cut(node), pid, version });
+    }
+
+    pub fn stop(&self, stop: Stop) {
+        self.record(Event::Stop { signal: stop.signal });
+    }
+
+    /// A configuration is in force.
+    pub fn loaded(&self, file: &'static str, path: &Path, sha256: String) {
+        self.record(Event::Config { file, path: path.display().to_string(), sha256 });
+    }
+
+    /// Discovery's word of hosts.
+    pub fn learned(&self, listing: &Listing) {
+        let mut health = self.health.borrow_mut();
+        let mut before = if listing.whole { std::mem::take(&mut *health) } else { BTreeMap::new() };
+        for host in &listing.hosts {
+            let (id, to) = (host.entry().id, cut(host.health()));
+            let from = health.remove(&id).or_else(|| before.remove(&id));
+            let known = from.is_some();
+            let from = from.unwrap_or_else(|| ABSENT.to_owned());
+            let gone = to == "gone";
+            if from != to && (known || !gone) {
+                self.record(Event::Health { host: cut(id.as_str()), from, to: to.clone() });
+            }
+            if !gone {
+                health.insert(id, to);
+            }
+        }
+        for (id, from) in before {
+            self.record(Event::Health { host: cut(id.as_str()), from, to: ABSENT.to_owned() });
+        }
+    }
+
+    fn record(&self, event: Event) {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let at_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+        let (trail, lost) = (self.trail.clone(), self.lost.clone());
+        let put = self.lane.put(move |stderr| {
+            let mut trail = trail.lock().unwrap_or_else(PoisonError::into_inner);
+            let missing = lost.load(Ordering::Acquire);
+            let told = match missing {
+                0 => Ok(()),
+                records => trail.append(stderr, at_ms, &Event::Lost { records }),
+            };
+            if told.is_ok() {
+                lost.fetch_sub(missing, Ordering::AcqRel);
+            }
+            if let Err(error) = told.and_then(|()| trail.append(stderr, at_ms, &event)) {
+                lost.fetch_add(1, Ordering::AcqRel);
+                // There is nowhere else to report it to.
+                let _ = writeln!(stderr, "audit: a record is not written: {error}");
+            }
+        });
+        if !put {
+            self.lost.fetch_add(1, Ordering::AcqRel);
+        }
+    }
+}
+
+fn cut(text: &str) -> String {
+    text[..text.floor_char_boundary(LONGEST_NAME)].to_owned()
+}
+
+/// Where a trail stands, and the file it is in.
+struct Trail {
+    /// `None` for standard error.
+    file: Option<File>,
+    /// Whether the file can be cut and synced: a device or a FIFO cannot.
+    regular: bool,
+    /// Bytes of whole records.
+    len: u64,
+    /// A write broke off: what it left must go before the next one.
+    spoiled: bool,
+    seq: u64,
+    prev: String,
+}
+
+impl Default for Trail {
+    fn default() -> Self {
+        let prev = NONE_BEFORE.to_owned();
+        Self { file: None, regular: false, len: 0, spoiled: false, seq: 0, prev }
+    }
+}
+
+impl Trail {
+    /// Goes on where the file ends. A last line that broke off is cut, and the event tells of it.
+    fn open(path: &Path) -> Result<(Self, Option<Event>), String> {
+        let text = |error: io::Error| error.to_string();
+        let new = !path.exists();
+        let mut options = File::options();
+        // Neither opening nor writing waits for a FIFO's reader.
+        options.read(true).append(true).create(true).custom_flags(libc::O_NONBLOCK);
+        let mut file = options.open(path).map_err(text)?;
+        file.try_lock().map_err(|error| match error {
+            TryLockError::WouldBlock => "another node writes there".to_owned(),
+            TryLockError::Error(error) => text(error),
+        })?;
+        if new {
+            // The name must outlive a crash as well. Where the folder cannot be synced the file still is.
+            let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty());
+            let _ = File::open(folder.unwrap_or(Path::new("."))).and_then(|folder| folder.sync_all());
+        }
+        let state = file.metadata().map_err(text)?;
+        let (regular, len) = (state.is_file(), if state.is_file() { state.len() } else { 0 });
+        let from = len.saturating_sub(2 * LONGEST as u64);
+        let mut end = Vec::new();
+        if len > 0 {
+            file.seek(SeekFrom::Start(from)).map_err(text)?;
+            (&mut file).take(len - from).read_to_end(&mut end).map_err(text)?;
+        }
+        let whole = end.iter().rposition(|&byte| byte == b'\n').map_or(0, |last| last + 1);
+        let (lines, tail) = end.split_at(whole);
+        let mut trail = Self { file: Some(file), regular, len: from + whole as u64, ..Self::default() };
+        if let Some(lines) = lines.strip_suffix(b"\n") {
+            let last = lines.rsplit(|&byte| byte == b'\n').next().unwrap_or_default();
+            let found = check(last).and_then(|record| Some((record.seq?, record.hash)));
+            (trail.seq, trail.prev) = found.ok_or("its last whole line is no record of an audit trail")?;
+        } else if from > 0 || !(tail.starts_with(BEGIN) || BEGIN.starts_with(tail)) {
+            return Err("it is no audit trail".to_owned());
+        }
+        if tail.is_empty() {
+            return Ok((trail, None));
+        }
+        let torn = String::from_utf8_lossy(&tail[..tail.len().min(LONGEST / 16)]).into_owned();
+        let torn = Event::Torn { bytes: tail.len(), sha256: digest(tail), text: torn };
+        trail.cut().map_err(text)?;
+        Ok((trail, Some(torn)))
+    }
+
+    /// Cuts off what is no whole record.
+    fn cut(&mut self) -> io::Result<()> {
+        if let Some(file) = self.file.as_ref().filter(|_| self.regular) {
+            file.set_len(self.len)?;
+            file.sync_all()?;
+        }
+        self.spoiled = false;
+        Ok(())
+    }
+
+    /// Writes a record and has it on disk before it returns.
+    fn append(&mut self, stderr: &mut File, at_ms: u64, event: &Event) -> io::Result<()> {
+        if self.spoiled {
+            self.cut()?;
+        }
+        let seq = self.seq + 1;
+        let mut line = serde_json::to_string(&Record { seq, at_ms, event, prev: &self.prev })?;
+        let hash = digest(line.as_bytes());
+        line.pop();
+        line.push_str(&format!(",\"hash\":\"{hash}\"}}\n"));
+        let written = match &mut self.file {
+            None => stderr.write_all(line.as_bytes()),
+            Some(file) => match file.write_all(line.as_bytes()) {
+                Ok(()) if self.regular => file.sync_all(),
+                written => written,
+            },
+        };
+        if let Err(error) = written {
+            self.spoiled = true;
+            // At once, if that can be: a reader must not see half a record longer than need be.
+            let _ = self.cut();
+            return Err(error);
+        }
+        self.len += line.len() as u64;
+        (self.seq, self.prev) = (seq, hash);
+        Ok(())
+    }
+}
+
+/// How the first record of a trail begins.
+const BEGIN: &[u8] = b"{\"seq\":1,";
+
+/// SHA-256 in lower-case hexadecimal.
+pub fn digest(bytes: &[u8]) -> String {
+    Sha256::digest(bytes).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+struct Checked {
+    seq: Option<u64>,
+    prev: String,
+    hash: String,
+}
+
+/// A line, less its line feed, whose hash holds.
+fn check(line: &[u8]) -> Option<Checked> {
+    #[derive(Deserialize)]
+    struct Fields {
+        seq: Option<u64>,
+        prev: String,
+    }
+    // The hash is the last field: what stands before it, and the closing brace, is what it covers.
+    const FIELD: usize = ",\"hash\":\"\"}".len() + 64;
+    let covered = line.len().checked_sub(FIELD)?;
+    let mut rest = line[..covered].to_vec();
+    rest.push(b'}');
+    let hash = digest(&rest);
+    if line[covered..] != *format!(",\"hash\":\"{hash}\"}}").as_bytes() {
+        return None;
+    }
+    let Fields { seq, prev } = serde_json::from_str(std::str::from_utf8(line).ok()?).ok()?;
+    Some(Checked { seq, prev, hash })
+}
+
+/// What a check of a whole trail comes to. Lines count from 1.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Ok(u64),
+    Broken(u64),
+    Torn(u64),
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Ok(count) => write!(f, "ok {count}"),
+            Self::Broken(line) => write!(f, "broken at line {line}"),
+            Self::Torn(line) => write!(f, "torn at line {line}"),
+        }
+    }
+}
+
+/// Checks a trail from its first line on.
+pub fn verify(mut trail: impl BufRead) -> io::Result<Verdict> {
+    let (mut prev, mut line, mut count) = (NONE_BEFORE.to_owned(), Vec::new(), 0);
+    loop {
+        count += 1;
+        line.clear();
+        (&mut trail).take(LONGEST as u64 + 1).read_until(b'\n', &mut line)?;
+        if line.is_empty() {
+            return Ok(Verdict::Ok(count - 1));
+        }
+        let Some(whole) = line.strip_suffix(b"\n") else {
+            // The file's end, or a line longer than any record, which may end somewhere all the same.
+            let ended = trail.by_ref().bytes().find(|byte| !matches!(byte, Ok(byte) if *byte != b'\n'));
+            return match ended.transpose()? {
+                None => Ok(Verdict::Torn(count)),
+                Some(_) => Ok(Verdict::Broken(count)),
+            };
+        };
+        match check(whole).filter(|record| record.prev == prev) {
+            Some(record) => prev = record.hash,
+            None => return Ok(Verdict::Broken(count)),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::path::PathBuf;
+
+    fn file(name: &str) -> PathBuf {
+        let path = std::env::temp_dir().join(format!("slatelink-audit-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_file(&path);
+        path
+    }
+
+    fn stderr() -> File {
+        File::options().write(true).open("/dev/null").unwrap()
+    }
+
+    fn health(host: &str) -> Event {
+        Event::Health { host: host.to_owned(), from: "ready".to_owned(), to: "draining".to_owned() }
+    }
+
+    fn trail(name: &str, records: usize) -> (PathBuf, Vec<u8>) {
+        let path = file(name);
+        let (mut trail, torn) = Trail::open(&path).unwrap();
+        assert!(torn.is_none());
+        for i in 0..records {
+            trail.append(&mut stderr(), 1_718_000_000_123, &health(&format!("s-\u{e9}{i}"))).unwrap();
+        }
+        let bytes = std::fs::read(&path).unwrap();
+        (path, bytes)
+    }
+
+    // Guards against a hash of anything but the line without it, or in another form than the operators' own tools
+    // would make it.
+    #[test]
+    fn a_record_is_as_the_operators_describe_it() {
+        let (path, bytes) = trail("form", 2);
+        let lines: Vec<_> = std::str::from_utf8(&bytes).unwrap().lines().collect();
+        let mut prev = NONE_BEFORE.to_owned();
+        for (i, line) in lines.iter().enumerate() {
+            let body = format!(
+                "{{\"seq\":{},\"at_ms\":1718000000123,\"event\":\"health\",\"host\":\"s-\u{e9}{i}\",\
+                 \"from\":\"ready\",\"to\":\"draining\",\"prev\":\"{prev}\"}}",
+                i + 1
+            );
+            prev = digest(body.as_bytes());
+            let body = body.strip_suffix('}').unwrap();
+            assert_eq!(*line, format!("{body},\"hash\":\"{prev}\"}}"));
+        }
+        assert_eq!(digest(b""), "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855");
+        std::fs::remove_file(path).unwrap();
+    }
+
+    // The operators' own check, for each byte of a trail and several edits of it.
+    #[test]
+    fn any_edited_byte_is_broken_at_its_line() {
+        let (path, bytes) = trail("edits", 3);
+        assert_eq!(verify(&bytes[..]).unwrap(), Verdict::Ok(3));
+        let mut line = 1;
+        for (i, &byte) in bytes.iter().enumerate() {
+            if byte == b'\n' {
+                line += 1;
+                continue;
+            }
+            for new in [byte ^ 1, byte ^ 0x20, byte.wrapping_add(1), b' ', b'\n', 0, 0xff] {
+                let mut edited = bytes.clone();
+                edited[i] = new;
+                let verdict = verify(&edited[..]).unwrap();
+                let expected = if new == byte { Verdict::Ok(3) } else { Verdict::Broken(line) };
+                assert_eq!(verdict, expected, "byte {i} from {byte} to {new}");
+            }
+        }
+        std::fs::remove_file(path).unwrap();
+    }
+
+    // Guards against a crash in mid-write that reads as an edit, and against an edit that hides behind one.
+    #[test]
+    fn a_last_line_without_its_end_is_torn_unless_one_before_it_is_broken() {
+        let (path, bytes) = trail("torn", 3);
+        let start = bytes[..bytes.len() - 1].iter().rposition(|&byte| byte == b'\n').unwrap() + 1;
+        for end in start + 1..bytes.len() {
+            assert_eq!(verify(&bytes[..end]).unwrap(), Verdict::Torn(3));
+        }
+        assert_eq!(verify(&bytes[..start]).unwrap(), Verdict::Ok(2));
+        let mut edited = bytes[..bytes.len() - 1].to_vec();
+        edited[5] ^= 1;
+        assert_eq!(verify(&edited[..]).unwrap(), Verdict::Broken(1));
+        assert_eq!(verify(&b""[..]).unwrap(), Verdict::Ok(0));
+        assert_eq!(verify(&b"\n"[..]).unwrap(), Verdict::Broken(1));
+        let long = vec![b' '; 3 * LONGEST];
+        assert_eq!(verify(&long[..]).unwrap(), Verdict::Torn(1));
+        assert_eq!(verify(&[&long[..], b"\n"].concat()[..]).unwrap(), Verdict::Broken(1));
+        // A line taken out breaks the one that came after it.
+        assert_eq!(
+            verify(&bytes[bytes.iter().position(|&b| b == b'\n').unwrap() + 1..]).unwrap(),
+            Verdict::Broken(1)
+        );
+        std::fs::remove_file(path).unwrap();
+    }
+
+    // Guards against a record glued to half a line, and against a tail that vanishes without a word.
+    #[test]
+    fn a_start_cuts_a_torn_tail_off_and_says_so_in_the_trail() {
+        let (path, bytes) = trail("tail", 2);
+        let half = &bytes[..bytes.len() - 20];
+        std::fs::write(&path, half).unwrap();
+        let (mut trail, torn) = Trail::open(&path).unwrap();
+        let torn = torn.expect("word of the tail");
+        trail.append(&mut stderr(), 1, &torn).unwrap();
+        let text = std::fs::read_to_string(&path).unwrap();
+        assert_eq!(verify(text.as_bytes()).unwrap(), Verdict::Ok(2));
+        let last: serde_json::Value = serde_json::from_str(text.lines().last().unwrap()).unwrap();
+        let start = half.iter().rposition(|&byte| byte == b'\n').unwrap() + 1;
+        assert_eq!((&last["event"], &last["seq"]), (&"torn".into(), &2.into()));
+        assert_eq!(last["text"], std::str::from_utf8(&half[start..]).unwrap());
+        assert_eq!(last["sha256"], digest(&half[start..]));
+        std::fs::remove_file(path).unwrap();
+    }
+
+    // Guards against two nodes in one trail, and against a trail written into a file that is none.
+    #[test]
+    fn a_trail_that_is_in_use_or_is_none_is_not_opened() {
+        let (path, bytes) = trail("use", 1);
+        let held = Trail::open(&path).unwrap();
+        assert_eq!(Trail::open(&path).err().unwrap(), "another node writes there");
+        drop(held);
+        for other in [&b"some words"[..], b"a line\n", &bytes[1..], &[&bytes[..], b"x\n"].concat()] {
+            std::fs::write(&path, other).unwrap();
+            assert!(Trail::open(&path).is_err(), "{other:?}");
+            assert_eq!(std::fs::read(&path).unwrap(), other, "left as it was");
+        }
+        std::fs::remove_file(path).unwrap();
+    }
+
+    // Guards against a failed write that breaks the chain for all that follow.
+    #[test]
+    fn what_a_failed_write_left_goes_before_the_next_record() {
+        let (path, _) = trail("spoiled", 1);
+        let (mut trail, _) = Trail::open(&path).unwrap();
+        trail.file.as_mut().unwrap().write_all(b"{\"seq\":2,\"at").unwrap();
+        trail.spoiled = true;
+        trail.append(&mut stderr(), 1, &Event::Lost { records: 1 }).unwrap();
+        assert_eq!(verify(&std::fs::read(&path).unwrap()[..]).unwrap(), Verdict::Ok(2));
+        std::fs::remove_file(path).unwrap();
+    }
+}
--- a/src/features/mod.rs
+++ b/src/features/mod.rs
@@ -1,19 +1,25 @@
 //! What observes a node at the operators' wish. Nothing here decides anything: the driver and the clients' side
 //! say what happened, and each feature that is on takes from it what it needs.
 
+pub mod audit;
 pub mod figures;
 pub mod settings;
 pub mod writer;
 
 use crate::net::discovery::Listing;
+use audit::{Audit, Stop};
 use figures::{End, Figures};
 use pinhead::{ClassId, Name, ServerId, Status};
-use settings::Settings;
+use settings::{Settings, Source};
+use std::io;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::UnboundedReceiver;
 use writer::{Log, Writer};
 
-/// At a stop all features together wait no longer than about twice this for what is written slowly.
+/// At a stop the figures, and then the writer, wait no longer than this for what is written slowly.
 const STOP: Duration = Duration::from_millis(500);
 
 /// The features that are on.
@@ -21,6 +27,8 @@
     pub log: Log,
     writer: Option<Writer>,
     figures: Option<Rc<Figures>>,
+    audit: Option<Audit>,
+    source: Option<Source>,
 }
 
 impl Features {
@@ -31,16 +39,47 @@
             false => None,
         };
         let log = writer.as_ref().map_or(Log::Direct, Log::queued);
-        let mut features = Self { log, writer, figures: None };
+        if writer.is_some() {
+            // A file that may grow no further is an error of the write, not the process's end.
+            let caught = signal(SignalKind::from_raw(libc::SIGXFSZ));
+            drop(caught.map_err(|error| format!("cannot catch SIGXFSZ: {error}"))?);
+        }
+        let source = settings.source.clone();
+        let mut features = Self { log, writer, figures: None, audit: None, source };
         if let (Some(settings), Some(writer)) = (&settings.figures, &features.writer) {
             let (figures, landed) = Figures::open(settings, classes, writer, features.log.clone())?;
             let figures = Rc::new(figures);
             tokio::task::spawn_local(figures.clone().run(landed));
             features.figures = Some(figures);
         }
+        if let (Some(settings), Some(writer)) = (&settings.audit, &features.writer) {
+            features.audit = Some(Audit::open(settings.path.as_deref(), writer)?);
+        }
         Ok(Rc::new(features))
     }
 
+    /// The signals, beside those that have a use, which end the node: caught where their names are wanted.
+    pub fn stops(&self) -> io::Result<Option<UnboundedReceiver<Stop>>> {
+        self.audit.as_ref().map(|_| audit::catch(&[])).transpose()
+    }
+
+    /// The node of this name listens.
+    pub fn started(&self, node: &str) {
+        if let Some(audit) = &self.audit {
+            audit.start(node);
+        }
+    }
+
+    /// The platform's configuration, and with it the features', is in force: at the start and at each SIGHUP.
+    pub fn loaded(&self, path: &Path, text: &[u8]) {
+        if let Some(audit) = &self.audit {
+            audit.loaded("platform", path, audit::digest(text));
+            if let Some(Source { path, sha256 }) = &self.source {
+                audit.loaded("features", path, sha256.clone());
+            }
+        }
+    }
+
     /// A request was taken.
     pub fn taken(&self, class: ClassId) {
         if let Some(figures) = &self.figures {
@@ -74,6 +113,9 @@
         if let Some(figures) = &self.figures {
             figures.learned(listing);
         }
+        if let Some(audit) = &self.audit {
+            audit.learned(listing);
+        }
     }
 
     /// A line of the module's. That it tells of a breaker's trip is all that can be seen of breakers from here.
@@ -86,10 +128,13 @@
     }
 
     /// The node stops: what waits goes out, or is left after a while.
-    pub async fn stop(&self) {
+    pub async fn stop(&self, by: Stop) {
         if let Some(figures) = &self.figures {
             figures.stop(STOP).await;
         }
+        if let Some(audit) = &self.audit {
+            audit.stop(by);
+        }
         if let Some(writer) = &self.writer {
             writer.settle(STOP).await;
         }
--- a/src/features/settings.rs
+++ b/src/features/settings.rs
@@ -1,7 +1,7 @@
 //! The operators' settings of the features: one TOML file, named on the command line and read at the start only.
 
-use crate::features::figures;
 use crate::features::writer::Writer;
+use crate::features::{audit, figures};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -22,18 +22,29 @@
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     pub figures: Option<Figures>,
+    pub audit: Option<Audit>,
+    #[serde(skip)]
+    pub source: Option<Source>,
+}
+
+/// The file that the settings are from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Source {
+    pub path: PathBuf,
+    pub sha256: String,
 }
 
 impl Settings {
     /// Whether any feature writes to a file or to standard error.
     pub fn writes(&self) -> bool {
-        self.figures.is_some()
+        self.figures.is_some() || self.audit.is_some()
     }
 
     /// Descriptors that the features hold: they come out of the node's limit.
     pub fn descriptors(&self) -> usize {
         let writer = if self.writes() { Writer::DESCRIPTORS } else { 0 };
-        writer + self.figures.as_ref().map_or(0, |_| figures::Figures::DESCRIPTORS)
+        let figures = self.figures.as_ref().map_or(0, |_| figures::Figures::DESCRIPTORS);
+        writer + figures + self.audit.as_ref().map_or(0, |_| audit::Audit::DESCRIPTORS)
     }
 }
 
@@ -68,6 +79,14 @@
     }
 }
 
+/// Section `audit`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Audit {
+    /// `None` for standard error.
+    pub path: Option<PathBuf>,
+}
+
 /// How a line is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -119,11 +138,16 @@
         Ok(text) => text,
         Err(error) => return Err(SettingsError::Unreadable { path, error }),
     };
-    toml::from_str(&text).map_err(|error| {
+    let parsed = toml::from_str(&text);
+    let read = |settings| {
+        let source = Source { path: path.clone(), sha256: audit::digest(text.as_bytes()) };
+        Settings { source: Some(source), ..settings }
+    };
+    parsed.map(read).map_err(|error: toml::de::Error| {
         let before = error.span().and_then(|span| text.get(..span.start)).unwrap_or_default();
         let line = before.matches('\n').count() + 1;
         // The log has a line for each error.
         let what = error.message().lines().collect::<Vec<_>>().join(" ");
-        SettingsError::Malformed { path, line, what }
+        SettingsError::Malformed { path: path.clone(), line, what }
     })
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,9 +12,9 @@
     pub mod upstream;
 }
 
-use clap::Parser;
+use clap::{Parser, Subcommand};
+use features::audit::{self, Stop, Verdict};
 use features::settings::{self, Settings as FeatureSettings};
-use features::writer::Log;
 use features::Features;
 use net::config::{self, Config};
 use net::discovery::Discovery;
@@ -23,6 +23,8 @@
 use net::upstream::Upstream;
 use pinhead::Balancer;
 use std::error::Error;
+use std::fs::File;
+use std::io::{self, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -42,17 +44,40 @@
 
 /// A load-balancer node for a fleet of cache servers; LB_CONFIG and the other LB_ variables tell it its place.
 #[derive(Parser)]
-#[command(name = "slatelink", version)]
+#[command(name = "slatelink", version, args_conflicts_with_subcommands = true)]
 struct Cli {
     /// Settings of the operators' features, in TOML; without it all of them are off
     #[arg(long, value_name = "FILE")]
     features: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+/// Without one, the node runs.
+#[derive(Subcommand)]
+enum Command {
+    /// Look at an audit trail
+    #[command(subcommand)]
+    Audit(AuditCommand),
+}
+
+#[derive(Subcommand)]
+enum AuditCommand {
+    /// Print `ok <count>`, or the first line that is broken or torn, and then exit 1
+    Verify {
+        /// The trail
+        file: PathBuf,
+    },
 }
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    match start(cli.features) {
-        Ok(()) => ExitCode::SUCCESS,
+    let ended = match cli.command {
+        None => start(cli.features),
+        Some(Command::Audit(AuditCommand::Verify { file })) => verify(file),
+    };
+    match ended {
+        Ok(code) => code,
         Err(error) => {
             eprintln!("slatelink: {error}");
             ExitCode::FAILURE
@@ -60,7 +85,22 @@
     }
 }
 
-fn start(features: Option<PathBuf>) -> Result<(), Box<dyn Error>> {
+fn verify(path: PathBuf) -> Result<ExitCode, Box<dyn Error>> {
+    let verdict = File::open(&path).and_then(|file| audit::verify(BufReader::new(file)));
+    match verdict {
+        Ok(verdict) => {
+            writeln!(io::stdout(), "{verdict}")?;
+            Ok(if matches!(verdict, Verdict::Ok(_)) { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
+        // Not what a broken trail ends with.
+        Err(error) => {
+            eprintln!("slatelink: cannot read {}: {error}", path.display());
+            Ok(ExitCode::from(2))
+        }
+    }
+}
+
+fn start(features: Option<PathBuf>) -> Result<ExitCode, Box<dyn Error>> {
     let features = features.map(settings::load).transpose()?.unwrap_or_default();
     let config = config::load(|name| std::env::var(name).ok())?;
     // A node has one core: one thread, and no locks between its parts.
@@ -68,11 +108,11 @@
     LocalSet::new().block_on(&runtime, run(config, features))
 }
 
-async fn run(config: Config, features: FeatureSettings) -> Result<(), Box<dyn Error>> {
+async fn run(config: Config, features: FeatureSettings) -> Result<ExitCode, Box<dyn Error>> {
     // Before anything else: a signal without a handler ends the process.
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
-    let Config { name, listen, discovery, seed, sockets, known, settings } = config;
+    let Config { name, listen, discovery, seed, sockets, known, settings, path, text } = config;
     let listener =
         TcpListener::bind(listen).await.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
     // A request holds a connection of its client for as long as one to a cache server.
@@ -83,7 +123,11 @@
     let classes: Vec<_> = settings.classes.iter().map(|class| class.name.clone()).collect();
     let features = Features::start(&features, &classes)?;
     let log = features.log.clone();
+    let stops = features.stops()?;
     log.line(&format!("node {name} listens on {}", listener.local_addr()?));
+    features.started(&name);
+    features.loaded(&path, &text);
+    drop(text);
 
     // Unbounded, and bounded all the same by the connections: each has one request, or one attempt, in it.
     let (events, inputs) = mpsc::unbounded_channel();
@@ -99,28 +143,44 @@
     spawn_local(upstream.clone().sweep());
     spawn_local(front.table.clone().sweep());
     spawn_local(watching.run(follow.clone()));
-    spawn_local(reload(hangup, addresses, log.clone()));
+    spawn_local(reload(hangup, addresses, features.clone()));
     let balancer = Balancer::new(settings, seed);
     spawn_local(Driver::new(balancer, upstream, follow, ready, events, features.clone()).run(known, inputs));
     let serving = spawn_local(serve(listener, front, most));
 
-    terminate.recv().await;
-    log.line(&format!("node {name} is told to stop"));
-    stages.send_replace(Stage::Leaving);
-    sleep(LEAVING).await;
-    stages.send_replace(Stage::Closing);
-    serving.await?;
-    features.stop().await;
-    Ok(())
+    let drained = async {
+        terminate.recv().await;
+        log.line(&format!("node {name} is told to stop"));
+        stages.send_replace(Stage::Leaving);
+        sleep(LEAVING).await;
+        stages.send_replace(Stage::Closing);
+        serving.await
+    };
+    // Signals that would end the node at once still do, whatever it is at.
+    let at_once = async {
+        match stops {
+            Some(mut stops) => stops.recv().await.unwrap_or(Stop::TERMINATE),
+            None => std::future::pending().await,
+        }
+    };
+    let by = tokio::select! {
+        drained = drained => drained.map(|()| Stop::TERMINATE)?,
+        stop = at_once => stop,
+    };
+    features.stop(by).await;
+    // As a shell tells of a process that a signal has ended.
+    Ok(if by == Stop::TERMINATE { ExitCode::SUCCESS } else { ExitCode::from(128 + by.number) })
 }
 
 /// Takes the configuration's `discovery` anew at each SIGHUP; the rest of it holds from the start. A file that
 /// cannot be used is one line in the log, and what the node had goes on.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, log: Log) {
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, features: Rc<Features>) {
+    let log = &features.log;
     while hangup.recv().await.is_some() {
         match config::load(|name| std::env::var(name).ok().filter(|_| name != config::DISCOVERY)) {
             Ok(new) => {
                 log.line(&format!("configuration read again: discovery at {}", new.discovery));
+                features.loaded(&new.path, &new.text);
                 // One that stays is not asked again: its watch is as good as it was.
                 discovery.send_if_modified(|held| std::mem::replace(held, new.discovery) != new.discovery);
             }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -40,6 +40,9 @@
     /// The cache servers as this node last knew them.
     pub known: Listing,
     pub settings: Settings,
+    /// Where all this is from, and the file's bytes.
+    pub path: PathBuf,
+    pub text: Vec<u8>,
 }
 
 #[derive(Deserialize)]
@@ -90,6 +93,8 @@
         sockets,
         known: file.known,
         settings: read_settings(&pairs)?,
+        path,
+        text,
     })
 }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -63,6 +63,11 @@
         self.dial
     }
 
+    /// Discovery's own word for whether it takes work.
+    pub fn health(&self) -> &str {
+        &self.health
+    }
+
     /// The entry as the module knows it.
     pub fn entry(&self) -> ServerEntry {
         let started = self.born_ms.filter(|&at| at > 0);
--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -334,6 +334,10 @@
         self.client().ask(&read(class, key, 20_000))
     }
 
+    pub fn config(&self) -> &std::path::Path {
+        &self.config
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
