--- a/src/features/mod.rs
+++ b/src/features/mod.rs
@@ -3,19 +3,21 @@
 
 pub mod audit;
 pub mod figures;
+pub mod hotlist;
 pub mod settings;
 pub mod writer;
 
 use crate::net::discovery::Listing;
 use audit::{Audit, Stop};
 use figures::{End, Figures};
+use hotlist::HotList;
 use pinhead::{ClassId, Name, ServerId, Status};
 use settings::{Settings, Source};
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::UnboundedReceiver;
 use writer::{Log, Writer};
 
@@ -28,6 +30,7 @@
     writer: Option<Writer>,
     figures: Option<Rc<Figures>>,
     audit: Option<Audit>,
+    hotlist: Option<HotList>,
     source: Option<Source>,
 }
 
@@ -45,7 +48,7 @@
             drop(caught.map_err(|error| format!("cannot catch SIGXFSZ: {error}"))?);
         }
         let source = settings.source.clone();
-        let mut features = Self { log, writer, figures: None, audit: None, source };
+        let mut features = Self { log, writer, figures: None, audit: None, hotlist: None, source };
         if let (Some(settings), Some(writer)) = (&settings.figures, &features.writer) {
             let (figures, landed) = Figures::open(settings, classes, writer, features.log.clone())?;
             let figures = Rc::new(figures);
@@ -55,12 +58,33 @@
         if let (Some(settings), Some(writer)) = (&settings.audit, &features.writer) {
             features.audit = Some(Audit::open(settings.path.as_deref(), writer)?);
         }
-        Ok(Rc::new(features))
+        let mut prints = None;
+        if let (Some(settings), Some(writer)) = (settings.hot(), &features.writer) {
+            // Caught before it is known to be on: uncaught, it ends the process.
+            let caught = signal(SignalKind::user_defined1());
+            prints = Some(caught.map_err(|error| format!("cannot catch SIGUSR1: {error}"))?);
+            features.hotlist = Some(HotList::new(settings.capacity, settings.window(), classes, writer)?);
+        }
+        let features = Rc::new(features);
+        if let Some(prints) = prints {
+            tokio::task::spawn_local(features.clone().print(prints));
+        }
+        Ok(features)
+    }
+
+    /// Prints the hot list at each signal, for as long as the node runs.
+    async fn print(self: Rc<Self>, mut signals: Signal) {
+        while signals.recv().await.is_some() {
+            if let Some(hotlist) = &self.hotlist {
+                hotlist.print();
+            }
+        }
     }
 
     /// The signals, beside those that have a use, which end the node: caught where their names are wanted.
     pub fn stops(&self) -> io::Result<Option<UnboundedReceiver<Stop>>> {
-        self.audit.as_ref().map(|_| audit::catch(&[])).transpose()
+        let but: &[i32] = if self.hotlist.is_some() { &[libc::SIGUSR1] } else { &[] };
+        self.audit.as_ref().map(|_| audit::catch(but)).transpose()
     }
 
     /// The node of this name listens.
@@ -80,8 +104,11 @@
         }
     }
 
-    /// A request was taken.
-    pub fn taken(&self, class: ClassId) {
+    /// A request was taken: one of this path.
+    pub fn taken(&self, class: ClassId, path: &str) {
+        if let Some(hotlist) = &self.hotlist {
+            hotlist.taken(class, path.rsplit('/').next().unwrap_or_default());
+        }
         if let Some(figures) = &self.figures {
             figures.taken(class);
         }
--- a/src/features/settings.rs
+++ b/src/features/settings.rs
@@ -23,6 +23,7 @@
 pub struct Settings {
     pub figures: Option<Figures>,
     pub audit: Option<Audit>,
+    pub hotlist: Option<HotList>,
     #[serde(skip)]
     pub source: Option<Source>,
 }
@@ -37,7 +38,12 @@
 impl Settings {
     /// Whether any feature writes to a file or to standard error.
     pub fn writes(&self) -> bool {
-        self.figures.is_some() || self.audit.is_some()
+        self.figures.is_some() || self.audit.is_some() || self.hot().is_some()
+    }
+
+    /// The hot list's settings, where it is on.
+    pub fn hot(&self) -> Option<&HotList> {
+        self.hotlist.as_ref().filter(|hot| hot.capacity > 0)
     }
 
     /// Descriptors that the features hold: they come out of the node's limit.
@@ -87,6 +93,27 @@
     pub path: Option<PathBuf>,
 }
 
+/// Section `hotlist`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct HotList {
+    /// Entries for each class; none turns it off.
+    pub capacity: usize,
+    window_s: Within<1, 86_400>,
+}
+
+impl HotList {
+    pub fn window(&self) -> Duration {
+        Duration::from_secs(self.window_s.0 as u64)
+    }
+}
+
+impl Default for HotList {
+    fn default() -> Self {
+        Self { capacity: 256, window_s: Within(60) }
+    }
+}
+
 /// How a line is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -227,7 +227,7 @@
     fn request(&mut self, taken: Taken) {
         let id = request_id(taken.ticket);
         let until = taken.at + taken.patience.saturating_sub(MARGIN);
-        self.features.taken(taken.class);
+        self.features.taken(taken.class, taken.message.target.path());
         let open = Open {
             message: Rc::new(taken.message),
             answer: Some(taken.answer),
