--- a/src/features/mod.rs
+++ b/src/features/mod.rs
@@ -4,6 +4,7 @@
 pub mod audit;
 pub mod figures;
 pub mod hotlist;
+pub mod multiget;
 pub mod settings;
 pub mod writer;
 
--- a/src/features/settings.rs
+++ b/src/features/settings.rs
@@ -1,7 +1,7 @@
 //! The operators' settings of the features: one TOML file, named on the command line and read at the start only.
 
 use crate::features::writer::Writer;
-use crate::features::{audit, figures};
+use crate::features::{audit, figures, multiget};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -24,6 +24,7 @@
     pub figures: Option<Figures>,
     pub audit: Option<Audit>,
     pub hotlist: Option<HotList>,
+    pub multiget: Option<MultiGet>,
     #[serde(skip)]
     pub source: Option<Source>,
 }
@@ -50,7 +51,13 @@
     pub fn descriptors(&self) -> usize {
         let writer = if self.writes() { Writer::DESCRIPTORS } else { 0 };
         let figures = self.figures.as_ref().map_or(0, |_| figures::Figures::DESCRIPTORS);
-        writer + figures + self.audit.as_ref().map_or(0, |_| audit::Audit::DESCRIPTORS)
+        let side = self.side_port().map_or(0, |_| multiget::MultiGet::DESCRIPTORS);
+        writer + figures + side + self.audit.as_ref().map_or(0, |_| audit::Audit::DESCRIPTORS)
+    }
+
+    /// The port for many keys at once, where there is to be one.
+    pub fn side_port(&self) -> Option<u16> {
+        self.multiget.as_ref().and_then(|settings| settings.port)
     }
 }
 
@@ -114,6 +121,26 @@
     }
 }
 
+/// Section `multiget`.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct MultiGet {
+    /// `None` turns it off.
+    port: Option<u16>,
+    parallel: Option<Within<1, 64>>,
+    max_items: Option<Within<1, 1024>>,
+}
+
+impl MultiGet {
+    pub fn parallel(&self) -> usize {
+        self.parallel.map_or(8, |parallel| parallel.0)
+    }
+
+    pub fn max_items(&self) -> usize {
+        self.max_items.map_or(multiget::MAX_ITEMS, |items| items.0)
+    }
+}
+
 /// How a line is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,12 +14,13 @@
 
 use clap::{Parser, Subcommand};
 use features::audit::{self, Stop, Verdict};
+use features::multiget::{self, MultiGet};
 use features::settings::{self, Settings as FeatureSettings};
 use features::Features;
 use net::config::{self, Config};
 use net::discovery::Discovery;
 use net::driver::Driver;
-use net::server::{serve, Front, Stage};
+use net::server::{connection, serve, Front, Stage};
 use net::upstream::Upstream;
 use pinhead::Balancer;
 use std::error::Error;
@@ -31,7 +32,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::runtime;
+use tokio::runtime::{self, Runtime};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
@@ -59,6 +60,8 @@
     /// Look at an audit trail
     #[command(subcommand)]
     Audit(AuditCommand),
+    /// Ask a node's side port for many keys and print a line for each
+    MultiGet(multiget::Command),
 }
 
 #[derive(Subcommand)]
@@ -75,6 +78,7 @@
     let ended = match cli.command {
         None => start(cli.features),
         Some(Command::Audit(AuditCommand::Verify { file })) => verify(file),
+        Some(Command::MultiGet(command)) => one_thread().and_then(|one| one.block_on(command.run())),
     };
     match ended {
         Ok(code) => code,
@@ -104,24 +108,35 @@
     let features = features.map(settings::load).transpose()?.unwrap_or_default();
     let config = config::load(|name| std::env::var(name).ok())?;
     // A node has one core: one thread, and no locks between its parts.
-    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config, features))
+    LocalSet::new().block_on(&one_thread()?, run(config, features))
 }
 
-async fn run(config: Config, features: FeatureSettings) -> Result<ExitCode, Box<dyn Error>> {
+fn one_thread() -> Result<Runtime, Box<dyn Error>> {
+    Ok(runtime::Builder::new_current_thread().enable_all().build()?)
+}
+
+async fn run(config: Config, wanted: FeatureSettings) -> Result<ExitCode, Box<dyn Error>> {
     // Before anything else: a signal without a handler ends the process.
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
     let Config { name, listen, discovery, seed, sockets, known, settings, path, text } = config;
     let listener =
         TcpListener::bind(listen).await.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
+    let side = match wanted.side_port() {
+        Some(port) => {
+            let beside = SocketAddr::new(listen.ip(), port);
+            let bound = TcpListener::bind(beside).await;
+            Some(bound.map_err(|error| format!("multiget: cannot listen on {beside}: {error}"))?)
+        }
+        None => None,
+    };
     // A request holds a connection of its client for as long as one to a cache server.
-    let most = sockets.saturating_sub(SPARE_SOCKETS + features.descriptors()) / 2;
+    let most = sockets.saturating_sub(SPARE_SOCKETS + wanted.descriptors()) / 2;
     if most == 0 {
         return Err(format!("a limit of {sockets} sockets leaves no room beside the features").into());
     }
     let classes: Vec<_> = settings.classes.iter().map(|class| class.name.clone()).collect();
-    let features = Features::start(&features, &classes)?;
+    let features = Features::start(&wanted, &classes)?;
     let log = features.log.clone();
     let stops = features.stops()?;
     log.line(&format!("node {name} listens on {}", listener.local_addr()?));
@@ -134,19 +149,29 @@
     let (stages, stage) = watch::channel(Stage::Serving);
     let (follow, ready) = (Rc::new(Notify::new()), Rc::default());
     let upstream = Rc::new(Upstream::new(most, settings.connect_timeout, settings.keepalive));
-    let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone(), log.clone()));
+    let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone(), log.clone(), most));
     let seq = (!known.hosts.is_empty()).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let (addresses, address) = watch::channel(discovery);
     let watching = Discovery { address, seq, random, events: events.clone(), log: log.clone() };
 
     spawn_local(upstream.clone().sweep());
-    spawn_local(front.table.clone().sweep());
+    spawn_local(front.room.table.clone().sweep());
     spawn_local(watching.run(follow.clone()));
     spawn_local(reload(hangup, addresses, features.clone()));
     let balancer = Balancer::new(settings, seed);
     spawn_local(Driver::new(balancer, upstream, follow, ready, events, features.clone()).run(known, inputs));
-    let serving = spawn_local(serve(listener, front, most));
+    let beside = match side {
+        Some(listener) => {
+            log.line(&format!("multi-get listens on {}", listener.local_addr()?));
+            let multiget = MultiGet::new(front.clone(), wanted.multiget.unwrap_or_default());
+            Some(spawn_local(multiget.serve(listener)))
+        }
+        None => None,
+    };
+    let (room, stage) = (front.room.clone(), front.stage.clone());
+    let connection = move |stream, place| connection(stream, place, front.clone());
+    let serving = spawn_local(serve(listener, room, stage, log.clone(), connection));
 
     let drained = async {
         terminate.recv().await;
@@ -154,6 +179,9 @@
         stages.send_replace(Stage::Leaving);
         sleep(LEAVING).await;
         stages.send_replace(Stage::Closing);
+        if let Some(beside) = beside {
+            beside.await?;
+        }
         serving.await
     };
     // Signals that would end the node at once still do, whatever it is at.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -6,6 +6,7 @@
 use crate::net::discovery::Listing;
 use crate::net::upstream::{Ended, Message, Upstream};
 use bytes::Bytes;
+use hyper::StatusCode;
 use pinhead::{
     Action, Availability, Balancer, ClassId, Event, Outcome, Request, RequestId, ServerEntry, ServerId,
     ServerList, Status, TenantId, Timestamp,
@@ -54,6 +55,17 @@
     Failed,
 }
 
+impl Answer {
+    /// What its client reads.
+    pub const fn status(&self) -> StatusCode {
+        match self {
+            Self::Served(_) => StatusCode::OK,
+            Self::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Failed => StatusCode::BAD_GATEWAY,
+        }
+    }
+}
+
 /// What the node's other parts tell the driver.
 #[derive(Debug)]
 pub enum Input {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -14,6 +14,7 @@
 use pinhead::{ClassId, Name, Settings, TenantId};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::Future;
 use std::hash::{DefaultHasher, Hasher};
 use std::pin::pin;
 use std::rc::Rc;
@@ -25,13 +26,13 @@
 use tokio::sync::{oneshot, watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, Instant};
 
-const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
+pub const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
 const REQ_OWNER: HeaderName = HeaderName::from_static("req-owner");
 const REQ_RETRY: HeaderName = HeaderName::from_static("req-retry");
 const REQ_COST: HeaderName = HeaderName::from_static("req-cost");
 /// Longest head that is read; a longer one is answered 431. With a body each it is the most that connections
 /// can make the node hold.
-const LARGEST_HEAD: usize = 16 << 10;
+pub const LARGEST_HEAD: usize = 16 << 10;
 /// After a failed accept (no descriptor left, say) the next one waits: tried at once, it would fail and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// A full table in which nothing can give way yet is looked at again after this.
@@ -56,10 +57,10 @@
     pub stage: watch::Receiver<Stage>,
     pub events: UnboundedSender<Input>,
     pub tickets: Cell<u64>,
-    pub table: Rc<Table>,
+    pub room: Rc<Room>,
     pub log: Log,
     /// Ids of the requests that are open, or have an attempt out.
-    open: OpenIds,
+    pub open: OpenIds,
 }
 
 impl Front {
@@ -69,6 +70,7 @@
         stage: watch::Receiver<Stage>,
         events: UnboundedSender<Input>,
         log: Log,
+        most: usize,
     ) -> Self {
         Self {
             classes: settings.classes.iter().map(|class| (class.name.clone(), class.deadline)).collect(),
@@ -77,68 +79,91 @@
             stage,
             events,
             tickets: Cell::new(0),
-            table: Rc::default(),
+            room: Rc::new(Room::new(most)),
             log,
             open: OpenIds::default(),
         }
     }
 }
 
-/// Accepts and serves until the node closes, then returns when every connection has ended. It holds at most
-/// `most` connections; further ones wait unaccepted.
-pub async fn serve(listener: TcpListener, front: Rc<Front>, most: usize) {
-    let slots = Arc::new(Semaphore::new(most));
-    let mut stage = front.stage.clone();
+/// The places that a port has for connections.
+pub struct Room {
+    slots: Arc<Semaphore>,
+    most: usize,
+    pub table: Rc<Table>,
+}
+
+impl Room {
+    pub fn new(most: usize) -> Self {
+        Self { slots: Arc::new(Semaphore::new(most)), most, table: Rc::default() }
+    }
+
+    /// Waits for a place. Clients keep the connections they have: left idle, they would keep all others out of a
+    /// full table, and the machine takes requests on connections that the node has not accepted yet.
+    pub async fn place(&self) -> std::io::Result<OwnedSemaphorePermit> {
+        loop {
+            self.table.full.set(self.slots.available_permits() == 0);
+            if !self.table.full.get() || self.table.make_room() {
+                break;
+            }
+            sleep(ROOM_PAUSE).await;
+        }
+        self.slots.clone().acquire_owned().await.map_err(std::io::Error::other)
+    }
+
+    /// Waits until all places are free, and keeps nobody from one meanwhile.
+    async fn empty(&self) {
+        while self.slots.available_permits() < self.most {
+            sleep(ROOM_PAUSE).await;
+        }
+    }
+}
+
+/// Accepts and serves until the node closes, then returns when every connection has ended. Connections past those
+/// that there is room for wait unaccepted.
+pub async fn serve<F: Future<Output = ()> + 'static>(
+    listener: TcpListener,
+    room: Rc<Room>,
+    mut stage: watch::Receiver<Stage>,
+    log: Log,
+    connection: impl Fn(TcpStream, Place) -> F,
+) {
     let mut closing = pin!(stage.wait_for(|stage| *stage == Stage::Closing));
     loop {
         let accepted = tokio::select! {
             // What the machine has accepted by then is taken: it comes before the end.
             biased;
-            accepted = accept(&listener, &slots, &front.table) => accepted,
+            accepted = accept(&listener, &room) => accepted,
             _ = &mut closing => break,
         };
         match accepted {
             Ok((stream, slot)) => {
-                let front = front.clone();
                 // In the table at once: room that is made before it is first polled must see it.
-                let place = Place::new(front.table.clone());
+                let serving = connection(stream, Place::new(room.table.clone()));
                 tokio::task::spawn_local(async move {
-                    connection(stream, place, front).await;
+                    serving.await;
                     drop(slot);
                 });
             }
             Err(error) => {
-                front.log.line(&format!("accept: {error}"));
+                log.line(&format!("accept: {error}"));
                 sleep(ACCEPT_PAUSE).await;
             }
         }
     }
     drop(listener);
-    // All slots are free when the last connection has ended. The semaphore is never closed.
-    let _ = slots.acquire_many(most as u32).await;
+    room.empty().await;
 }
 
-async fn accept(
-    listener: &TcpListener,
-    slots: &Arc<Semaphore>,
-    table: &Table,
-) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
-    // Clients keep the connections they have: left idle, they would keep all others out of a full table, and
-    // the machine takes requests on connections that the node has not accepted yet.
-    loop {
-        table.full.set(slots.available_permits() == 0);
-        if !table.full.get() || table.make_room() {
-            break;
-        }
-        sleep(ROOM_PAUSE).await;
-    }
-    let slot = slots.clone().acquire_owned().await.map_err(std::io::Error::other)?;
+async fn accept(listener: &TcpListener, room: &Room) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let slot = room.place().await?;
     let (stream, _) = listener.accept().await?;
     stream.set_nodelay(true)?;
     Ok((stream, slot))
 }
 
-async fn connection(stream: TcpStream, place: Place, front: Rc<Front>) {
+/// A client's connection, to its end.
+pub async fn connection(stream: TcpStream, place: Place, front: Rc<Front>) {
     let service = service_fn(async |request| {
         place.asked();
         let response = respond(&front, &place, request).await;
@@ -182,7 +207,7 @@
     response
 }
 
-type Reply = Response<Full<Bytes>>;
+pub type Reply = Response<Full<Bytes>>;
 
 async fn answer(front: &Front, place: &Place, request: Request<Incoming>) -> Result<Reply, Reply> {
     let at = Instant::now();
@@ -210,21 +235,26 @@
         return Err(plain(StatusCode::LENGTH_REQUIRED, "a body needs a Content-Length"));
     }
     let asked = read_head(front, &head.headers).map_err(|what| plain(StatusCode::BAD_REQUEST, what))?;
-    let too_large = || plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is larger than 64 KiB");
-    if body.size_hint().lower() > LARGEST_BODY as u64 {
-        return Err(too_large());
-    }
-    let body = match Limited::new(body, LARGEST_BODY).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => return Err(too_large()),
-        Err(_) => return Err(plain(StatusCode::BAD_REQUEST, "the body broke off")),
-    };
+    let body = read_body(body).await?;
     // Sent on, it would be a second copy of another client's request.
     let id =
         front.open.enter(asked.id).ok_or_else(|| plain(StatusCode::CONFLICT, "Req-Id is open already"))?;
     place.opened();
     let message = Message { method: head.method, target, id, idempotency_key: asked.idempotency_key, body };
-    Ok(hand_over(front, at, key, asked.terms, message).await)
+    Ok(reply(ask(front, at, key, asked.terms, message).await))
+}
+
+/// A request's body, whole.
+pub async fn read_body(body: Incoming) -> Result<Bytes, Reply> {
+    let too_large = || plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is larger than 64 KiB");
+    if body.size_hint().lower() > LARGEST_BODY as u64 {
+        return Err(too_large());
+    }
+    match Limited::new(body, LARGEST_BODY).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(too_large()),
+        Err(_) => Err(plain(StatusCode::BAD_REQUEST, "the body broke off")),
+    }
 }
 
 /// What the headers of a request say.
@@ -234,16 +264,25 @@
     terms: Terms,
 }
 
-struct Terms {
-    patience: Duration,
-    class: ClassId,
-    tenant: Option<TenantId>,
-    expected_work: Option<Duration>,
-    client_retry: bool,
+/// What holds for a request beside what it asks for.
+#[derive(Clone, Copy)]
+pub struct Terms {
+    pub patience: Duration,
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    pub expected_work: Option<Duration>,
+    pub client_retry: bool,
 }
 
 fn read_head(front: &Front, headers: &HeaderMap) -> Result<Asked, &'static str> {
-    let id = single(headers, &REQ_ID)?.filter(|id| !id.is_empty()).ok_or("no Req-Id")?;
+    Ok(Asked {
+        id: single(headers, &REQ_ID)?.filter(|id| !id.is_empty()).ok_or("no Req-Id")?.clone(),
+        idempotency_key: single(headers, &IDEMPOTENCY_KEY)?.cloned(),
+        terms: read_terms(front, headers)?,
+    })
+}
+
+pub fn read_terms(front: &Front, headers: &HeaderMap) -> Result<Terms, &'static str> {
     let class = text(headers, &REQ_KIND)?.ok_or("no Req-Kind")?;
     let class =
         front.classes.iter().position(|(name, _)| name.as_str() == class).ok_or("unknown Req-Kind")?;
@@ -261,16 +300,12 @@
     let patience: u32 =
         number(headers, &REQ_DEADLINE, "unreadable Req-Deadline-Ms")?.ok_or("no Req-Deadline-Ms")?;
     let cost: Option<u32> = number(headers, &REQ_COST, "unreadable Req-Cost")?;
-    Ok(Asked {
-        id: id.clone(),
-        idempotency_key: single(headers, &IDEMPOTENCY_KEY)?.cloned(),
-        terms: Terms {
-            patience: Duration::from_millis(patience.into()).min(front.classes[class].1),
-            class: ClassId(class),
-            tenant,
-            expected_work: cost.map(|us| Duration::from_micros(us.into())),
-            client_retry: text(headers, &REQ_RETRY)? == Some("1"),
-        },
+    Ok(Terms {
+        patience: Duration::from_millis(patience.into()).min(front.classes[class].1),
+        class: ClassId(class),
+        tenant,
+        expected_work: cost.map(|us| Duration::from_micros(us.into())),
+        client_retry: text(headers, &REQ_RETRY)? == Some("1"),
     })
 }
 
@@ -294,7 +329,7 @@
 }
 
 /// Keys are 64-bit numbers in hexadecimal; any other name goes by its hash, the same at every node.
-fn key_number(name: &str) -> u64 {
+pub fn key_number(name: &str) -> u64 {
     u64::from_str_radix(name, 16).unwrap_or_else(|_| {
         let mut hasher = DefaultHasher::new();
         hasher.write(name.as_bytes());
@@ -302,7 +337,8 @@
     })
 }
 
-async fn hand_over(front: &Front, at: Instant, key: u64, terms: Terms, message: Message) -> Reply {
+/// Hands a request over and waits for its final answer. Dropped before, its client has left.
+pub async fn ask(front: &Front, at: Instant, key: u64, terms: Terms, message: Message) -> Answer {
     let ticket = front.tickets.replace(front.tickets.get() + 1);
     let (sender, receiver) = oneshot::channel();
     let taken = Taken {
@@ -323,26 +359,31 @@
     let _ = front.events.send(Input::Taken(Box::new(taken)));
     let answer = receiver.await.unwrap_or(Answer::Failed);
     waiting.answered = true;
+    answer
+}
+
+fn reply(answer: Answer) -> Reply {
+    let status = answer.status();
     match answer {
         Answer::Served(body) => Response::new(Full::new(body)),
         Answer::Refused { retry_after } => {
-            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused: try again later");
+            let mut response = plain(status, "refused: try again later");
             if let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", retry_after.as_secs_f64())) {
                 response.headers_mut().insert(RETRY_AFTER, seconds);
             }
             response
         }
-        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
+        Answer::Failed => plain(status, "failed"),
     }
 }
 
-fn wrong_method(allowed: &'static str) -> Reply {
+pub fn wrong_method(allowed: &'static str) -> Reply {
     let mut response = plain(StatusCode::METHOD_NOT_ALLOWED, "no such method");
     response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
     response
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Reply {
+pub fn plain(status: StatusCode, text: &'static str) -> Reply {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response
--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -409,6 +409,13 @@
         }
     }
 
+    /// All that comes until the node closes, as it comes.
+    pub fn rest(&mut self) -> String {
+        let mut text = String::new();
+        self.0.read_to_string(&mut text).unwrap();
+        text
+    }
+
     /// `None` where the node has closed the connection.
     pub fn try_ask(&mut self, text: &str) -> Option<Message> {
         self.0.get_mut().write_all(text.as_bytes()).ok()?;
