Give a figures batch its place before the last one's is back; test a FIFO without a reader

A batch handed over as the last one's result came could find that one's place in the queue still taken, and was dropped and counted without an error of the write.

--- a/src/features/figures.rs
+++ b/src/features/figures.rs
@@ -173,7 +173,8 @@
         log: Log,
     ) -> Result<(Self, UnboundedReceiver<bool>), String> {
         let (results, landed) = unbounded_channel();
-        let queue = |sink| Output::Queue { lane: writer.lane(1), sink, results };
+        // A second place: the first is given back only after its batch's result is told.
+        let queue = |sink| Output::Queue { lane: writer.lane(2), sink, results };
         let output = match &settings.target {
             Target::Stderr => queue(None),
             Target::File(path) => {
--- a/tests/node_features.rs
+++ b/tests/node_features.rs
@@ -122,6 +122,13 @@
     std::fs::remove_file(path).unwrap();
 }
 
+/// The totals of dropped batches, as standard error has them.
+fn dropped(node: &Node) -> Vec<u64> {
+    let log = node.log.lock().unwrap();
+    let counts = log.iter().filter_map(|line| line.strip_prefix("figures: "));
+    counts.map(|rest| rest.strip_suffix(" batches dropped so far").unwrap().parse().unwrap()).collect()
+}
+
 // The operators' own check: every write to this target reports an error, requests flow and the count rises.
 #[test]
 fn figures_to_a_full_device_are_dropped_and_counted_while_requests_flow() {
@@ -129,19 +136,50 @@
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
     let features = "[figures]\ntarget = \"file:/dev/full\"\nflush_ms = 20\n";
     let node = Node::with_features(&config(discovery.address), features);
-    let dropped = || -> Vec<u64> {
-        let log = node.log.lock().unwrap();
-        let counts = log.iter().filter_map(|line| line.strip_prefix("figures: "));
-        counts.map(|rest| rest.strip_suffix(" batches dropped so far").unwrap().parse().unwrap()).collect()
-    };
     let mut client = node.client();
     let mut key = 0;
     wait_for("a count that rises", || {
         key += 1;
         assert_eq!(client.ask(&read("read", key, 20_000)).status(), 200);
-        dropped().len() > 3
+        dropped(&node).len() > 3
     });
-    assert!(dropped().windows(2).all(|pair| pair[0] < pair[1]), "{:?}", dropped());
+    assert!(dropped(&node).windows(2).all(|pair| pair[0] < pair[1]), "{:?}", dropped(&node));
+}
+
+// Guards against a FIFO that stalls the node: without a reader, with one that reads nothing, and read at last.
+#[test]
+fn figures_to_a_fifo_wait_for_no_reader() {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let path = temporary("fifo");
+    assert!(std::process::Command::new("mkfifo").arg(&path).status().unwrap().success());
+    let features = format!("[figures]\ntarget = \"file:{}\"\nflush_ms = 10\n", path.display());
+    let node = Node::with_features(&config(discovery.address), &features);
+    let dropped = || dropped(&node).last().copied().unwrap_or(0);
+    wait_for("dropped batches", || dropped() > 0);
+    let mut fifo = std::fs::File::open(&path).unwrap();
+    let (mut text, mut bytes) = (String::new(), [0; 1024]);
+    let mut read_more = || {
+        let n = std::io::Read::read(&mut fifo, &mut bytes).unwrap();
+        text.push_str(std::str::from_utf8(&bytes[..n]).unwrap());
+        let whole = text.rfind('\n').map_or("", |end| &text[..=end]);
+        assert!(whole.lines().all(|line| line.starts_with("slatelink.")), "whole lines only");
+        sum(whole, "slatelink.figures.dropped", "")
+    };
+    let mut told = 0;
+    wait_for("the count of what was dropped", || {
+        told = read_more();
+        told > 0
+    });
+    // Once the FIFO is full its writes report that.
+    let (mut client, mut key) = (node.client(), 0);
+    wait_for("dropped batches again", || {
+        key += 1;
+        assert_eq!(client.ask(&read("read", key, 20_000)).status(), 200);
+        dropped() > told
+    });
+    wait_for("the count of those", || read_more() > told);
+    std::fs::remove_file(path).unwrap();
 }
 
 // Guards against a pipe that nobody reads, and that stalls the node once it is full.
