--- a/src/features/audit.rs
+++ b/src/features/audit.rs
@@ -6,7 +6,7 @@
 use pinhead::ServerId;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::fs::{File, TryLockError};
@@ -122,6 +122,8 @@
     lane: Lane,
     trail: Arc<Mutex<Trail>>,
     lost: Arc<AtomicU64>,
+    /// The stop is the last record.
+    stopped: Cell<bool>,
     health: RefCell<BTreeMap<ServerId, String>>,
 }
 
@@ -135,8 +137,13 @@
             None => (Trail::default(), None),
             Some(path) => Trail::open(path).map_err(|error| format!("audit: {}: {error}", path.display()))?,
         };
-        let (lost, health) = (Arc::default(), RefCell::default());
-        let audit = Self { lane: writer.lane(RECORDS), trail: Arc::new(Mutex::new(trail)), lost, health };
+        let audit = Self {
+            lane: writer.lane(RECORDS),
+            trail: Arc::new(Mutex::new(trail)),
+            lost: Arc::default(),
+            stopped: Cell::default(),
+            health: RefCell::default(),
+        };
         torn.into_iter().for_each(|torn| audit.record(torn));
         Ok(audit)
     }
@@ -148,6 +155,7 @@
 
     pub fn stop(&self, stop: Stop) {
         self.record(Event::Stop { signal: stop.signal });
+        self.stopped.set(true);
     }
 
     /// A configuration is in force.
@@ -178,6 +186,9 @@
     }
 
     fn record(&self, event: Event) {
+        if self.stopped.get() {
+            return;
+        }
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let at_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
         let (trail, lost) = (self.trail.clone(), self.lost.clone());
--- a/src/features/mod.rs
+++ b/src/features/mod.rs
@@ -22,8 +22,10 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use writer::{Log, Writer};
 
-/// At a stop the figures, and then the writer, wait no longer than this for what is written slowly.
-const STOP: Duration = Duration::from_millis(500);
+/// At a stop the figures wait no longer than this for a pipe that is read slowly.
+const FLUSH: Duration = Duration::from_millis(500);
+/// And then all features for the writer: a record that it has begun should be on disk.
+const SETTLE: Duration = Duration::from_secs(2);
 
 /// The features that are on.
 pub struct Features {
@@ -158,13 +160,13 @@
     /// The node stops: what waits goes out, or is left after a while.
     pub async fn stop(&self, by: Stop) {
         if let Some(figures) = &self.figures {
-            figures.stop(STOP).await;
+            figures.stop(FLUSH).await;
         }
         if let Some(audit) = &self.audit {
             audit.stop(by);
         }
         if let Some(writer) = &self.writer {
-            writer.settle(STOP).await;
+            writer.settle(SETTLE).await;
         }
     }
 }
