--- a/src/features/audit.rs
+++ b/src/features/audit.rs
@@ -13,7 +13,6 @@
 use std::io::{self, BufRead, Read, Seek, SeekFrom, Write};
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::signal::unix::{signal, SignalKind};
@@ -121,7 +120,8 @@
 pub struct Audit {
     lane: Lane,
     trail: Arc<Mutex<Trail>>,
-    lost: Arc<AtomicU64>,
+    /// Records that found no place in the queue since the last one that did.
+    lost: Cell<u64>,
     /// The stop is the last record.
     stopped: Cell<bool>,
     health: RefCell<BTreeMap<ServerId, String>>,
@@ -140,7 +140,7 @@
         let audit = Self {
             lane: writer.lane(RECORDS),
             trail: Arc::new(Mutex::new(trail)),
-            lost: Arc::default(),
+            lost: Cell::default(),
             stopped: Cell::default(),
             health: RefCell::default(),
         };
@@ -191,26 +191,17 @@
         }
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let at_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
-        let (trail, lost) = (self.trail.clone(), self.lost.clone());
+        let (trail, missing) = (self.trail.clone(), self.lost.get());
         let put = self.lane.put(move |stderr| {
             let mut trail = trail.lock().unwrap_or_else(PoisonError::into_inner);
-            let missing = lost.load(Ordering::Acquire);
-            let told = match missing {
-                0 => Ok(()),
-                records => trail.append(stderr, at_ms, &Event::Lost { records }),
-            };
-            if told.is_ok() {
-                lost.fetch_sub(missing, Ordering::AcqRel);
-            }
-            if let Err(error) = told.and_then(|()| trail.append(stderr, at_ms, &event)) {
-                lost.fetch_add(1, Ordering::AcqRel);
+            trail.lost += missing;
+            if let Err(error) = trail.take(stderr, at_ms, &event) {
+                trail.lost += 1;
                 // There is nowhere else to report it to.
                 let _ = writeln!(stderr, "audit: a record is not written: {error}");
             }
         });
-        if !put {
-            self.lost.fetch_add(1, Ordering::AcqRel);
-        }
+        self.lost.set(if put { 0 } else { missing + 1 });
     }
 }
 
@@ -228,6 +219,8 @@
     len: u64,
     /// A write broke off: what it left must go before the next one.
     spoiled: bool,
+    /// Records that the trail lacks and does not tell of yet.
+    lost: u64,
     seq: u64,
     prev: String,
 }
@@ -235,7 +228,7 @@
 impl Default for Trail {
     fn default() -> Self {
         let prev = NONE_BEFORE.to_owned();
-        Self { file: None, regular: false, len: 0, spoiled: false, seq: 0, prev }
+        Self { file: None, regular: false, len: 0, spoiled: false, lost: 0, seq: 0, prev }
     }
 }
 
@@ -294,6 +287,15 @@
         Ok(())
     }
 
+    /// Writes a record, and before it one of those that are missing there.
+    fn take(&mut self, stderr: &mut File, at_ms: u64, event: &Event) -> io::Result<()> {
+        if self.lost > 0 {
+            self.append(stderr, at_ms, &Event::Lost { records: self.lost })?;
+            self.lost = 0;
+        }
+        self.append(stderr, at_ms, event)
+    }
+
     /// Writes a record and has it on disk before it returns.
     fn append(&mut self, stderr: &mut File, at_ms: u64, event: &Event) -> io::Result<()> {
         if self.spoiled {
@@ -543,4 +545,34 @@
         assert_eq!(verify(&std::fs::read(&path).unwrap()[..]).unwrap(), Verdict::Ok(2));
         std::fs::remove_file(path).unwrap();
     }
+
+    // Guards against records that are lost behind a stuck disk without a word, or break the chain.
+    #[test]
+    fn records_past_those_that_may_wait_are_counted_in_the_trail() {
+        let path = file("lost");
+        let writer = Writer::start().unwrap();
+        let audit = Audit::open(Some(&path), &writer).unwrap();
+        let (release, held) = std::sync::mpsc::channel::<()>();
+        assert!(writer.lane(1).put(move |_| held.recv().unwrap_or_default()));
+        (0..RECORDS + 5).for_each(|i| audit.record(health(&i.to_string())));
+        release.send(()).unwrap();
+        let lines = || std::fs::read_to_string(&path).unwrap().lines().count();
+        let start = std::time::Instant::now();
+        let wait = |count| {
+            while lines() < count {
+                assert!(start.elapsed().as_secs() < 60, "{} lines", lines());
+                std::thread::sleep(std::time::Duration::from_millis(5));
+            }
+        };
+        wait(RECORDS);
+        audit.stop(Stop::TERMINATE);
+        audit.record(health("after the stop"));
+        wait(RECORDS + 2);
+        let text = std::fs::read_to_string(&path).unwrap();
+        assert_eq!(verify(text.as_bytes()).unwrap(), Verdict::Ok(RECORDS as u64 + 2));
+        let last: Vec<_> = text.lines().skip(RECORDS).collect();
+        assert!(last[0].contains("\"event\":\"lost\",\"records\":5,"), "{}", last[0]);
+        assert!(last[1].contains("\"event\":\"stop\",\"signal\":\"SIGTERM\""), "{}", last[1]);
+        std::fs::remove_file(path).unwrap();
+    }
 }
