--- a/src/features/audit.rs
+++ b/src/features/audit.rs
@@ -241,16 +241,21 @@
         // Neither opening nor writing waits for a FIFO's reader.
         options.read(true).append(true).create(true).custom_flags(libc::O_NONBLOCK);
         let mut file = options.open(path).map_err(text)?;
-        file.try_lock().map_err(|error| match error {
-            TryLockError::WouldBlock => "another node writes there".to_owned(),
-            TryLockError::Error(error) => text(error),
-        })?;
         if new {
             // The name must outlive a crash as well. Where the folder cannot be synced the file still is.
             let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty());
             let _ = File::open(folder.unwrap_or(Path::new("."))).and_then(|folder| folder.sync_all());
         }
         let state = file.metadata().map_err(text)?;
+        // A device holds no trail that two could break.
+        if state.is_file() {
+            file.try_lock().map_err(|error| match error {
+                TryLockError::WouldBlock => "another node writes there".to_owned(),
+                TryLockError::Error(error) => text(error),
+            })?;
+        }
+        // Its length only once no other node writes.
+        let state = file.metadata().map_err(text)?;
         let (regular, len) = (state.is_file(), if state.is_file() { state.len() } else { 0 });
         let from = len.saturating_sub(2 * LONGEST as u64);
         let mut end = Vec::new();
