--- a/src/features/figures.rs
+++ b/src/features/figures.rs
@@ -320,7 +320,8 @@
     fn tell_dropped(&self, state: &mut State) {
         if state.dropped_ever > state.dropped_told {
             state.dropped_told = state.dropped_ever;
-            self.log.line(&format!("figures: {} batches dropped so far", state.dropped_ever));
+            let total = state.dropped_ever;
+            self.log.line(&format!("slatelink.figures.dropped: {total} batches so far"));
         }
     }
 
--- a/tests/node_features.rs
+++ b/tests/node_features.rs
@@ -125,8 +125,8 @@
 /// The totals of dropped batches, as standard error has them.
 fn dropped(node: &Node) -> Vec<u64> {
     let log = node.log.lock().unwrap();
-    let counts = log.iter().filter_map(|line| line.strip_prefix("figures: "));
-    counts.map(|rest| rest.strip_suffix(" batches dropped so far").unwrap().parse().unwrap()).collect()
+    let counts = log.iter().filter_map(|line| line.strip_prefix("slatelink.figures.dropped: "));
+    counts.map(|rest| rest.strip_suffix(" batches so far").unwrap().parse().unwrap()).collect()
 }
 
 // The operators' own check: every write to this target reports an error, requests flow and the count rises.
