Close answered connections before idle ones use up the clients' third of descriptors

Clients may use a third of the descriptors, so no other client could connect, while the table of 180 places was not full and asked nobody to close.

Change: the table reckons what clients can use (the lesser of its places and a third of the descriptors) and keeps a fifth of it free; from there on an answer closes its connection, or the connection idle for longest goes in its place once it has been idle for 2 s. Connections are kept in order by phase, so neither the count nor the oldest costs a walk.

--- a/src/features/multiget.rs
+++ b/src/features/multiget.rs
@@ -132,7 +132,7 @@
     pub const DESCRIPTORS: usize = 1 + CONNECTIONS;
 
     pub fn new(front: Rc<Front>, settings: Settings) -> Rc<Self> {
-        Rc::new(Self { front, settings, room: Rc::new(Room::new(CONNECTIONS)) })
+        Rc::new(Self { front, settings, room: Rc::new(Room::new(CONNECTIONS, usize::MAX)) })
     }
 
     /// Serves until the node closes and every connection has ended.
--- a/src/main.rs
+++ b/src/main.rs
@@ -20,7 +20,7 @@
 use net::config::{self, Config};
 use net::discovery::Discovery;
 use net::driver::Driver;
-use net::server::{connection, serve, Front, Stage};
+use net::server::{connection, serve, Front, Room, Stage};
 use net::upstream::Upstream;
 use pinhead::Balancer;
 use std::error::Error;
@@ -149,7 +149,8 @@
     let (stages, stage) = watch::channel(Stage::Serving);
     let (follow, ready) = (Rc::new(Notify::new()), Rc::default());
     let upstream = Rc::new(Upstream::new(most, settings.connect_timeout, settings.keepalive));
-    let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone(), log.clone(), most));
+    let room = Room::new(most, sockets);
+    let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone(), log.clone(), room));
     let seq = (!known.hosts.is_empty()).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let (addresses, address) = watch::channel(discovery);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -70,7 +70,7 @@
         stage: watch::Receiver<Stage>,
         events: UnboundedSender<Input>,
         log: Log,
-        most: usize,
+        room: Room,
     ) -> Self {
         Self {
             classes: settings.classes.iter().map(|class| (class.name.clone(), class.deadline)).collect(),
@@ -79,7 +79,7 @@
             stage,
             events,
             tickets: Cell::new(0),
-            room: Rc::new(Room::new(most)),
+            room: Rc::new(room),
             log,
             open: OpenIds::default(),
         }
@@ -94,8 +94,9 @@
 }
 
 impl Room {
-    pub fn new(most: usize) -> Self {
-        Self { slots: Arc::new(Semaphore::new(most)), most, table: Rc::default() }
+    /// `most` places on a node that may hold `descriptors`.
+    pub fn new(most: usize, descriptors: usize) -> Self {
+        Self { slots: Arc::new(Semaphore::new(most)), most, table: Rc::new(Table::new(most, descriptors)) }
     }
 
     /// Waits for a place. Clients keep the connections they have: left idle, they would keep all others out of a
@@ -199,8 +200,8 @@
     };
     // A client that sends what can't be used comes again at once: not on this connection, where it would cost
     // the others the least of waits between two.
-    // Where the table is full an answered connection makes room at once: kept, it would stand idle for its time
-    // while requests wait unaccepted.
+    // Where places run out an answered connection makes room at once: kept, it would stand idle for its time while
+    // others wait unaccepted, or cannot connect at all.
     if !usable || place.wanted() || *front.stage.borrow() >= Stage::Leaving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -4,7 +4,7 @@
 use crate::net::server::Stage;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::io;
 use std::pin::{pin, Pin};
@@ -33,6 +33,12 @@
 /// Bytes read from a socket at once.
 const READ: usize = 8 << 10;
 
+/// Clients use at most this part of the node's descriptors for their requests: connections that stand idle in it
+/// keep every other client from opening one, although the node has places left.
+const CLIENTS_PART: usize = 3;
+/// Of the places that clients can use, this part is kept free for those that have no connection yet.
+const FREE_PART: usize = 5;
+
 /// What a connection is at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -48,8 +54,23 @@
     Idle,
 }
 
+impl Phase {
+    const COUNT: usize = 5;
+
+    fn limit(self) -> Option<Duration> {
+        match self {
+            Self::Silent | Self::Asking => Some(ASKING),
+            Self::Open => None,
+            Self::Answering => Some(TAKING),
+            Self::Idle => Some(IDLE),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct State {
+    number: u64,
+    order: Rc<Order>,
     phase: Cell<Phase>,
     since: Cell<Instant>,
     /// Bytes came before the answer to the last request was out: the next request has begun.
@@ -61,17 +82,14 @@
 
 impl State {
     fn enter(&self, phase: Phase) {
-        self.phase.set(phase);
-        self.since.set(Instant::now());
+        self.turn(phase, Instant::now());
     }
 
-    fn limit(&self) -> Option<Duration> {
-        match self.phase.get() {
-            Phase::Silent | Phase::Asking => Some(ASKING),
-            Phase::Open => None,
-            Phase::Answering => Some(TAKING),
-            Phase::Idle => Some(IDLE),
-        }
+    fn turn(&self, phase: Phase, since: Instant) {
+        self.order.of(self.phase.get()).remove(&(self.since.get(), self.number));
+        self.phase.set(phase);
+        self.since.set(since);
+        self.order.of(phase).insert((since, self.number));
     }
 
     fn end(&self) {
@@ -80,45 +98,85 @@
     }
 }
 
-/// All connections of clients.
+/// The connections of each phase, by when they entered it: what is asked at each answer, how many there are and
+/// which is the oldest, is known without a walk over all of them.
 #[derive(Debug, Default)]
+struct Order([RefCell<BTreeSet<(Instant, u64)>>; Phase::COUNT]);
+
+impl Order {
+    fn of(&self, phase: Phase) -> std::cell::RefMut<'_, BTreeSet<(Instant, u64)>> {
+        self.0[phase as usize].borrow_mut()
+    }
+}
+
+/// All connections of clients.
+#[derive(Debug)]
 pub struct Table {
     next: Cell<u64>,
     /// No place is left: others may wait unaccepted.
     pub full: Cell<bool>,
+    /// With so many used connections, an answered one gives way to clients that have none.
+    crowd: usize,
+    order: Rc<Order>,
     states: RefCell<BTreeMap<u64, Rc<State>>>,
 }
 
 impl Table {
+    /// A table of `places` on a node that may hold `descriptors`.
+    pub fn new(places: usize, descriptors: usize) -> Self {
+        let usable = places.min(descriptors / CLIENTS_PART);
+        Self {
+            next: Cell::default(),
+            full: Cell::default(),
+            crowd: (usable - usable / FREE_PART).max(1),
+            order: Rc::default(),
+            states: RefCell::default(),
+        }
+    }
+
+    /// The one that has been in this phase for longest, if that is `age` or more, but for those that end anyway.
+    fn oldest(&self, phase: Phase, age: Duration) -> Option<Rc<State>> {
+        let states = self.states.borrow();
+        let order = self.order.of(phase);
+        let staying = |&&(_, number): &&(Instant, u64)| states.get(&number).is_some_and(|s| !s.leaving.get());
+        let (since, number) = order.iter().find(staying)?;
+        states.get(number).filter(|_| since.elapsed() >= age).cloned()
+    }
+
     /// Asks one to close in favour of one that waits unaccepted. `false` where none can yet. A silent flood lives
     /// off itself first; but it must not wait for itself either, with usual clients behind it, while connections
     /// that nobody uses or half requests hold the other places.
     pub fn make_room(&self) -> bool {
-        let states = self.states.borrow();
-        let oldest = |phase, age| {
-            let mut all: Vec<_> = states.values().filter(|state| !state.leaving.get()).collect();
-            all.retain(|state| state.phase.get() == phase && state.since.get().elapsed() >= age);
-            all.into_iter().min_by_key(|state| state.since.get())
-        };
-        let found = oldest(Phase::Silent, SILENCE)
-            .or_else(|| oldest(Phase::Idle, UNUSED))
-            .or_else(|| oldest(Phase::Asking, HALTING))
+        let found = self
+            .oldest(Phase::Silent, SILENCE)
+            .or_else(|| self.oldest(Phase::Idle, UNUSED))
+            .or_else(|| self.oldest(Phase::Asking, HALTING))
             .or_else(|| {
-                oldest(Phase::Idle, Duration::ZERO)
-                    .filter(|_| oldest(Phase::Silent, Duration::ZERO).is_none())
+                self.oldest(Phase::Idle, Duration::ZERO)
+                    .filter(|_| self.oldest(Phase::Silent, Duration::ZERO).is_none())
             });
         found.inspect(|state| state.end()).is_some()
     }
 
+    /// Whether so many connections are used that one which is being answered must give way. One that may be
+    /// closed by the terms, since nobody has used it for long, goes in its place.
+    fn crowded(&self) -> bool {
+        let used = [Phase::Open, Phase::Answering, Phase::Idle].map(|phase| self.order.of(phase).len());
+        used.iter().sum::<usize>() >= self.crowd
+            && self.oldest(Phase::Idle, UNUSED).inspect(|state| state.end()).is_none()
+    }
+
     /// Ends connections whose time is up, for as long as the node runs.
     pub async fn sweep(self: Rc<Self>) {
         let mut turns = interval(SWEEP);
         loop {
             turns.tick().await;
-            for state in self.states.borrow().values() {
-                if state.limit().is_some_and(|limit| state.since.get().elapsed() > limit) {
-                    state.end();
-                }
+            let states = self.states.borrow();
+            for phase in [Phase::Silent, Phase::Asking, Phase::Answering, Phase::Idle] {
+                let Some(limit) = phase.limit() else { continue };
+                let order = self.order.of(phase);
+                let over = order.iter().take_while(|(since, _)| since.elapsed() > limit);
+                over.filter_map(|(_, number)| states.get(number)).for_each(|state| state.end());
             }
         }
     }
@@ -135,9 +193,14 @@
 impl Place {
     pub fn new(table: Rc<Table>) -> Self {
         let number = table.next.replace(table.next.get() + 1);
+        let since = Instant::now();
+        let order = table.order.clone();
+        order.of(Phase::Silent).insert((since, number));
         let state = Rc::new(State {
+            number,
+            order,
             phase: Cell::new(Phase::Silent),
-            since: Cell::new(Instant::now()),
+            since: Cell::new(since),
             ahead: Cell::default(),
             leaving: Cell::default(),
             close: Notify::new(),
@@ -146,9 +209,9 @@
         Self { table, number, state }
     }
 
-    /// Whether others may wait for this one.
+    /// Whether others may wait for this one, which is about to be answered.
     pub fn wanted(&self) -> bool {
-        self.table.full.get()
+        self.table.full.get() || self.table.crowded()
     }
 
     /// A request's head has come; its body may follow.
@@ -203,6 +266,8 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
+        let state = &self.state;
+        state.order.of(state.phase.get()).remove(&(state.since.get(), self.number));
         self.table.states.borrow_mut().remove(&self.number);
     }
 }
@@ -228,7 +293,7 @@
         if !read.filled().is_empty() {
             match self.state.phase.get() {
                 // The time of the first request runs from the connection's start.
-                Phase::Silent => self.state.phase.set(Phase::Asking),
+                Phase::Silent => self.state.turn(Phase::Asking, self.state.since.get()),
                 Phase::Idle => self.state.enter(Phase::Asking),
                 Phase::Asking => {}
                 Phase::Open | Phase::Answering => self.state.ahead.set(true),
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -295,3 +295,36 @@
         answered.is_some_and(|answered| answered.header("connection") == Some("close"))
     });
 }
+
+// Guards against idle connections that use up the clients' third of the descriptors, so that no other client can
+// connect although the node has places left.
+#[test]
+fn clients_that_keep_to_their_third_are_all_served() {
+    const SOCKETS: usize = 96;
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let mut small = config(discovery.address);
+    small["limits"]["sockets"] = json!(SOCKETS);
+    let node = Node::ready(&small);
+    let mut kept = std::collections::VecDeque::new();
+    for key in 0..2 * SOCKETS as u64 {
+        assert!(kept.len() < SOCKETS / 3, "client {key} cannot connect: idle connections hold the third");
+        let mut client = node.client();
+        let served = client.ask(&read("read", key, 20_000));
+        assert_eq!(served.status(), 200);
+        if served.header("connection") != Some("close") {
+            kept.push_back(client);
+        }
+    }
+    assert!(
+        kept.len() > SOCKETS / 6,
+        "only {} connections were kept: most of the third is of use",
+        kept.len()
+    );
+    // What has been idle for 2 s goes before the connection that was just answered.
+    wait_for("an answer that leaves its connection open", || {
+        node.read("read", 1).header("connection") != Some("close")
+    });
+    let mut oldest = kept.pop_front().unwrap();
+    assert_eq!(oldest.answer(), None, "the oldest idle connection is closed in its place");
+}
