Split the program into a workspace of crates without import circles

Need: driver, features and discovery imported each other in a circle that the next subsystems would have joined.

Change: crates decide, wire, config, observe, node and cli; the code moves and is not written anew. The node tells an Observer what happened, and figures, audit trail and hot list implement it. Discovery's lists live in config, the side port for many keys in node, its client in cli.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,86 @@
+//! The `slatelink` command: arguments, exit codes and printing.
+
+mod multiget;
+
+use clap::{Parser, Subcommand};
+use slatelink_config::{operators, platform};
+use slatelink_observe::audit::{self, Verdict};
+use std::error::Error;
+use std::fs::File;
+use std::io::{self, BufReader, Write};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::runtime::{self, Runtime};
+use tokio::task::LocalSet;
+
+/// A load-balancer node for a fleet of cache servers; LB_CONFIG and the other LB_ variables tell it its place.
+#[derive(Parser)]
+#[command(name = "slatelink", version, args_conflicts_with_subcommands = true)]
+struct Cli {
+    /// Settings of the operators' features, in TOML; without it all of them are off
+    #[arg(long, value_name = "FILE")]
+    features: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+/// Without one, the node runs.
+#[derive(Subcommand)]
+enum Command {
+    /// Look at an audit trail
+    #[command(subcommand)]
+    Audit(AuditCommand),
+    /// Ask a node's side port for many keys and print a line for each
+    MultiGet(multiget::Command),
+}
+
+#[derive(Subcommand)]
+enum AuditCommand {
+    /// Print `ok <count>`, or the first line that is broken or torn, and then exit 1
+    Verify {
+        /// The trail
+        file: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let ended = match cli.command {
+        None => start(cli.features),
+        Some(Command::Audit(AuditCommand::Verify { file })) => verify(file),
+        Some(Command::MultiGet(command)) => one_thread().and_then(|one| one.block_on(command.run())),
+    };
+    match ended {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("slatelink: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn verify(path: PathBuf) -> Result<ExitCode, Box<dyn Error>> {
+    let verdict = File::open(&path).and_then(|file| audit::verify(BufReader::new(file)));
+    match verdict {
+        Ok(verdict) => {
+            writeln!(io::stdout(), "{verdict}")?;
+            Ok(if matches!(verdict, Verdict::Ok(_)) { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
+        // Not what a broken trail ends with.
+        Err(error) => {
+            eprintln!("slatelink: cannot read {}: {error}", path.display());
+            Ok(ExitCode::from(2))
+        }
+    }
+}
+
+fn start(features: Option<PathBuf>) -> Result<ExitCode, Box<dyn Error>> {
+    let features = features.map(operators::load).transpose()?.unwrap_or_default();
+    let config = platform::load(|name| std::env::var(name).ok())?;
+    // A node has one core: one thread, and no locks between its parts.
+    LocalSet::new().block_on(&one_thread()?, slatelink_node::run(config, features))
+}
+
+fn one_thread() -> Result<Runtime, Box<dyn Error>> {
+    Ok(runtime::Builder::new_current_thread().enable_all().build()?)
+}
--- a/tests/node_common/mod.rs
+++ b/crates/cli/tests/node_common/mod.rs
@@ -263,7 +263,7 @@
 
 pub fn write_config(text: &str) -> std::path::PathBuf {
     let number = CONFIGS.fetch_add(1, Ordering::SeqCst);
-    let path = std::env::temp_dir().join(format!("pinhead-{}-{number}.json", std::process::id()));
+    let path = std::env::temp_dir().join(format!("slatelink-{}-{number}.json", std::process::id()));
     std::fs::write(&path, text).unwrap();
     path
 }
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,17 @@
+//! What a node is told: the platform's configuration, the operators' file, and the list of servers in discovery's form.
+//!
+//! Owns the formats and their checks: typed values out, or one sentence that says what was read, where, and what was
+//! expected. It reads files when asked to, and never acts on what they say.
+
+pub mod listing;
+pub mod operators;
+pub mod platform;
+
+pub use listing::{Host, Listing};
+
+use sha2::{Digest, Sha256};
+
+/// SHA-256 in lower-case hexadecimal.
+pub fn digest(bytes: &[u8]) -> String {
+    Sha256::digest(bytes).iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- /dev/null
+++ b/crates/config/src/listing.rs
@@ -0,0 +1,61 @@
+//! The list of cache servers in discovery's form.
+
+use serde::Deserialize;
+use slatelink_decide::{Availability, ServerEntry, Timestamp};
+use std::net::SocketAddr;
+
+/// Discovery's answer: the whole list, or what changed.
+#[derive(Debug, Default, Deserialize)]
+pub struct Listing {
+    /// Its version.
+    pub seq: u64,
+    /// Whether what it lacks is gone.
+    pub whole: bool,
+    /// The entries, or those that changed.
+    #[serde(default)]
+    pub hosts: Vec<Host>,
+}
+
+/// One cache server in it.
+#[derive(Debug, Deserialize)]
+pub struct Host {
+    host: String,
+    dial: Option<SocketAddr>,
+    site: Option<String>,
+    class: Option<String>,
+    block: Option<u64>,
+    health: String,
+    share: Option<f64>,
+    born_ms: Option<u64>,
+}
+
+impl Host {
+    /// Where it listens; one that is gone may have no address.
+    pub fn dial(&self) -> Option<SocketAddr> {
+        self.dial
+    }
+
+    /// Discovery's own word for whether it takes work.
+    pub fn health(&self) -> &str {
+        &self.health
+    }
+
+    /// The entry as the module knows it.
+    pub fn entry(&self) -> ServerEntry {
+        let started = self.born_ms.filter(|&at| at > 0);
+        ServerEntry {
+            id: self.host.as_str().into(),
+            zone: self.site.as_deref().map(Into::into),
+            kind: self.class.as_deref().map(Into::into),
+            cell: self.block.unwrap_or(0),
+            availability: match self.health.as_str() {
+                "ready" => Availability::Ready,
+                "gone" => Availability::Gone,
+                // Draining, or a state that this version does not know: keep away from that server.
+                _ => Availability::Draining,
+            },
+            weight: self.share.filter(|share| share.is_finite() && *share >= 0.0).unwrap_or(1.0),
+            started: started.map(|ms| Timestamp::from_micros(ms.saturating_mul(1000))),
+        }
+    }
+}
--- a/src/features/settings.rs
+++ b/crates/config/src/operators.rs
@@ -1,13 +1,14 @@
 //! The operators' settings of the features: one TOML file, named on the command line and read at the start only.
 
-use crate::features::writer::Writer;
-use crate::features::{audit, figures, multiget};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 use thiserror::Error;
 
+/// Keys in one call of many unless settings or command say otherwise.
+pub const MAX_ITEMS: usize = 32;
+
 /// Why the file cannot be used. A node does not guess: it fails to start.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -47,14 +48,6 @@
         self.hotlist.as_ref().filter(|hot| hot.capacity > 0)
     }
 
-    /// Descriptors that the features hold: they come out of the node's limit.
-    pub fn descriptors(&self) -> usize {
-        let writer = if self.writes() { Writer::DESCRIPTORS } else { 0 };
-        let figures = self.figures.as_ref().map_or(0, |_| figures::Figures::DESCRIPTORS);
-        let side = self.side_port().map_or(0, |_| multiget::MultiGet::DESCRIPTORS);
-        writer + figures + side + self.audit.as_ref().map_or(0, |_| audit::Audit::DESCRIPTORS)
-    }
-
     /// The port for many keys at once, where there is to be one.
     pub fn side_port(&self) -> Option<u16> {
         self.multiget.as_ref().and_then(|settings| settings.port)
@@ -137,7 +130,7 @@
     }
 
     pub fn max_items(&self) -> usize {
-        self.max_items.map_or(multiget::MAX_ITEMS, |items| items.0)
+        self.max_items.map_or(MAX_ITEMS, |items| items.0)
     }
 }
 
@@ -194,7 +187,7 @@
     };
     let parsed = toml::from_str(&text);
     let read = |settings| {
-        let source = Source { path: path.clone(), sha256: audit::digest(text.as_bytes()) };
+        let source = Source { path: path.clone(), sha256: crate::digest(text.as_bytes()) };
         Settings { source: Some(source), ..settings }
     };
     parsed.map(read).map_err(|error: toml::de::Error| {
--- a/src/net/config.rs
+++ b/crates/config/src/platform.rs
@@ -1,10 +1,10 @@
 //! `LB_CONFIG` and the environment, read into typed values.
 
-use crate::net::discovery::Listing;
-use pinhead::wire::{read_settings, WireError};
-use pinhead::Settings;
+use crate::Listing;
 use serde::Deserialize;
 use serde_json::Value;
+use slatelink_decide::Settings;
+use slatelink_wire::{read_settings, WireError};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use thiserror::Error;
--- a/tests/aside.rs
+++ b/crates/decide/tests/aside.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pinhead::*;
+use slatelink_decide::*;
 
 fn node() -> Node {
     let (settings, origin) = aside();
--- a/tests/breaker.rs
+++ b/crates/decide/tests/breaker.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pinhead::*;
+use slatelink_decide::*;
 
 /// Two servers and a key of the first of them.
 fn pair() -> (Node, ServerId) {
--- a/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A node around a `Balancer`: it carries the actions out on paper and checks the rules from outside.
 #![allow(dead_code)]
 
-use pinhead::*;
+use slatelink_decide::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pinhead::*;
+use slatelink_decide::*;
 
 #[test]
 fn retries_stop_when_their_budget_is_spent() {
--- a/src/net/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,15 +1,14 @@
 //! The list of cache servers: discovery's words as the module's, the watch on changes, backoff.
 
-use crate::features::writer::Log;
-use crate::net::driver::Input;
+use crate::driver::Input;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use pinhead::{Availability, ServerEntry, Timestamp};
-use serde::Deserialize;
+use slatelink_config::Listing;
+use slatelink_observe::Log;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,59 +34,6 @@
 const BACKOFF: Duration = Duration::from_millis(200);
 const BACKOFF_MOST: Duration = Duration::from_secs(3);
 
-/// Discovery's answer: the whole list, or what changed.
-#[derive(Debug, Default, Deserialize)]
-pub struct Listing {
-    pub seq: u64,
-    pub whole: bool,
-    #[serde(default)]
-    pub hosts: Vec<Host>,
-}
-
-/// One cache server in it.
-#[derive(Debug, Deserialize)]
-pub struct Host {
-    host: String,
-    dial: Option<SocketAddr>,
-    site: Option<String>,
-    class: Option<String>,
-    block: Option<u64>,
-    health: String,
-    share: Option<f64>,
-    born_ms: Option<u64>,
-}
-
-impl Host {
-    /// Where it listens; one that is gone may have no address.
-    pub fn dial(&self) -> Option<SocketAddr> {
-        self.dial
-    }
-
-    /// Discovery's own word for whether it takes work.
-    pub fn health(&self) -> &str {
-        &self.health
-    }
-
-    /// The entry as the module knows it.
-    pub fn entry(&self) -> ServerEntry {
-        let started = self.born_ms.filter(|&at| at > 0);
-        ServerEntry {
-            id: self.host.as_str().into(),
-            zone: self.site.as_deref().map(Into::into),
-            kind: self.class.as_deref().map(Into::into),
-            cell: self.block.unwrap_or(0),
-            availability: match self.health.as_str() {
-                "ready" => Availability::Ready,
-                "gone" => Availability::Gone,
-                // Draining, or a state that this version does not know: keep away from that server.
-                _ => Availability::Draining,
-            },
-            weight: self.share.filter(|share| share.is_finite() && *share >= 0.0).unwrap_or(1.0),
-            started: started.map(|ms| Timestamp::from_micros(ms.saturating_mul(1000))),
-        }
-    }
-}
-
 #[derive(Debug, Error)]
 enum CallError {
     #[error("{0}")]
--- a/src/net/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,16 +1,15 @@
 //! Drives the module: the only owner of the `Balancer` and of what is open. Events come in by channel and the
 //! module's actions are carried out in order; nothing is picked, repeated or refused here.
 
-use crate::features::figures::End;
-use crate::features::Features;
-use crate::net::discovery::Listing;
-use crate::net::upstream::{Ended, Message, Upstream};
+use crate::upstream::{Ended, Message, Upstream};
 use bytes::Bytes;
 use hyper::StatusCode;
-use pinhead::{
+use slatelink_config::Listing;
+use slatelink_decide::{
     Action, Availability, Balancer, ClassId, Event, Outcome, Request, RequestId, ServerEntry, ServerId,
     ServerList, Status, TenantId, Timestamp,
 };
+use slatelink_observe::{End, Observer};
 use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
@@ -139,7 +138,7 @@
     follow: Rc<Notify>,
     ready: Rc<Cell<bool>>,
     events: UnboundedSender<Input>,
-    features: Rc<Features>,
+    observer: Rc<dyn Observer>,
     open: HashMap<RequestId, Open>,
     timers: BTreeSet<(Instant, Timer)>,
     due: VecDeque<Event>,
@@ -153,7 +152,7 @@
         follow: Rc<Notify>,
         ready: Rc<Cell<bool>>,
         events: UnboundedSender<Input>,
-        features: Rc<Features>,
+        observer: Rc<dyn Observer>,
     ) -> Self {
         Self {
             balancer,
@@ -162,7 +161,7 @@
             follow,
             ready,
             events,
-            features,
+            observer,
             open: HashMap::new(),
             timers: BTreeSet::new(),
             due: VecDeque::new(),
@@ -200,7 +199,7 @@
                 let id = request_id(ticket);
                 if let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) {
                     open.answer = None;
-                    self.features.answered(open.class, open.last(), open.at.elapsed(), End::Left);
+                    self.observer.answered(open.class, open.last(), open.at.elapsed(), End::Left);
                     self.due.push_back(Event::Abandoned(id.clone()));
                     self.tidy(&id);
                 }
@@ -219,7 +218,7 @@
     /// Hands a list to the connections and gives its entries back as the module's. It goes to both in one
     /// step, so that no attempt of the module's can overtake it.
     fn learn(&mut self, listing: &Listing) -> Arc<[ServerEntry]> {
-        self.features.learned(listing);
+        self.observer.learned(listing);
         let entries: Arc<[ServerEntry]> = listing.hosts.iter().map(|host| host.entry()).collect();
         if listing.whole {
             self.upstream.retain(|id| entries.iter().any(|entry| entry.id == *id));
@@ -239,7 +238,7 @@
     fn request(&mut self, taken: Taken) {
         let id = request_id(taken.ticket);
         let until = taken.at + taken.patience.saturating_sub(MARGIN);
-        self.features.taken(taken.class, taken.message.target.path());
+        self.observer.taken(taken.class, taken.message.target.path());
         let open = Open {
             message: Rc::new(taken.message),
             answer: Some(taken.answer),
@@ -270,9 +269,9 @@
         };
         sent.task = None;
         let (server, took) = (sent.server.clone(), sent.at.elapsed());
-        self.features.ended(open.class, &server, ended.status);
+        self.observer.ended(open.class, &server, ended.status);
         if let Some(body) = ended.body {
-            reply(&self.features, open, Some(&server), Answer::Served(body));
+            reply(&*self.observer, open, Some(&server), Answer::Served(body));
         }
         let finished = open.answer.is_none();
         let Ended { status, note, load, .. } = ended;
@@ -316,7 +315,7 @@
     fn guard(&mut self, id: RequestId) {
         let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) else { return };
         let last = open.last().cloned();
-        reply(&self.features, open, last.as_ref(), Answer::Failed);
+        reply(&*self.observer, open, last.as_ref(), Answer::Failed);
         self.tidy(&id);
         self.due.push_back(Event::Abandoned(id));
     }
@@ -350,10 +349,10 @@
             }
             Action::Close { server } => self.upstream.close_idle(&server),
             Action::Follow => self.follow.notify_one(),
-            Action::Log(text) => self.features.said(&text),
+            Action::Log(text) => self.observer.said(&text),
             // The module never probes where the settings forbid it, as they do wherever this node runs.
             Action::Probe { server } => {
-                self.features.log.line(&format!("no probe of {server}: this node sends none"));
+                self.observer.said(&format!("no probe of {server}: this node sends none"));
             }
         }
     }
@@ -362,7 +361,7 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let (at, attempt) = (Instant::now(), open.attempts.len() as u32);
         let until = open.until.min(at + timeout);
-        self.features.sent(&server);
+        self.observer.sent(&server);
         let (upstream, events) = (self.upstream.clone(), self.events.clone());
         let (message, over) = (open.message.clone(), open.answer.is_none());
         let target = server.clone();
@@ -381,20 +380,20 @@
     fn finish(&mut self, id: &RequestId, answer: Answer) {
         if let Some(open) = self.open.get_mut(id) {
             let last = open.last().cloned();
-            reply(&self.features, open, last.as_ref(), answer);
+            reply(&*self.observer, open, last.as_ref(), answer);
             self.tidy(id);
         }
     }
 }
 
-fn reply(features: &Features, open: &mut Open, host: Option<&ServerId>, answer: Answer) {
+fn reply(observer: &dyn Observer, open: &mut Open, host: Option<&ServerId>, answer: Answer) {
     if let Some(sender) = open.answer.take() {
         let end = match &answer {
             Answer::Served(_) => End::Served,
             Answer::Refused { .. } => End::Refused,
             Answer::Failed => End::Failed,
         };
-        features.answered(open.class, host, open.at.elapsed(), end);
+        observer.answered(open.class, host, open.at.elapsed(), end);
         // A client that has gone meanwhile is owed nothing.
         let _ = sender.send(answer);
     }
--- a/src/net/server.rs
+++ b/crates/node/src/server.rs
@@ -1,9 +1,8 @@
 //! The clients' side: reads requests, hands them to the driver, writes the answers, sees clients leave.
 
-use crate::features::writer::Log;
-use crate::net::driver::{Answer, Input, Taken};
-use crate::net::table::{Place, Table};
-use crate::net::upstream::{Message, OpenIds, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
+use crate::driver::{Answer, Input, Taken};
+use crate::table::{Place, Table};
+use crate::upstream::{Message, OpenIds, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -11,7 +10,8 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use pinhead::{ClassId, Name, Settings, TenantId};
+use slatelink_decide::{ClassId, Name, Settings, TenantId};
+use slatelink_observe::Log;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
--- a/src/net/table.rs
+++ b/crates/node/src/table.rs
@@ -1,7 +1,7 @@
 //! The table of clients' connections: what each is at, how long it may be, and which one gives way when no
 //! place is left.
 
-use crate::net::server::Stage;
+use crate::server::Stage;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/features/audit.rs
+++ b/crates/observe/src/audit.rs
@@ -1,11 +1,10 @@
 //! The audit trail: who started, stopped and reconfigured the node, and what discovery said of hosts. Each record is
 //! a line that names the hash of the one before it, so that no line can be changed or taken out unseen.
 
-use crate::features::writer::{Lane, Writer};
-use crate::net::discovery::Listing;
-use pinhead::ServerId;
+use crate::writer::{Lane, Writer};
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
+use slatelink_config::{digest, Listing};
+use slatelink_decide::ServerId;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -333,11 +332,6 @@
 /// How the first record of a trail begins.
 const BEGIN: &[u8] = b"{\"seq\":1,";
 
-/// SHA-256 in lower-case hexadecimal.
-pub fn digest(bytes: &[u8]) -> String {
-    Sha256::digest(bytes).iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 struct Checked {
     seq: Option<u64>,
     prev: String,
--- a/src/features/figures.rs
+++ b/crates/observe/src/figures.rs
@@ -1,9 +1,10 @@
 //! Counters, gauges and timers of requests and attempts, in batches to a file, standard error or UDP.
 
-use crate::features::settings::{Figures as Settings, Format, Target};
-use crate::features::writer::{Lane, Log, Writer};
-use crate::net::discovery::{Host, Listing};
-use pinhead::{Availability, ClassId, Name, ServerId, Status};
+use crate::writer::{Lane, Log, Writer};
+use crate::End;
+use slatelink_config::operators::{Figures as Settings, Format, Target};
+use slatelink_config::{Host, Listing};
+use slatelink_decide::{Availability, ClassId, Name, ServerId, Status};
 use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
@@ -28,27 +29,6 @@
 /// Stands for the host where none was picked.
 const NO_HOST: &str = "none";
 
-/// How a request ended, as a tag's value.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    Served,
-    Refused,
-    Failed,
-    /// Its client left first.
-    Left,
-}
-
-impl End {
-    const fn word(self) -> &'static str {
-        match self {
-            Self::Served => "200",
-            Self::Refused => "503",
-            Self::Failed => "502",
-            Self::Left => "left",
-        }
-    }
-}
-
 const fn outcome(status: Status) -> &'static str {
     match status {
         Status::Ok => "ok",
--- a/src/features/hotlist.rs
+++ b/crates/observe/src/hotlist.rs
@@ -1,8 +1,8 @@
 //! The hottest keys of each class of requests, counted in bounded memory with the Space-Saving method: of a full list
 //! the entry with the least count gives way, and its successor goes on from that count.
 
-use crate::features::writer::{Lane, Writer};
-use pinhead::{ClassId, Name};
+use crate::writer::{Lane, Writer};
+use slatelink_decide::{ClassId, Name};
 use std::cell::RefCell;
 use std::fs::File;
 use std::hash::{DefaultHasher, Hasher};
--- a/src/features/mod.rs
+++ b/crates/observe/src/lib.rs
@@ -1,26 +1,73 @@
-//! What observes a node at the operators' wish. Nothing here decides anything: the driver and the clients' side
-//! say what happened, and each feature that is on takes from it what it needs.
+//! What observes a node at the operators' wish: figures, the audit trail, the hot list, and the writer behind them.
+//!
+//! The node tells an [`Observer`] what happened; [`Observers`] passes it on to those that are on. Nothing here decides
+//! anything, nothing calls back into the node, and nothing here ever makes the node wait.
 
 pub mod audit;
-pub mod figures;
-pub mod hotlist;
-pub mod multiget;
-pub mod settings;
-pub mod writer;
+mod figures;
+mod hotlist;
+mod writer;
+
+pub use writer::Log;
 
-use crate::net::discovery::Listing;
 use audit::{Audit, Stop};
-use figures::{End, Figures};
+use figures::Figures;
 use hotlist::HotList;
-use pinhead::{ClassId, Name, ServerId, Status};
-use settings::{Settings, Source};
+use slatelink_config::operators::{Settings, Source};
+use slatelink_config::{digest, Listing};
+use slatelink_decide::{ClassId, Name, ServerId, Status};
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::mpsc::UnboundedReceiver;
-use writer::{Log, Writer};
+use writer::Writer;
+
+/// How a request ended, as a tag's value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// With the answer of a cache server.
+    Served,
+    /// Not done, and harmless to ask again.
+    Refused,
+    /// Not done, or not known.
+    Failed,
+    /// Its client left first.
+    Left,
+}
+
+impl End {
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Served => "200",
+            Self::Refused => "503",
+            Self::Failed => "502",
+            Self::Left => "left",
+        }
+    }
+}
+
+/// Hears what happens in a node, in the order it happens. What it does not care for it leaves out.
+pub trait Observer {
+    /// A request was taken: one of this path.
+    fn taken(&self, _class: ClassId, _path: &str) {}
+
+    /// A request taken has its final answer, or its client has left. `host`: who served it or was tried last.
+    fn answered(&self, _class: ClassId, _host: Option<&ServerId>, _took: Duration, _end: End) {}
+
+    /// An attempt begins.
+    fn sent(&self, _host: &ServerId) {}
+
+    /// An attempt has ended.
+    fn ended(&self, _class: ClassId, _host: &ServerId, _status: Status) {}
+
+    /// Discovery's word, as the node takes it in.
+    fn learned(&self, _listing: &Listing) {}
+
+    /// A line of the decision module's.
+    fn said(&self, _text: &str) {}
+}
 
 /// At a stop the figures wait no longer than this for a pipe that is read slowly.
 const FLUSH: Duration = Duration::from_millis(500);
@@ -28,7 +75,8 @@
 const SETTLE: Duration = Duration::from_secs(2);
 
 /// The features that are on.
-pub struct Features {
+pub struct Observers {
+    /// The node's log, which shares standard error with them.
     pub log: Log,
     writer: Option<Writer>,
     figures: Option<Rc<Figures>>,
@@ -37,7 +85,7 @@
     source: Option<Source>,
 }
 
-impl Features {
+impl Observers {
     /// Begins what the settings name, for these classes of requests. Its tasks run on the present local set.
     pub fn start(settings: &Settings, classes: &[Name]) -> Result<Rc<Self>, String> {
         let writer = match settings.writes() {
@@ -51,28 +99,28 @@
             drop(caught.map_err(|error| format!("cannot catch SIGXFSZ: {error}"))?);
         }
         let source = settings.source.clone();
-        let mut features = Self { log, writer, figures: None, audit: None, hotlist: None, source };
-        if let (Some(settings), Some(writer)) = (&settings.figures, &features.writer) {
-            let (figures, landed) = Figures::open(settings, classes, writer, features.log.clone())?;
+        let mut observers = Self { log, writer, figures: None, audit: None, hotlist: None, source };
+        if let (Some(settings), Some(writer)) = (&settings.figures, &observers.writer) {
+            let (figures, landed) = Figures::open(settings, classes, writer, observers.log.clone())?;
             let figures = Rc::new(figures);
             tokio::task::spawn_local(figures.clone().run(landed));
-            features.figures = Some(figures);
+            observers.figures = Some(figures);
         }
-        if let (Some(settings), Some(writer)) = (&settings.audit, &features.writer) {
-            features.audit = Some(Audit::open(settings.path.as_deref(), writer)?);
+        if let (Some(settings), Some(writer)) = (&settings.audit, &observers.writer) {
+            observers.audit = Some(Audit::open(settings.path.as_deref(), writer)?);
         }
         let mut prints = None;
-        if let (Some(settings), Some(writer)) = (settings.hot(), &features.writer) {
+        if let (Some(settings), Some(writer)) = (settings.hot(), &observers.writer) {
             // Caught before it is known to be on: uncaught, it ends the process.
             let caught = signal(SignalKind::user_defined1());
             prints = Some(caught.map_err(|error| format!("cannot catch SIGUSR1: {error}"))?);
-            features.hotlist = Some(HotList::new(settings.capacity, settings.window(), classes, writer)?);
+            observers.hotlist = Some(HotList::new(settings.capacity, settings.window(), classes, writer)?);
         }
-        let features = Rc::new(features);
+        let observers = Rc::new(observers);
         if let Some(prints) = prints {
-            tokio::task::spawn_local(features.clone().print(prints));
+            tokio::task::spawn_local(observers.clone().print(prints));
         }
-        Ok(features)
+        Ok(observers)
     }
 
     /// Prints the hot list at each signal, for as long as the node runs.
@@ -84,6 +132,13 @@
         }
     }
 
+    /// Descriptors that they hold: they come out of the node's limit.
+    pub fn descriptors(settings: &Settings) -> usize {
+        let writer = if settings.writes() { Writer::DESCRIPTORS } else { 0 };
+        let figures = settings.figures.as_ref().map_or(0, |_| Figures::DESCRIPTORS);
+        writer + figures + settings.audit.as_ref().map_or(0, |_| Audit::DESCRIPTORS)
+    }
+
     /// The signals, beside those that have a use, which end the node: caught where their names are wanted.
     pub fn stops(&self) -> io::Result<Option<UnboundedReceiver<Stop>>> {
         let but: &[i32] = if self.hotlist.is_some() { &[libc::SIGUSR1] } else { &[] };
@@ -100,15 +155,29 @@
     /// The platform's configuration, and with it the features', is in force: at the start and at each SIGHUP.
     pub fn loaded(&self, path: &Path, text: &[u8]) {
         if let Some(audit) = &self.audit {
-            audit.loaded("platform", path, audit::digest(text));
+            audit.loaded("platform", path, digest(text));
             if let Some(Source { path, sha256 }) = &self.source {
                 audit.loaded("features", path, sha256.clone());
             }
         }
     }
 
-    /// A request was taken: one of this path.
-    pub fn taken(&self, class: ClassId, path: &str) {
+    /// The node stops: what waits goes out, or is left after a while.
+    pub async fn stop(&self, by: Stop) {
+        if let Some(figures) = &self.figures {
+            figures.stop(FLUSH).await;
+        }
+        if let Some(audit) = &self.audit {
+            audit.stop(by);
+        }
+        if let Some(writer) = &self.writer {
+            writer.settle(SETTLE).await;
+        }
+    }
+}
+
+impl Observer for Observers {
+    fn taken(&self, class: ClassId, path: &str) {
         if let Some(hotlist) = &self.hotlist {
             hotlist.taken(class, path.rsplit('/').next().unwrap_or_default());
         }
@@ -117,29 +186,25 @@
         }
     }
 
-    /// A request taken has its final answer, or its client has left. `host`: who served it or was tried last.
-    pub fn answered(&self, class: ClassId, host: Option<&ServerId>, took: Duration, end: End) {
+    fn answered(&self, class: ClassId, host: Option<&ServerId>, took: Duration, end: End) {
         if let Some(figures) = &self.figures {
             figures.answered(class, host, took, end);
         }
     }
 
-    /// An attempt begins.
-    pub fn sent(&self, host: &ServerId) {
+    fn sent(&self, host: &ServerId) {
         if let Some(figures) = &self.figures {
             figures.sent(host);
         }
     }
 
-    /// An attempt has ended.
-    pub fn ended(&self, class: ClassId, host: &ServerId, status: Status) {
+    fn ended(&self, class: ClassId, host: &ServerId, status: Status) {
         if let Some(figures) = &self.figures {
             figures.ended(class, host, status);
         }
     }
 
-    /// Discovery's word, as the driver takes it in.
-    pub fn learned(&self, listing: &Listing) {
+    fn learned(&self, listing: &Listing) {
         if let Some(figures) = &self.figures {
             figures.learned(listing);
         }
@@ -148,25 +213,11 @@
         }
     }
 
-    /// A line of the module's. That it tells of a breaker's trip is all that can be seen of breakers from here.
-    pub fn said(&self, text: &str) {
+    fn said(&self, text: &str) {
         if let Some(figures) = &self.figures {
             let host = text.strip_prefix("breaker of ").and_then(|rest| rest.strip_suffix(" tripped"));
             host.into_iter().for_each(|host| figures.tripped(&host.into()));
         }
         self.log.line(text);
     }
-
-    /// The node stops: what waits goes out, or is left after a while.
-    pub async fn stop(&self, by: Stop) {
-        if let Some(figures) = &self.figures {
-            figures.stop(FLUSH).await;
-        }
-        if let Some(audit) = &self.audit {
-            audit.stop(by);
-        }
-        if let Some(writer) = &self.writer {
-            writer.settle(SETTLE).await;
-        }
-    }
 }
--- a/src/wire.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,10 @@
-//! The simulator's wire: text lines in, text lines out. It parses and formats, and decides nothing.
+//! The simulator's wire: text lines in, text lines out, and the settings as the platform words them.
+//!
+//! Owns the formats. It decides nothing and does no I/O; its binary hosts the decision module on standard input and
+//! output.
+#![warn(missing_docs)]
 
-use crate::api::*;
+use slatelink_decide::*;
 use std::collections::HashMap;
 use std::fmt::{self, Write};
 use std::str::FromStr;
--- a/src/bin/pinhead-wirehost.rs
+++ b/crates/wire/src/main.rs
@@ -1,7 +1,7 @@
 //! Hosts balancers on the simulator's wire: one isolated `Balancer` per instance, lines in, lines out.
 
-use pinhead::wire::{end_reply, write_action, write_fault, Input, Parser};
-use pinhead::{Action, Balancer, Event, Timestamp};
+use slatelink_decide::{Action, Balancer, Event, Timestamp};
+use slatelink_wire::{end_reply, write_action, write_fault, Input, Parser};
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -11,7 +11,7 @@
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("pinhead-wirehost: {error}");
+            eprintln!("slatelink-wirehost: {error}");
             ExitCode::FAILURE
         }
     }
--- a/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The wire: lines in and out, and the host around it.
 
-use pinhead::wire::{write_action, Input, Parser};
-use pinhead::*;
+use slatelink_decide::*;
+use slatelink_wire::{write_action, Input, Parser};
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 use std::time::Duration;
@@ -158,7 +158,7 @@
 }
 
 fn host(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_pinhead-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_slatelink-wirehost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -233,6 +233,6 @@
 #[test]
 fn a_panic_in_a_decision_is_reported_on_one_line_with_its_text() {
     let mut reply = String::new();
-    pinhead::wire::write_fault(&mut reply, 3, "index\nout of range");
+    slatelink_wire::write_fault(&mut reply, 3, "index\nout of range");
     assert_eq!(reply, "bail_out who=3 body_text=index out of range\n");
 }
