--- /dev/null
+++ b/crates/cli/src/lab.rs
@@ -0,0 +1,286 @@
+//! `slatelink lab`: plays scenarios, compares nodes, lists what there is to play.
+
+use clap::{Args, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use slatelink_lab::compare::{self, Measured};
+use slatelink_lab::nodes::Program;
+use slatelink_lab::report::Report;
+use slatelink_lab::run::{play, Options};
+use slatelink_lab::scenario::Scenario;
+use std::error::Error;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// What does not hold, and what cannot be played.
+const BROKEN: u8 = 1;
+const UNUSABLE: u8 = 2;
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Play scenarios and check the rules; exit 0 if all hold, 1 if one does not, 2 if one cannot be played
+    Run(Run),
+    /// Compare two reports, or two node binaries in turn over the same seeds
+    Compare(Compare),
+    /// List the scenarios of a folder
+    List {
+        /// The folder
+        #[arg(default_value = "scenarios")]
+        folder: PathBuf,
+    },
+}
+
+/// What is under test.
+#[derive(Args, Clone)]
+pub struct Node {
+    /// The node's binary; this one where none is named
+    #[arg(long, value_name = "BINARY")]
+    node: Option<PathBuf>,
+    /// The operators' file of each node
+    #[arg(long, value_name = "FILE")]
+    features: Option<PathBuf>,
+}
+
+impl Node {
+    pub fn program(&self) -> io::Result<Program> {
+        let binary = self.node.clone().map_or_else(std::env::current_exe, Ok)?;
+        Ok(self.of(binary))
+    }
+
+    fn of(&self, binary: PathBuf) -> Program {
+        let features =
+            self.features.iter().flat_map(|file| ["--features".to_owned(), file.display().to_string()]);
+        Program::Binary(binary, features.collect())
+    }
+}
+
+#[derive(Args)]
+pub struct Run {
+    /// Scenarios, in TOML
+    #[arg(required = true, value_name = "FILE")]
+    files: Vec<PathBuf>,
+    /// The first seed; the scenario's own where none is named
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Play each so many times, with seeds that follow one another
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=10_000))]
+    repeat: u64,
+    /// Write a report of each run there, as JSON and as a page
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+    /// Print the reports as JSON lines
+    #[arg(long)]
+    json: bool,
+    #[command(flatten)]
+    node: Node,
+}
+
+#[derive(Args)]
+pub struct Compare {
+    /// A report in JSON, or a node's binary
+    a: PathBuf,
+    /// The same of the other
+    b: PathBuf,
+    /// Scenarios to play with both binaries
+    #[arg(long = "scenario", value_name = "FILE")]
+    scenarios: Vec<PathBuf>,
+    /// Seeds that each is played with
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(2..=1_000))]
+    seeds: u64,
+    /// The operators' file of each node
+    #[arg(long, value_name = "FILE")]
+    features: Option<PathBuf>,
+}
+
+type Code = Result<ExitCode, Box<dyn Error>>;
+
+impl Command {
+    pub fn run(self) -> Code {
+        match self {
+            Self::Run(run) => run.run(),
+            Self::Compare(compare) => compare.run(),
+            Self::List { folder } => list(&folder),
+        }
+    }
+}
+
+fn unusable(error: impl std::fmt::Display) -> Code {
+    eprintln!("slatelink: {error}");
+    Ok(ExitCode::from(UNUSABLE))
+}
+
+fn name(path: &Path) -> String {
+    path.file_stem().map_or_else(|| path.display().to_string(), |stem| stem.to_string_lossy().into_owned())
+}
+
+impl Run {
+    fn run(self) -> Code {
+        // All are read before the first is played: a typing error in the last one is told at once.
+        let mut scenarios = Vec::new();
+        for file in &self.files {
+            match Scenario::load(file) {
+                Ok(scenario) => scenarios.push((name(file), scenario)),
+                Err(error) => return unusable(error),
+            }
+        }
+        if let Some(out) = &self.out {
+            if let Err(error) = std::fs::create_dir_all(out) {
+                return unusable(format!("cannot make {}: {error}", out.display()));
+            }
+        }
+        let program = self.node.program()?;
+        let stop = crate::stop_at_interrupt()?;
+        let mut hold = true;
+        for (name, scenario) in &scenarios {
+            let first = self.seed.unwrap_or(scenario.seed);
+            for seed in (0..self.repeat).map(|i| first.wrapping_add(i)) {
+                let Some(report) = one(name, scenario, program.clone(), seed, &stop)? else {
+                    eprintln!("slatelink: stopped");
+                    return Ok(ExitCode::from(BROKEN));
+                };
+                hold &= report.holds;
+                if let Some(out) = &self.out {
+                    let path = out.join(format!("{name}-{seed}"));
+                    std::fs::write(path.with_extension("json"), serde_json::to_vec_pretty(&report)?)?;
+                    std::fs::write(path.with_extension("html"), report.html()?)?;
+                }
+                let mut out = io::stdout().lock();
+                match self.json {
+                    true => writeln!(out, "{}", serde_json::to_string(&report)?)?,
+                    false => write!(out, "{}", report.text())?,
+                }
+            }
+        }
+        Ok(if hold { ExitCode::SUCCESS } else { ExitCode::from(BROKEN) })
+    }
+}
+
+/// Plays one with a bar; `None` where Ctrl-C ended it.
+fn one(
+    name: &str,
+    scenario: &Scenario,
+    program: Program,
+    seed: u64,
+    stop: &Arc<AtomicBool>,
+) -> Result<Option<Report>, Box<dyn Error>> {
+    let options = Options { stop: stop.clone(), ..Options::new(program, seed) };
+    let seconds = scenario.seconds.get();
+    // Where no terminal is there the bar draws nothing.
+    let bar = ProgressBar::new((seconds * 10.0) as u64);
+    let style = ProgressStyle::with_template("{prefix} {bar:30} {percent:>3} %  {msg}");
+    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    bar.set_prefix(format!("{name} seed {seed}"));
+    let played = thread::scope(|scope| {
+        let playing = scope.spawn(|| play(scenario, &options));
+        while !playing.is_finished() {
+            thread::sleep(Duration::from_millis(50));
+            let count = |of: &std::sync::atomic::AtomicU64| of.load(Ordering::Relaxed);
+            let (begun, well) = (count(&options.live.begun), count(&options.live.in_time));
+            if begun > 0 {
+                bar.set_position((begun as f64 / (scenario.load.rate.get()) * 10.0) as u64);
+                bar.set_message(format!(
+                    "{begun} asked, {well} in time, {} refused",
+                    count(&options.live.refused)
+                ));
+            }
+        }
+        playing.join()
+    });
+    bar.finish_and_clear();
+    let played = played.map_err(|_| "the run ended in a panic")??;
+    let stopped = options.stop.load(Ordering::Relaxed);
+    Ok((!stopped).then(|| Report::new(name, scenario, seed, &played)))
+}
+
+impl Compare {
+    fn run(self) -> Code {
+        let report = |path: &Path| path.extension().is_some_and(|end| end == "json");
+        if report(&self.a) != report(&self.b) {
+            return unusable("one is a report and the other is not: compare two reports, or two binaries");
+        }
+        if report(&self.a) {
+            let read = |path: &Path| -> Result<Measured, String> {
+                let text = std::fs::read(path)
+                    .map_err(|error| format!("cannot read {}: {error}", path.display()))?;
+                serde_json::from_slice(&text)
+                    .map_err(|error| format!("{} is no report: {error}", path.display()))
+            };
+            return match (read(&self.a), read(&self.b)) {
+                (Ok(a), Ok(b)) => {
+                    print!("{}", compare::pair(&a, &b));
+                    Ok(ExitCode::SUCCESS)
+                }
+                (Err(error), _) | (_, Err(error)) => unusable(error),
+            };
+        }
+        if self.scenarios.is_empty() {
+            return unusable("two binaries need a --scenario to play");
+        }
+        let stop = crate::stop_at_interrupt()?;
+        for file in &self.scenarios {
+            let scenario = match Scenario::load(file) {
+                Ok(scenario) => scenario,
+                Err(error) => return unusable(error),
+            };
+            let name = name(file);
+            let node = Node { node: None, features: self.features.clone() };
+            let mut pairs = Vec::new();
+            for i in 0..self.seeds {
+                let seed = scenario.seed.wrapping_add(i);
+                let measure = |binary: &Path| one(&name, &scenario, node.of(binary.to_owned()), seed, &stop);
+                // In turn, so that what the machine does besides falls on both.
+                let both = if i % 2 == 0 {
+                    let a = measure(&self.a)?;
+                    (a, measure(&self.b)?)
+                } else {
+                    let b = measure(&self.b)?;
+                    (measure(&self.a)?, b)
+                };
+                let (Some(a), Some(b)) = both else {
+                    eprintln!("slatelink: stopped");
+                    return Ok(ExitCode::from(BROKEN));
+                };
+                pairs.push((Measured::of(&a), Measured::of(&b)));
+            }
+            print!("{}", compare::paired(&name, &pairs));
+        }
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+fn list(folder: &Path) -> Code {
+    let entries = match std::fs::read_dir(folder) {
+        Ok(entries) => entries,
+        Err(error) => return unusable(format!("cannot read {}: {error}", folder.display())),
+    };
+    let mut files: Vec<_> = entries.filter_map(|entry| Some(entry.ok()?.path())).collect();
+    files.retain(|path| path.extension().is_some_and(|end| end == "toml"));
+    files.sort();
+    let mut well = true;
+    let mut out = io::stdout().lock();
+    for file in files {
+        match Scenario::load(&file) {
+            Ok(it) => {
+                let Scenario { about, fleet, load, seconds, .. } = it;
+                writeln!(
+                    out,
+                    "{:<22} {:>3.0} s, {} nodes, {} servers, {:.0} requests/s: {about}",
+                    name(&file),
+                    seconds.get(),
+                    fleet.nodes,
+                    fleet.servers,
+                    load.rate.get()
+                )?;
+            }
+            Err(error) => {
+                well = false;
+                eprintln!("slatelink: {error}");
+            }
+        }
+    }
+    Ok(if well { ExitCode::SUCCESS } else { ExitCode::from(UNUSABLE) })
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,8 @@
 //! The `slatelink` command: arguments, exit codes and printing.
 
+mod lab;
 mod multiget;
+mod up;
 
 use clap::{Parser, Subcommand};
 use slatelink_config::{operators, platform};
@@ -10,7 +12,11 @@
 use std::io::{self, BufReader, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
 use tokio::runtime::{self, Runtime};
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::LocalSet;
 
 /// A load-balancer node for a fleet of cache servers; LB_CONFIG and the other LB_ variables tell it its place.
@@ -30,6 +36,11 @@
     /// Look at an audit trail
     #[command(subcommand)]
     Audit(AuditCommand),
+    /// Start a whole fleet on this machine with light traffic: nodes, cache servers, database, clients
+    Up(up::Up),
+    /// Play scenarios with faults against real nodes and check the rules
+    #[command(subcommand)]
+    Lab(lab::Command),
     /// Ask a node's side port for many keys and print a line for each
     MultiGet(multiget::Command),
 }
@@ -48,6 +59,8 @@
     let ended = match cli.command {
         None => start(cli.features),
         Some(Command::Audit(AuditCommand::Verify { file })) => verify(file),
+        Some(Command::Up(up)) => up.run(),
+        Some(Command::Lab(lab)) => lab.run(),
         Some(Command::MultiGet(command)) => one_thread().and_then(|one| one.block_on(command.run())),
     };
     match ended {
@@ -81,6 +94,26 @@
     LocalSet::new().block_on(&one_thread()?, slatelink_node::run(config, features))
 }
 
+/// A flag that Ctrl-C or SIGTERM raises: what runs then ends in order, and leaves nothing behind.
+fn stop_at_interrupt() -> io::Result<Arc<AtomicBool>> {
+    let stop = Arc::new(AtomicBool::new(false));
+    let (one, raised) = (runtime::Builder::new_current_thread().enable_all().build()?, stop.clone());
+    let (mut interrupt, mut terminate) = {
+        let _within = one.enter();
+        (signal(SignalKind::interrupt())?, signal(SignalKind::terminate())?)
+    };
+    thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        one.block_on(async {
+            tokio::select! {
+                _ = interrupt.recv() => {}
+                _ = terminate.recv() => {}
+            }
+        });
+        raised.store(true, Ordering::Relaxed);
+    })?;
+    Ok(stop)
+}
+
 fn one_thread() -> Result<Runtime, Box<dyn Error>> {
     Ok(runtime::Builder::new_current_thread().enable_all().build()?)
 }
--- /dev/null
+++ b/crates/lab/src/client.rs
@@ -0,0 +1,346 @@
+//! The clients and the front that deals out their connections: open-loop load with impatient retries.
+//!
+//! A request's first try is sent when it is due, whatever earlier answers do, and its time counts from then: a slow
+//! answer cannot hold back what would have shown it (no coordinated omission). How late the rig itself sent a try is
+//! kept apart.
+
+use crate::http::{Conn, ReadError};
+use crate::plan::{Arrival, Plan};
+use crate::record::{End, Record, Try, TryId};
+use crate::scenario::{Class, Load, Scenario};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, sleep_until, timeout_at};
+
+/// Running counts, for whoever watches.
+#[derive(Debug, Default)]
+pub struct Live {
+    /// Requests whose first try is out or over.
+    pub begun: AtomicU64,
+    /// Served within the aim.
+    pub in_time: AtomicU64,
+    /// Served after it.
+    pub late: AtomicU64,
+    /// Tries refused.
+    pub refused: AtomicU64,
+    /// Requests that ended without an answer that serves.
+    pub failed: AtomicU64,
+    /// Milliseconds from due to served, of the latest requests.
+    pub latest: RwLock<Vec<f32>>,
+    /// When nodes last said that a breaker tripped. A word of theirs, to look at: no verdict rests on it.
+    pub trips: RwLock<VecDeque<Instant>>,
+}
+
+impl Live {
+    /// The 50th and 99th percentile of the latest latencies, in milliseconds.
+    pub fn percentiles(&self) -> (f32, f32) {
+        let mut latest = self.latest.read().map(|latest| latest.clone()).unwrap_or_default();
+        latest.sort_by(f32::total_cmp);
+        let at = |share: f64| latest.get((latest.len() as f64 * share) as usize).copied().unwrap_or(0.0);
+        (at(0.5), at(0.99))
+    }
+
+    /// A node says that a breaker tripped.
+    pub fn tripped(&self) {
+        if let Ok(mut trips) = self.trips.write() {
+            trips.push_back(Instant::now());
+            if trips.len() > TRIPS {
+                trips.pop_front();
+            }
+        }
+    }
+
+    /// How many tripped within this time.
+    pub fn tripped_within(&self, span: Duration) -> usize {
+        let of = |trips: &VecDeque<Instant>| trips.iter().filter(|at| at.elapsed() < span).count();
+        self.trips.read().map(|trips| of(&trips)).unwrap_or(0)
+    }
+}
+
+/// Latencies and trips kept for whoever watches.
+const LATEST: usize = 4096;
+const TRIPS: usize = 1024;
+
+/// Where the front sends new connections: a node's address while it counts as up.
+pub type Table = Arc<RwLock<Vec<Option<SocketAddr>>>>;
+
+/// A connection to a node, which counts as open for as long as this lives.
+struct Link {
+    conn: Conn,
+    node: usize,
+    open: Rc<Vec<Cell<usize>>>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.open[self.node].set(self.open[self.node].get() - 1);
+    }
+}
+
+struct Pooled {
+    link: Link,
+    last: Try,
+}
+
+/// All clients, on one thread.
+pub struct Clients {
+    plan: Arc<Plan>,
+    classes: Vec<Class>,
+    load: Load,
+    start: Instant,
+    table: Table,
+    live: Arc<Live>,
+    stop: Arc<AtomicBool>,
+    /// Connections to a node at most: a third of its descriptors.
+    most: usize,
+    idle: RefCell<Vec<Pooled>>,
+    open: Rc<Vec<Cell<usize>>>,
+    turn: Cell<usize>,
+    record: RefCell<Record>,
+}
+
+impl Clients {
+    /// Clients that ask what is planned.
+    pub fn new(
+        scenario: &Scenario,
+        plan: Arc<Plan>,
+        start: Instant,
+        table: Table,
+        live: Arc<Live>,
+        stop: Arc<AtomicBool>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            plan,
+            classes: scenario.classes.clone(),
+            load: scenario.load.clone(),
+            start,
+            table,
+            live,
+            stop,
+            most: (scenario.fleet.sockets / 3).max(1),
+            idle: RefCell::default(),
+            open: Rc::new((0..scenario.fleet.nodes).map(|_| Cell::new(0)).collect()),
+            turn: Cell::new(0),
+            record: RefCell::default(),
+        })
+    }
+
+    /// Sends all that is planned, and gives what was seen once all of it has ended.
+    pub async fn run(self: Rc<Self>) -> Record {
+        let mut out = JoinSet::new();
+        for i in 0..self.plan.arrivals.len() {
+            let due = self.start + self.plan.arrivals[i].due;
+            if due > Instant::now() {
+                sleep_until(due.into()).await;
+            }
+            if self.stop.load(Ordering::Relaxed) {
+                break;
+            }
+            self.record.borrow_mut().late.push(due.elapsed().as_micros().min(u128::from(u32::MAX)) as u32);
+            out.spawn_local(self.clone().request(i));
+            // What has ended is taken out, or the set would hold the whole day.
+            while out.try_join_next().is_some() {}
+        }
+        while out.join_next().await.is_some() {}
+        // A second answer may stand on a connection that nobody has used since.
+        let mut record = self.record.take();
+        for mut pooled in self.idle.take() {
+            if pooled.link.conn.stale() == Some(true) {
+                record.tries.push(Try { end: End::Twice, ..pooled.last });
+            }
+        }
+        record
+    }
+
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_micros() as u64
+    }
+
+    async fn request(self: Rc<Self>, i: usize) {
+        self.live.begun.fetch_add(1, Ordering::Relaxed);
+        let arrival = &self.plan.arrivals[i];
+        let class = &self.classes[arrival.class];
+        let begun = self.start + arrival.due;
+        let deadline = begun + Duration::from_secs_f64(class.deadline_ms.get() / 1e3);
+        for number in 0..=self.load.retries {
+            let id = TryId { arrival: i as u32, number };
+            let due = if number == 0 { begun } else { Instant::now() };
+            let end = self.one_try(id, arrival, class, due, deadline).await;
+            match end {
+                End::Served | End::Twice | End::Foreign => {
+                    let took = begun.elapsed();
+                    let late = took.as_secs_f64() * 1e3 > class.aim_ms.get();
+                    let count = if late { &self.live.late } else { &self.live.in_time };
+                    count.fetch_add(1, Ordering::Relaxed);
+                    if let Ok(mut latest) = self.live.latest.write() {
+                        if latest.len() >= LATEST {
+                            latest.drain(..LATEST / 2);
+                        }
+                        latest.push(took.as_secs_f32() * 1e3);
+                    }
+                    return;
+                }
+                End::Refused { retry_after: Some(ms) } if arrival.heeds => {
+                    sleep(Duration::from_millis(ms.into())).await;
+                }
+                _ => sleep(Duration::from_secs_f64(self.load.retry_wait_ms.get() / 1e3)).await,
+            }
+            if Instant::now() >= deadline {
+                break;
+            }
+        }
+        self.live.failed.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// One try; on a kept connection that its node closed just then, once more on a new one.
+    async fn one_try(
+        &self,
+        id: TryId,
+        arrival: &Arrival,
+        class: &Class,
+        due: Instant,
+        deadline: Instant,
+    ) -> End {
+        let patience = class.deadline_ms.get() / 1e3 * self.load.patience.get();
+        let until = (Instant::now() + Duration::from_secs_f64(patience)).min(deadline);
+        let mut fresh = false;
+        loop {
+            let one = self.exchange(id, arrival, class, due, until, fresh).await;
+            self.record.borrow_mut().tries.push(one);
+            match one.end {
+                End::Broke { begun: false } if !one.first && !fresh => fresh = true,
+                End::Refused { .. } => {
+                    self.live.refused.fetch_add(1, Ordering::Relaxed);
+                    return one.end;
+                }
+                end => return end,
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        id: TryId,
+        arrival: &Arrival,
+        class: &Class,
+        due: Instant,
+        until: Instant,
+        fresh: bool,
+    ) -> Try {
+        let due = due.saturating_duration_since(self.start).as_micros() as u64;
+        let mut one = Try { id, node: 0, due, sent: self.now(), ended: 0, first: true, end: End::NotSent };
+        let kept = if fresh { None } else { self.kept() };
+        let mut link = match kept {
+            Some(pooled) => {
+                one.first = false;
+                pooled.link
+            }
+            None => match timeout_at(until.into(), self.connect()).await {
+                Ok(Some(opened)) => opened,
+                _ => {
+                    one.ended = self.now();
+                    return one;
+                }
+            },
+        };
+        one.node = link.node;
+        let left = until.saturating_duration_since(Instant::now()).as_millis();
+        let (method, extra, body) = match class.write {
+            true => (
+                "PUT",
+                format!("Idempotency-Key: {:x}\r\nContent-Length: 32\r\n", id.arrival),
+                [b'v'; 32].as_slice(),
+            ),
+            false => ("GET", String::new(), &[] as &[u8]),
+        };
+        let retry = if id.number > 0 { "Req-Retry: 1\r\n" } else { "" };
+        let mut bytes = format!(
+            "{method} /api/{:016x} HTTP/1.1\r\nHost: lab\r\nReq-Id: {}\r\nReq-Kind: {}\r\nReq-Deadline-Ms: {left}\r\n\
+             {retry}{extra}\r\n",
+            arrival.key,
+            id.text(),
+            class.name
+        )
+        .into_bytes();
+        bytes.extend_from_slice(body);
+        if link.conn.write(&bytes).await.is_err() {
+            // Nothing of it may have been read.
+            one.ended = self.now();
+            one.end = if one.first { End::NotSent } else { End::Broke { begun: false } };
+            return one;
+        }
+        one.sent = self.now();
+        let answer = timeout_at(until.into(), link.conn.answer()).await;
+        one.ended = self.now();
+        let mut keep = false;
+        one.end = match answer {
+            Err(_) => End::TimedOut,
+            Ok(Err(ReadError::Ended { begun })) => End::Broke { begun },
+            Ok(Err(ReadError::Malformed(_))) => End::Failed(0),
+            Ok(Ok(answer)) => {
+                keep = !answer.close;
+                let retry_after = answer.retry_after.filter(|seconds| (0.0..1e6).contains(seconds));
+                let made_for =
+                    answer.body.strip_prefix(id.text().as_bytes()).is_some_and(|rest| rest.starts_with(b" "));
+                match answer.status {
+                    200 if made_for => End::Served,
+                    200 => End::Foreign,
+                    429 | 503 => {
+                        End::Refused { retry_after: retry_after.map(|seconds| (seconds * 1e3) as u32) }
+                    }
+                    status => End::Failed(status),
+                }
+            }
+        };
+        if keep {
+            self.idle.borrow_mut().push(Pooled { link, last: one });
+        }
+        one
+    }
+
+    /// The kept connection that was used last.
+    fn kept(&self) -> Option<Pooled> {
+        loop {
+            let mut pooled = self.idle.borrow_mut().pop()?;
+            match pooled.link.conn.stale() {
+                None => return Some(pooled),
+                Some(more) => {
+                    if more {
+                        self.record.borrow_mut().tries.push(Try { end: End::Twice, ..pooled.last });
+                    }
+                }
+            }
+        }
+    }
+
+    /// The front: the next node in turn that counts as up and has places left.
+    async fn connect(&self) -> Option<Link> {
+        let nodes = self.open.len();
+        let turn = self.turn.replace(self.turn.get() + 1);
+        let (node, address) = (0..nodes).map(|i| (turn + i) % nodes).find_map(|node| {
+            let address = self.table.read().ok()?[node]?;
+            (self.open[node].get() < self.most).then_some((node, address))
+        })?;
+        let conn = Conn::new(TcpStream::connect(address).await.ok()?).ok()?;
+        self.open[node].set(self.open[node].get() + 1);
+        Some(Link { conn, node, open: self.open.clone() })
+    }
+}
+
+/// Waits for a try of a health check at `address`: whether it answered 200.
+pub async fn healthy(address: SocketAddr) -> bool {
+    let check = async {
+        let mut conn = Conn::new(TcpStream::connect(address).await.ok()?).ok()?;
+        conn.write(b"GET /healthz HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n").await.ok()?;
+        Some(conn.answer().await.ok()?.status == 200)
+    };
+    let until = Instant::now() + Duration::from_secs(1);
+    matches!(timeout_at(until.into(), check).await, Ok(Some(true)))
+}
--- /dev/null
+++ b/crates/lab/src/discovery.rs
@@ -0,0 +1,200 @@
+//! Stand-in for discovery: the whole list, the watch on changes, lateness, going down, and lies.
+//!
+//! Each node has two addresses of its own; the second is where a SIGHUP sends it.
+
+use crate::http::Conn;
+use crate::record::Told;
+use crate::scenario::Fleet;
+use crate::servers::Floor;
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// The longest wait that a watch may ask for, in milliseconds.
+const LONGEST_WAIT: u64 = 60_000;
+/// After a SIGHUP the old address closes its open connections so much later.
+const OLD_CLOSES: Duration = Duration::from_millis(1500);
+
+/// What discovery knows of a server.
+#[derive(Clone, Debug, PartialEq)]
+struct Entry {
+    health: &'static str,
+    born_ms: u64,
+    /// Version of the list with its last change; 0 for one that was never listed.
+    seq: u64,
+}
+
+/// Discovery.
+pub struct Directory {
+    floor: Rc<Floor>,
+    fleet: Fleet,
+    entries: RefCell<Vec<Entry>>,
+    /// Where each server listens for each node: `[node][server]`.
+    dials: RefCell<Vec<Vec<SocketAddr>>>,
+    seq: watch::Sender<u64>,
+    /// Down: calls and open connections are reset.
+    down: watch::Sender<bool>,
+    lies: Cell<bool>,
+    /// Changes are told so late.
+    pub late: Cell<Duration>,
+    /// The address of each node's that no longer serves.
+    closed: watch::Sender<Vec<Option<usize>>>,
+}
+
+impl Directory {
+    /// With `listed` of the floor's servers ready, and the rest unknown.
+    pub fn new(floor: Rc<Floor>, fleet: &Fleet, all: usize, dials: Vec<Vec<SocketAddr>>) -> Rc<Self> {
+        let entry = |i| Entry { health: "ready", born_ms: 0, seq: u64::from(i < fleet.servers) };
+        Rc::new(Self {
+            floor,
+            fleet: fleet.clone(),
+            entries: RefCell::new((0..all).map(entry).collect()),
+            closed: watch::Sender::new(vec![None; dials.len()]),
+            dials: RefCell::new(dials),
+            seq: watch::Sender::new(1),
+            down: watch::Sender::new(false),
+            lies: Cell::new(false),
+            late: Cell::new(Duration::from_secs_f64(fleet.discovery_late_s.get())),
+        })
+    }
+
+    /// A server's state changes; discovery tells of it when it has noticed.
+    pub fn change(self: &Rc<Self>, server: usize, health: &'static str, born_ms: u64) {
+        let directory = self.clone();
+        spawn_local(async move {
+            sleep(directory.late.get()).await;
+            let seq = *directory.seq.borrow() + 1;
+            directory.entries.borrow_mut()[server] = Entry { health, born_ms, seq };
+            directory.seq.send_replace(seq);
+            let at = directory.floor.now().as_micros() as u64;
+            directory.floor.record.borrow_mut().changed.push((server, health == "ready", at));
+        });
+    }
+
+    /// Goes down or comes back.
+    pub fn set_down(&self, down: bool) {
+        self.down.send_replace(down);
+    }
+
+    /// Calls every server ready, or tells the truth again.
+    pub fn set_lies(&self, lies: bool) {
+        self.lies.set(lies);
+        // All of it is news.
+        let at = self.floor.now().as_micros() as u64;
+        let words =
+            self.entries.borrow().iter().map(|entry| lies || entry.health == "ready").collect::<Vec<_>>();
+        let words = words.into_iter().enumerate().map(|(server, ready)| (server, ready, at));
+        self.floor.record.borrow_mut().changed.extend(words);
+        let seq = *self.seq.borrow() + 1;
+        self.entries.borrow_mut().iter_mut().filter(|entry| entry.seq > 0).for_each(|entry| entry.seq = seq);
+        self.seq.send_replace(seq);
+    }
+
+    /// A node's old address accepts no more and closes what is open after a while.
+    pub fn close_old(self: &Rc<Self>, node: usize, which: usize) {
+        let directory = self.clone();
+        spawn_local(async move {
+            sleep(OLD_CLOSES).await;
+            directory.closed.send_modify(|closed| closed[node] = Some(which));
+        });
+    }
+
+    /// Listens for a node at its first or second address.
+    pub async fn listen(self: &Rc<Self>, node: usize, which: usize) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let directory = self.clone();
+        spawn_local(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    sleep(Duration::from_millis(10)).await;
+                    continue;
+                };
+                let closed = directory.closed.borrow()[node] == Some(which);
+                if *directory.down.borrow() || closed {
+                    crate::http::reset(stream);
+                } else if let Ok(conn) = Conn::new(stream) {
+                    spawn_local(directory.clone().connection(node, which, conn));
+                }
+            }
+        });
+        Ok(address)
+    }
+
+    async fn connection(self: Rc<Self>, node: usize, which: usize, mut conn: Conn) {
+        let (mut down, mut closed) = (self.down.subscribe(), self.closed.subscribe());
+        let ended = tokio::select! {
+            ended = self.calls(node, &mut conn) => ended,
+            _ = down.wait_for(|down| *down) => Err(()),
+            _ = closed.wait_for(|closed| closed[node] == Some(which)) => Err(()),
+        };
+        if ended.is_err() {
+            conn.reset();
+        }
+    }
+
+    async fn calls(&self, node: usize, conn: &mut Conn) -> Result<(), ()> {
+        loop {
+            let Ok(asked) = conn.request().await else { return Ok(()) };
+            let (path, query) = asked.path.split_once('?').unwrap_or((&asked.path, ""));
+            let figure = |name: &str| {
+                let pair =
+                    query.split('&').filter_map(|pair| pair.split_once('=')).find(|pair| pair.0 == name);
+                pair.and_then(|pair| pair.1.parse::<u64>().ok())
+            };
+            if path != "/v1/servers" {
+                conn.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await.map_err(drop)?;
+                continue;
+            }
+            let after = figure("after");
+            if let (Some(after), Some(wait)) = (after, figure("wait_ms")) {
+                let mut seq = self.seq.subscribe();
+                let wait = Duration::from_millis(wait.min(LONGEST_WAIT));
+                let _ = timeout(wait, seq.wait_for(|seq| *seq > after)).await;
+            }
+            let (body, told) = self.list(node, after);
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            conn.write(&[head.as_bytes(), body.as_bytes()].concat()).await.map_err(drop)?;
+            // It counts as told once it is written.
+            let at = self.floor.now().as_micros() as u64;
+            let words = told.into_iter().map(|(server, ready)| Told { node, server, ready, at });
+            self.floor.record.borrow_mut().told.extend(words);
+        }
+    }
+
+    /// What a node is told, and what that says of each server.
+    fn list(&self, node: usize, after: Option<u64>) -> (String, Vec<(usize, bool)>) {
+        let (entries, dials) = (self.entries.borrow(), self.dials.borrow());
+        let seq = *self.seq.borrow();
+        let whole = after.is_none_or(|after| after > seq);
+        let (mut hosts, mut told) = (Vec::new(), Vec::new());
+        for (server, entry) in entries.iter().enumerate().filter(|(_, entry)| entry.seq > 0) {
+            let health = if self.lies.get() { "ready" } else { entry.health };
+            if whole || after.is_some_and(|after| entry.seq > after) {
+                told.push((server, health == "ready"));
+                if !(whole && health == "gone") {
+                    hosts.push(self.host(server, entry, health, dials[node][server]));
+                }
+            }
+        }
+        (json!({"seq": seq, "whole": whole, "hosts": hosts}).to_string(), told)
+    }
+
+    fn host(&self, server: usize, entry: &Entry, health: &str, dial: SocketAddr) -> Value {
+        json!({
+            "host": format!("s-{server:03}"), "dial": dial.to_string(), "site": self.fleet.zone(server),
+            "class": "lab", "block": 0, "health": health, "share": self.fleet.cores as f64,
+            "born_ms": entry.born_ms,
+        })
+    }
+}
--- /dev/null
+++ b/crates/lab/src/http.rs
@@ -0,0 +1,183 @@
+//! HTTP/1.1 messages on a socket, read with `httparse` and nothing between the bytes and the lab: half answers, silent
+//! peers and resets must stay what they are.
+
+use std::io;
+use std::time::Instant;
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// A longer message is given up.
+const LARGEST: usize = 256 << 10;
+const HEADERS: usize = 32;
+/// Read at once.
+const CHUNK: usize = 8 << 10;
+
+/// Why there is no message.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// The peer ended or broke the connection; whether bytes of a message had come.
+    #[error("the connection ended")]
+    Ended {
+        /// Bytes of the message had come.
+        begun: bool,
+    },
+    /// It is no HTTP.
+    #[error("not HTTP: {0}")]
+    Malformed(String),
+}
+
+/// A connection and what was read ahead on it.
+pub struct Conn {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    /// When the first byte of the next message came.
+    first: Option<Instant>,
+}
+
+/// A request, as it came.
+#[derive(Clone, Debug, Default)]
+pub struct Asked {
+    /// `GET` or `PUT`.
+    pub method: String,
+    /// The target.
+    pub path: String,
+    /// `Req-Id`.
+    pub id: Option<String>,
+    /// Bytes of the body.
+    pub body: usize,
+    /// When its first byte came.
+    pub first: Option<Instant>,
+}
+
+/// An answer, as it came.
+#[derive(Clone, Debug, Default)]
+pub struct Answered {
+    /// The status.
+    pub status: u16,
+    /// `Retry-After`, in seconds.
+    pub retry_after: Option<f64>,
+    /// Whether the connection ends with it.
+    pub close: bool,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Conn {
+    /// A connection as it begins.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, buffer: Vec::new(), first: None })
+    }
+
+    /// Writes all of it.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Ends it with a reset, as a process that dies does.
+    pub fn reset(self) {
+        reset(self.stream);
+    }
+
+    /// Whether the peer has sent what nobody asked for, or has closed: then `Some` with whether bytes came.
+    pub fn stale(&mut self) -> Option<bool> {
+        if !self.buffer.is_empty() {
+            return Some(true);
+        }
+        let mut byte = [0; 1];
+        match self.stream.try_read(&mut byte) {
+            Ok(0) => Some(false),
+            Ok(_) => Some(true),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => None,
+            Err(_) => Some(false),
+        }
+    }
+
+    /// Waits until the peer ends the connection or sends more.
+    pub async fn gone(&mut self) {
+        if self.buffer.is_empty() {
+            let _ = self.more().await;
+        }
+    }
+
+    async fn more(&mut self) -> Result<(), ReadError> {
+        let had = !self.buffer.is_empty();
+        self.buffer.reserve(CHUNK);
+        match self.stream.read_buf(&mut self.buffer).await {
+            Ok(0) | Err(_) => Err(ReadError::Ended { begun: had }),
+            Ok(_) if self.buffer.len() > LARGEST => Err(ReadError::Malformed("a message too large".into())),
+            Ok(_) => {
+                if !had {
+                    self.first = Some(Instant::now());
+                }
+                Ok(())
+            }
+        }
+    }
+
+    /// The next request, whole.
+    pub async fn request(&mut self) -> Result<Asked, ReadError> {
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+            let mut head = httparse::Request::new(&mut headers);
+            let parsed = head.parse(&self.buffer).map_err(|error| ReadError::Malformed(error.to_string()))?;
+            if let httparse::Status::Complete(start) = parsed {
+                let body = length(head.headers);
+                if self.buffer.len() >= start + body {
+                    let text = |name: &str| header(head.headers, name).map(str::to_owned);
+                    let asked = Asked {
+                        method: head.method.unwrap_or_default().to_owned(),
+                        path: head.path.unwrap_or_default().to_owned(),
+                        id: text("req-id"),
+                        body,
+                        first: self.first.take(),
+                    };
+                    self.buffer.drain(..start + body);
+                    return Ok(asked);
+                }
+            }
+            self.more().await?;
+        }
+    }
+
+    /// The next answer, whole.
+    pub async fn answer(&mut self) -> Result<Answered, ReadError> {
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+            let mut head = httparse::Response::new(&mut headers);
+            let parsed = head.parse(&self.buffer).map_err(|error| ReadError::Malformed(error.to_string()))?;
+            if let httparse::Status::Complete(start) = parsed {
+                let body = length(head.headers);
+                if self.buffer.len() >= start + body {
+                    let text = |name| header(head.headers, name);
+                    let answered = Answered {
+                        status: head.code.unwrap_or_default(),
+                        retry_after: text("retry-after").and_then(|text| text.parse().ok()),
+                        close: text("connection").is_some_and(|text| text.eq_ignore_ascii_case("close")),
+                        body: self.buffer[start..start + body].to_vec(),
+                    };
+                    self.buffer.drain(..start + body);
+                    self.first = None;
+                    return Ok(answered);
+                }
+            }
+            self.more().await?;
+        }
+    }
+}
+
+/// Ends a connection with a reset.
+pub fn reset(stream: TcpStream) {
+    // Without waiting for anything to drain: what follows is a reset. It may be broken already.
+    let _ = socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO));
+}
+
+fn header<'a>(headers: &[httparse::Header<'a>], name: &str) -> Option<&'a str> {
+    let found = headers.iter().find(|header| header.name.eq_ignore_ascii_case(name))?;
+    std::str::from_utf8(found.value).ok()
+}
+
+fn length(headers: &[httparse::Header<'_>]) -> usize {
+    header(headers, "content-length").and_then(|text| text.trim().parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/lab/src/nodes.rs
@@ -0,0 +1,343 @@
+//! The nodes under test: real processes of a given binary, their configuration, their signals and their ends.
+
+use crate::client::{healthy, Live, Table};
+use crate::record::Life;
+use crate::scenario::{Effect, Fault, Kind, Scenario};
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::{json, Value};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use thiserror::Error;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::time::{sleep, timeout};
+
+/// A node that is not ready by then does not come up.
+const READY: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(20);
+/// A node that does not end so long after SIGTERM has not done as it was told; the platform would kill it.
+const ENDING: Duration = Duration::from_millis(4500);
+/// Of a node's log, the lines kept for a report of its death.
+const LOG: usize = 20;
+
+/// What is under test.
+#[derive(Clone)]
+pub enum Program {
+    /// A binary, started as the platform does, with these arguments.
+    Binary(PathBuf, Vec<String>),
+    /// Something inside this process, which is given a node's configuration and says where it listens: for tests of
+    /// the checker. It cannot be killed or signalled.
+    Inside(Arc<dyn Fn(Value) -> io::Result<SocketAddr> + Send + Sync>),
+}
+
+/// Why nodes do not run.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// The process cannot be started.
+    #[error("cannot start {0}: {1}")]
+    Start(String, io::Error),
+    /// It ended, or never was ready.
+    #[error("node {node} did not become ready: {why}")]
+    NotReady {
+        /// Which.
+        node: usize,
+        /// The end of its log.
+        why: String,
+    },
+    /// Its files cannot be written.
+    #[error("cannot write {}: {error}", .path.display())]
+    Files {
+        /// Which.
+        path: PathBuf,
+        /// Why.
+        error: io::Error,
+    },
+}
+
+/// What became of nodes, and when.
+pub type Lives = Arc<Mutex<Vec<(usize, Life, u64, String)>>>;
+
+/// One node, over its lives.
+pub struct Node {
+    place: usize,
+    program: Program,
+    config: Value,
+    discovery: [SocketAddr; 2],
+    /// Which of them it follows.
+    follows: usize,
+    file: PathBuf,
+    table: Table,
+    lives: Lives,
+    start: Instant,
+    front_late: Duration,
+    child: Option<Child>,
+    log: Arc<Mutex<Vec<String>>>,
+    pid: Option<i32>,
+    live: Arc<Live>,
+}
+
+impl Node {
+    /// A node that is not started yet. `folder` is where its configuration goes.
+    #[expect(clippy::too_many_arguments, reason = "a node's whole surroundings, named once")]
+    pub fn new(
+        place: usize,
+        scenario: &Scenario,
+        seed: u64,
+        program: Program,
+        discovery: [SocketAddr; 2],
+        folder: &Path,
+        table: Table,
+        lives: Lives,
+        start: Instant,
+        live: Arc<Live>,
+    ) -> Self {
+        Self {
+            place,
+            program,
+            config: config(place, scenario, seed, discovery[0]),
+            discovery,
+            follows: 0,
+            file: folder.join(format!("n{place}.json")),
+            table,
+            lives,
+            start,
+            front_late: Duration::from_secs_f64(scenario.fleet.front_late_s.get()),
+            child: None,
+            log: Arc::default(),
+            pid: None,
+            live,
+        }
+    }
+
+    fn note(&self, life: Life, word: &str) {
+        let at = self.start.elapsed().as_micros() as u64;
+        if let Ok(mut lives) = self.lives.lock() {
+            lives.push((self.place, life, at, word.to_owned()));
+        }
+    }
+
+    fn list(&self, address: Option<SocketAddr>) {
+        if let Ok(mut table) = self.table.write() {
+            table[self.place] = address;
+        }
+    }
+
+    /// The process's id, while it runs.
+    pub fn pid(&self) -> Option<i32> {
+        self.pid
+    }
+
+    /// Starts it and waits until it is ready; then the front deals it connections.
+    pub async fn up(&mut self) -> Result<SocketAddr, NodeError> {
+        let write = |path: &Path, text: String| {
+            std::fs::write(path, text).map_err(|error| NodeError::Files { path: path.into(), error })
+        };
+        write(&self.file, self.config.to_string())?;
+        let address = match &self.program {
+            Program::Inside(begin) => {
+                begin(self.config.clone()).map_err(|error| NodeError::Start("a node inside".into(), error))?
+            }
+            Program::Binary(path, arguments) => {
+                let mut child = Command::new(path)
+                    .args(arguments)
+                    .env("LB_CONFIG", &self.file)
+                    .env("LB_DISCOVERY", self.discovery[self.follows].to_string())
+                    .env_remove("LB_NAME")
+                    .env_remove("LB_LISTEN")
+                    .stdin(Stdio::null())
+                    .stdout(Stdio::null())
+                    .stderr(Stdio::piped())
+                    .kill_on_drop(true)
+                    // Ctrl-C is for the rig, which ends its nodes itself.
+                    .process_group(0)
+                    .spawn()
+                    .map_err(|error| NodeError::Start(path.display().to_string(), error))?;
+                self.pid = child.id().and_then(|id| i32::try_from(id).ok());
+                let stderr = child.stderr.take();
+                self.child = Some(child);
+                let Some(stderr) = stderr else {
+                    return Err(NodeError::NotReady {
+                        node: self.place,
+                        why: "it has no standard error".into(),
+                    });
+                };
+                let mut lines = BufReader::new(stderr).lines();
+                let listens = async {
+                    while let Ok(Some(line)) = lines.next_line().await {
+                        if let Some((_, address)) = line.split_once(" listens on ") {
+                            return address.trim().parse().ok();
+                        }
+                        keep(&self.log, line);
+                    }
+                    None
+                };
+                let address = timeout(READY, listens).await.ok().flatten();
+                let (log, live) = (self.log.clone(), self.live.clone());
+                tokio::spawn(async move {
+                    while let Ok(Some(line)) = lines.next_line().await {
+                        if line.starts_with("breaker of ") && line.contains(" tripped") {
+                            live.tripped();
+                        }
+                        keep(&log, line);
+                    }
+                });
+                address.ok_or_else(|| NodeError::NotReady { node: self.place, why: self.words() })?
+            }
+        };
+        let begun = Instant::now();
+        while !healthy(address).await {
+            if begun.elapsed() > READY {
+                return Err(NodeError::NotReady { node: self.place, why: self.words() });
+            }
+            sleep(POLL).await;
+        }
+        self.note(Life::Ready, "");
+        self.list(Some(address));
+        Ok(address)
+    }
+
+    /// The end of its log.
+    fn words(&self) -> String {
+        let log = self.log.lock().map(|log| log.join("; ")).unwrap_or_default();
+        if log.is_empty() {
+            "it said nothing".to_owned()
+        } else {
+            log
+        }
+    }
+
+    /// Whether it has ended by itself; told of once.
+    pub fn died(&mut self) -> bool {
+        let Some(child) = &mut self.child else { return false };
+        let Ok(Some(status)) = child.try_wait() else { return false };
+        (self.child, self.pid) = (None, None);
+        self.note(Life::Died, &format!("{status}; {}", self.words()));
+        self.list(None);
+        true
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = self.pid {
+            // It may have ended meanwhile, which shows elsewhere.
+            let _ = kill(Pid::from_raw(pid), signal);
+        }
+    }
+
+    /// Plays a fault of nodes on this one.
+    pub async fn strike(&mut self, fault: &Fault) -> Result<Option<usize>, NodeError> {
+        match fault.kind {
+            Kind::NodeKill => {
+                self.note(Life::Killed, "");
+                self.signal(Signal::SIGKILL);
+                self.wait().await;
+                sleep(self.front_late).await;
+                self.list(None);
+                if let Some(pause) = fault.for_s {
+                    sleep(Duration::from_secs_f64(pause.get()).saturating_sub(self.front_late)).await;
+                    self.up().await?;
+                }
+            }
+            Kind::NodeTerm => {
+                self.down().await;
+                self.up().await?;
+            }
+            Kind::NodeHup => {
+                let old = self.follows;
+                self.follows = 1 - old;
+                self.config["discovery"] = json!(self.discovery[self.follows].to_string());
+                let new = self.file.with_extension("new");
+                std::fs::write(&new, self.config.to_string())
+                    .and_then(|()| std::fs::rename(&new, &self.file))
+                    .map_err(|error| NodeError::Files { path: self.file.clone(), error })?;
+                self.signal(Signal::SIGHUP);
+                return Ok(Some(old));
+            }
+            _ => {}
+        }
+        Ok(None)
+    }
+
+    async fn wait(&mut self) -> Option<ExitStatus> {
+        let child = self.child.as_mut()?;
+        let status = timeout(ENDING, child.wait()).await.ok()?.ok();
+        (self.child, self.pid) = (None, None);
+        status
+    }
+
+    /// Tells it to end, and sees to it that it does.
+    pub async fn down(&mut self) {
+        if self.child.is_none() {
+            return;
+        }
+        self.note(Life::Told, "");
+        self.signal(Signal::SIGTERM);
+        // Connections keep coming for a while after the word.
+        sleep(Duration::from_millis(300)).await;
+        self.list(None);
+        match self.wait().await {
+            Some(status) if status.success() => self.note(Life::Ended, ""),
+            Some(status) => self.note(Life::Died, &format!("{status} after SIGTERM; {}", self.words())),
+            None => {
+                self.note(Life::Died, "it did not end within 4.8 s of SIGTERM");
+                self.signal(Signal::SIGKILL);
+                self.wait().await;
+            }
+        }
+    }
+}
+
+fn keep(log: &Mutex<Vec<String>>, line: String) {
+    if let Ok(mut log) = log.lock() {
+        if log.len() >= LOG {
+            log.remove(0);
+        }
+        log.push(line);
+    }
+}
+
+/// A node's configuration, as the platform writes it.
+fn config(place: usize, scenario: &Scenario, seed: u64, discovery: SocketAddr) -> Value {
+    let fleet = &scenario.fleet;
+    let us = |seconds: f64| (seconds * 1e6) as u64;
+    let lanes: Vec<_> = scenario
+        .classes
+        .iter()
+        .map(|class| {
+            let effect = match class.effect {
+                Effect::Safe => "safe",
+                Effect::Keyed => "keyed",
+                Effect::Unsafe => "unsafe",
+            };
+            json!({
+                "name": class.name, "effect": effect, "dedup_scope": "all", "worth": class.worth.get(),
+                "promise_us": us(class.aim_ms.get() / 1e3), "hard_limit_us": us(class.deadline_ms.get() / 1e3),
+                "repeat_window_us": us(class.window_s.get()), "late_value": 0.0,
+            })
+        })
+        .collect();
+    json!({
+        "name": format!("n{place}"), "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
+        "seed": format!("{:016x}", crate::plan::mix(seed ^ place as u64)),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": fleet.sockets},
+        "known": {"seq": 0, "whole": true, "hosts": []},
+        "settings": {
+            "az": fleet.zones[place % fleet.zones.len()], "zones": fleet.zones, "balancers": fleet.nodes,
+            "membership_mode": "subscribe", "weights": "cores", "orgs": [], "lanes": lanes,
+            "family_info": {"mode": "through"},
+            "limits": {
+                "connect_timeout_us": 250_000, "keepalive_us": us(fleet.idle_close_s.get()), "most_tries": 6,
+                "cancelling": true, "retry_after": true, "max_retry_after_us": 2_000_000, "second_copies": true,
+                "probing": false,
+            },
+            "safety": {
+                "cold_share": fleet.cold_share.get(), "warm_within_us": us(fleet.warm_s.get()),
+                "fall_multiple": fleet.fall_times.get(), "fall_us": us(fleet.fall_s.get()),
+            },
+        },
+    })
+}
--- /dev/null
+++ b/crates/lab/src/plan.rs
@@ -0,0 +1,188 @@
+//! The load of a scenario, drawn ahead from its seed: when each request is due, what it asks for and what it costs.
+//! Equal scenarios and seeds give equal plans, whatever the answers do later.
+
+use crate::scenario::{Change, Scenario};
+use rand::distr::Distribution;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Exp1, LogNormal, Zipf};
+use std::time::Duration;
+
+/// Spread of a request's work: the standard deviation of its logarithm.
+const WORK_SIGMA: f64 = 0.5;
+/// Bytes of a value: the median, and the standard deviation of the logarithm.
+const SIZE: (f64, f64) = (600.0, 0.8);
+/// The largest value: a body may hold 64 KiB.
+const LARGEST: f64 = 60_000.0;
+
+/// One request, with all its tries.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// When its first try is due.
+    pub due: Duration,
+    /// Position of its class.
+    pub class: usize,
+    /// What it is about.
+    pub key: u64,
+    /// Its work on a standard core.
+    pub work: Duration,
+    /// Whether its client heeds `Retry-After`.
+    pub heeds: bool,
+}
+
+/// All of them, in the order they are due.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// See [`Arrival`].
+    pub arrivals: Vec<Arrival>,
+    /// What sizes and the database's times are drawn from.
+    pub seed: u64,
+}
+
+impl Plan {
+    /// Draws the load of a scenario.
+    pub fn draw(scenario: &Scenario, seed: u64) -> Self {
+        let load = &scenario.load;
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let zipf = Zipf::new(f64::from(load.keys), load.zipf.get());
+        let work = LogNormal::new(-WORK_SIGMA * WORK_SIGMA / 2.0, WORK_SIGMA);
+        let end = scenario.seconds.get();
+        // Thinning: drawn at the highest rate, and kept by how far the rate is under it (Lewis and Shedler 1979).
+        let times = |t: f64| load.changes.iter().map(|change| change.times(t, end)).product::<f64>();
+        let most = load.changes.iter().map(Change::most).product::<f64>();
+        let (mut t, mut arrivals, mut once) = (0.0, Vec::new(), 0u64);
+        loop {
+            let gap: f64 = Exp1.sample(&mut random);
+            t += gap / (load.rate.get() * most);
+            if t >= end {
+                break;
+            }
+            if random.random::<f64>() * most >= times(t) {
+                continue;
+            }
+            let mut part = random.random::<f64>();
+            let class = scenario.classes.iter().position(|class| {
+                part -= class.share.get();
+                part < 0.0
+            });
+            let class = class.unwrap_or(scenario.classes.len() - 1);
+            let rank = zipf.as_ref().map_or(0.0, |zipf| zipf.sample(&mut random)) as u64;
+            let mut key = mix(seed ^ rank);
+            if !scenario.classes[class].write {
+                for change in &load.changes {
+                    match change {
+                        Change::HotKey { at_s, for_s, share, keys }
+                            if within(t, at_s.get(), for_s.get()) && random.random::<f64>() < share.get() =>
+                        {
+                            key = mix(!seed ^ random.random_range(0..u64::from((*keys).max(1))));
+                        }
+                        Change::Scan { at_s, for_s, share }
+                            if within(t, at_s.get(), for_s.get()) && random.random::<f64>() < share.get() =>
+                        {
+                            once += 1;
+                            key = mix(seed.rotate_left(32) ^ once);
+                        }
+                        _ => {}
+                    }
+                }
+            }
+            let factor = work.as_ref().map_or(1.0, |work| work.sample(&mut random));
+            arrivals.push(Arrival {
+                due: Duration::from_secs_f64(t),
+                class,
+                key,
+                work: Duration::from_secs_f64(scenario.classes[class].work_ms.get() / 1e3 * factor),
+                heeds: random.random::<f64>() < load.heed.get(),
+            });
+        }
+        Self { arrivals, seed }
+    }
+
+    /// Bytes of a key's value; the same for all servers.
+    pub fn size(&self, key: u64) -> usize {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed ^ key);
+        let size = LogNormal::new(SIZE.0.ln(), SIZE.1).map_or(SIZE.0, |size| size.sample(&mut random));
+        size.clamp(64.0, LARGEST) as usize
+    }
+}
+
+fn within(t: f64, at: f64, long: f64) -> bool {
+    (at..at + long).contains(&t)
+}
+
+impl Change {
+    /// What it makes of the rate at this second of so many.
+    fn times(&self, t: f64, end: f64) -> f64 {
+        match self {
+            Self::Wave { period_s, depth } => {
+                1.0 + depth.get() * (t / period_s.get() * std::f64::consts::TAU).sin()
+            }
+            Self::Burst { at_s, for_s, times } if within(t, at_s.get(), for_s.get()) => times.get(),
+            Self::Ramp { to } => 1.0 + (to.get() - 1.0) * t / end,
+            _ => 1.0,
+        }
+    }
+
+    /// The most that it makes of the rate.
+    fn most(&self) -> f64 {
+        match self {
+            Self::Wave { depth, .. } => 1.0 + depth.get(),
+            Self::Burst { times, .. } => times.get().max(1.0),
+            Self::Ramp { to } => to.get().max(1.0),
+            _ => 1.0,
+        }
+    }
+}
+
+/// Spreads nearby numbers (the finaliser of splitmix64, Steele, Lea and Flood 2014).
+pub fn mix(mut x: u64) -> u64 {
+    x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::path::Path;
+
+    fn scenario(changes: &str) -> Scenario {
+        let text = format!("about = \"x\"\nseconds = 20\n[load]\nrate = 500\n{changes}");
+        Scenario::parse(&text, Path::new("day.toml")).unwrap()
+    }
+
+    // Guards against a comparison of two nodes over days that are not the same.
+    #[test]
+    fn a_seed_gives_the_same_load_again_and_another_seed_another() {
+        let scenario = scenario("");
+        let plan = Plan::draw(&scenario, 7);
+        assert_eq!(plan, Plan::draw(&scenario, 7));
+        assert_ne!(plan.arrivals, Plan::draw(&scenario, 8).arrivals);
+        assert!((9_500..10_500).contains(&plan.arrivals.len()), "{}", plan.arrivals.len());
+    }
+
+    // Guards against changes of the load that do not change it.
+    #[test]
+    fn bursts_hot_keys_and_scans_show_in_what_is_drawn() {
+        let scenario = scenario(
+            "[[load.change]]\nkind = \"burst\"\nat_s = 5\nfor_s = 5\ntimes = 3\n\
+             [[load.change]]\nkind = \"hot_key\"\nat_s = 0\nfor_s = 5\nshare = 0.5\nkeys = 1\n\
+             [[load.change]]\nkind = \"scan\"\nat_s = 10\nfor_s = 5\nshare = 0.5\n",
+        );
+        let plan = Plan::draw(&scenario, 1);
+        let part = |from: u64| {
+            let span = Duration::from_secs(from)..Duration::from_secs(from + 5);
+            plan.arrivals.iter().filter(|a| span.contains(&a.due)).map(|a| a.key).collect::<Vec<_>>()
+        };
+        let (hot, burst, scan) = (part(0), part(5), part(10));
+        assert!(burst.len() > hot.len() * 5 / 2, "{} after {}", burst.len(), hot.len());
+        let top = |keys: &[u64]| {
+            let mut counts = std::collections::HashMap::new();
+            keys.iter().for_each(|key| *counts.entry(*key).or_insert(0usize) += 1);
+            (counts.values().max().copied().unwrap_or(0), counts.len())
+        };
+        assert!(top(&hot).0 * 100 > hot.len() * 40);
+        assert!(top(&scan).1 * 100 > scan.len() * 60, "{} keys of {}", top(&scan).1, scan.len());
+    }
+}
--- /dev/null
+++ b/crates/lab/src/record.rs
@@ -0,0 +1,184 @@
+//! What stand-ins and clients saw of a run. Times are microseconds from its start.
+
+use crate::scenario::Kind;
+
+/// A try of a request: the arrival's place in the plan, and which of its tries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TryId {
+    /// Place in the plan.
+    pub arrival: u32,
+    /// From 0.
+    pub number: u8,
+}
+
+impl TryId {
+    /// As `Req-Id` words it.
+    pub fn text(self) -> String {
+        format!("{:x}-{}", self.arrival, self.number)
+    }
+
+    /// From a `Req-Id`.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (arrival, number) = text.split_once('-')?;
+        let id = Self { arrival: u32::from_str_radix(arrival, 16).ok()?, number: number.parse().ok()? };
+        // A number has one wording.
+        (id.text() == text).then_some(id)
+    }
+}
+
+/// How a try ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// 200, with a body that a server made for this try.
+    Served,
+    /// 429 or 503; whether it said when to come back.
+    Refused {
+        /// Milliseconds of `Retry-After`.
+        retry_after: Option<u32>,
+    },
+    /// Any other status.
+    Failed(u16),
+    /// The client gave up.
+    TimedOut,
+    /// The connection ended before the whole answer; whether anything of it had come.
+    Broke {
+        /// Bytes of the answer came.
+        begun: bool,
+    },
+    /// No connection, or it broke before the request was written.
+    NotSent,
+    /// 200 with a body that no server made for this try.
+    Foreign,
+    /// More came on the connection after the answer, before anything else was asked.
+    Twice,
+}
+
+/// One try, as its client saw it.
+#[derive(Clone, Copy, Debug)]
+pub struct Try {
+    /// Which.
+    pub id: TryId,
+    /// The node it was sent to.
+    pub node: usize,
+    /// When it should have been sent.
+    pub due: u64,
+    /// When its last byte was written.
+    pub sent: u64,
+    /// When it ended.
+    pub ended: u64,
+    /// It was the first on its connection.
+    pub first: bool,
+    /// How it ended.
+    pub end: End,
+}
+
+/// What a server did with an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Did {
+    /// Turned away unseen.
+    Declined,
+    /// Run, or at work still: its answer may be out, lost or yet to come.
+    Ran,
+    /// Taken and dropped while it waited, since the node had left.
+    Dropped,
+}
+
+/// One attempt of a node's, as the server saw it.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt {
+    /// Of which try.
+    pub id: TryId,
+    /// From.
+    pub node: usize,
+    /// To.
+    pub server: usize,
+    /// When its first byte came.
+    pub first: u64,
+    /// When its last byte came.
+    pub got: u64,
+    /// What became of it.
+    pub did: Did,
+}
+
+/// Discovery's word to a node that a server takes no more.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    /// To whom.
+    pub node: usize,
+    /// Of whom.
+    pub server: usize,
+    /// Whether it takes work.
+    pub ready: bool,
+    /// When it was written.
+    pub at: u64,
+}
+
+/// Something was pushed over.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fell {
+    /// Which server; `None` for the database.
+    pub server: Option<usize>,
+    /// When.
+    pub at: u64,
+    /// What it was sent in the span, in seconds of work.
+    pub sent: f64,
+    /// What it can do in the span.
+    pub able: f64,
+    /// Share of it that came from misses at cold servers; for the database.
+    pub cold: f64,
+}
+
+/// What became of a node's process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// It is ready.
+    Ready,
+    /// It was killed.
+    Killed,
+    /// It was told to end.
+    Told,
+    /// It has ended as it was told.
+    Ended,
+    /// It ended by itself, or not as it was told.
+    Died,
+}
+
+/// A sample of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample {
+    /// When.
+    pub at: u64,
+    /// Which.
+    pub server: usize,
+    /// Requests at work and waiting.
+    pub held: usize,
+    /// Fetches and writes at the database; the same for all servers.
+    pub fetches: usize,
+}
+
+/// Everything.
+#[derive(Debug, Default)]
+pub struct Record {
+    /// By the clients.
+    pub tries: Vec<Try>,
+    /// By the servers.
+    pub attempts: Vec<Attempt>,
+    /// By discovery.
+    pub told: Vec<Told>,
+    /// What discovery has to tell, from when: which server, whether it takes work, when.
+    pub changed: Vec<(usize, bool, u64)>,
+    /// By servers and database.
+    pub fell: Vec<Fell>,
+    /// Of the nodes: which, what, when, and a word on it.
+    pub lives: Vec<(usize, Life, u64, String)>,
+    /// Of the servers, ten times a second.
+    pub samples: Vec<Sample>,
+    /// Of the faults: what, from when to when, on whom.
+    pub faults: Vec<(Kind, u64, Option<u64>, usize)>,
+    /// How late tries were sent, in microseconds: the rig's own doing.
+    pub late: Vec<u32>,
+    /// Fetches and writes that the database was sent.
+    pub fetches: u64,
+    /// Requests to servers that bore an id which no client had sent.
+    pub strangers: Vec<(usize, String, u64)>,
+}
--- /dev/null
+++ b/crates/lab/src/rules.rs
@@ -0,0 +1,341 @@
+//! The rules, checked on what stand-ins and clients saw. Nothing here comes from the node under test.
+
+use crate::record::{Attempt, Did, End, Life, Record, Try, TryId};
+use crate::scenario::{Class, Effect};
+use serde::Serialize;
+use std::collections::{HashMap, HashSet};
+use std::fmt;
+
+/// A rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    /// Exactly one final answer for each request that a running node has taken.
+    OneAnswer,
+    /// A request that may have run is sent again only as its class allows.
+    Repeats,
+    /// Nothing new to a server later than 250 ms after the node was told that it drains or is gone.
+    Drains,
+    /// No cold server and no database is pushed over.
+    PushedOver,
+    /// A refusal says that a repeat is harmless: where it would not be, it is a lie.
+    Refusals,
+    /// A node does not end by itself.
+    Alive,
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::OneAnswer => "one final answer",
+            Self::Repeats => "repeats as the class allows",
+            Self::Drains => "nothing new after a drain",
+            Self::PushedOver => "nothing pushed over",
+            Self::Refusals => "refusals only where a repeat is harmless",
+            Self::Alive => "a node stays alive",
+        })
+    }
+}
+
+/// A broken rule.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Breach {
+    /// Which rule.
+    pub rule: Rule,
+    /// The request, the times and the servers.
+    pub what: String,
+}
+
+/// Grace past the stated limits on real sockets, in microseconds.
+const SLACK: u64 = 50_000;
+/// After drain or gone was told, in microseconds.
+const DRAIN: u64 = 250_000;
+/// What discovery has to tell counts as told so much later at the latest, whether or not a node has heard it, in
+/// microseconds.
+const TOLD: u64 = 6_000_000;
+/// A request told to a node this long before its kill or after its word to stop is beyond its power: what SIGKILL
+/// finds unanswered, in microseconds.
+const STOPPING: u64 = 700_000;
+/// Misses at cold servers that are over this share of what pushed the database over break the rule.
+const COLD_SHARE: f64 = 0.3;
+/// Attempts of a request, at most.
+const MOST_ATTEMPTS: usize = 6;
+
+/// Checks a record. `name` words a try for the people who read the breaches.
+pub fn check(record: &Record, classes: &[Class], class_of: impl Fn(TryId) -> usize) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    let mut attempts: HashMap<TryId, Vec<&Attempt>> = HashMap::new();
+    for attempt in &record.attempts {
+        attempts.entry(attempt.id).or_default().push(attempt);
+    }
+    let of = |id: TryId| attempts.get(&id).map_or(&[][..], Vec::as_slice);
+    let class = |id| &classes[class_of(id)];
+    for one in &record.tries {
+        answers(record, one, of(one.id), &mut breaches);
+        refusals(one, of(one.id), class(one.id), &mut breaches);
+    }
+    let mut ids: Vec<_> = attempts.keys().copied().collect();
+    ids.sort_unstable();
+    for id in ids {
+        repeats(id, of(id), class(id), &mut breaches);
+    }
+    for (server, id, at) in &record.strangers {
+        let what =
+            format!("server {server} got a request with id {id:?} at {}, which no client sent", ms(*at));
+        breaches.push(Breach { rule: Rule::Repeats, what });
+    }
+    drains(record, &mut breaches);
+    for fell in &record.fell {
+        let who = fell.server.map_or("the database".to_owned(), |server| format!("cold server {server}"));
+        if fell.server.is_some() || fell.cold > COLD_SHARE {
+            let what = format!(
+                "{who} fell over at {}: sent {:.2} s of work where it can do {:.2} s, {:.0} % of it misses at cold servers",
+                ms(fell.at), fell.sent, fell.able, fell.cold * 100.0
+            );
+            breaches.push(Breach { rule: Rule::PushedOver, what });
+        }
+    }
+    for (node, life, at, word) in &record.lives {
+        if *life == Life::Died {
+            breaches.push(Breach {
+                rule: Rule::Alive,
+                what: format!("node {node} ended at {}: {word}", ms(*at)),
+            });
+        }
+    }
+    breaches
+}
+
+fn answers(record: &Record, one: &Try, attempts: &[&Attempt], breaches: &mut Vec<Breach>) {
+    let mut lost = |why: &str| {
+        let what = format!(
+            "request {} to node {}, sent at {}, {why} at {}; attempts: {}",
+            one.id.text(),
+            one.node,
+            ms(one.sent),
+            ms(one.ended),
+            list(attempts)
+        );
+        breaches.push(Breach { rule: Rule::OneAnswer, what });
+    };
+    match one.end {
+        End::Foreign => lost("was served with what no server made for it,"),
+        End::Twice => lost("had more than one answer,"),
+        // The first request on a connection that closes without a word has failed and is not lost. On a kept one
+        // the close may have crossed a request that the node has not read: one that reached a server was read.
+        End::Broke { begun } if !excused(record, one) => {
+            if !begun && (one.first || attempts.iter().all(|attempt| attempt.first > one.ended)) {
+                return;
+            }
+            lost("lost its connection before a whole answer,");
+        }
+        _ => {}
+    }
+}
+
+/// Whether the node's own end explains a connection that broke.
+fn excused(record: &Record, one: &Try) -> bool {
+    record.lives.iter().any(|(node, life, at, _)| {
+        *node == one.node
+            && match life {
+                Life::Killed => *at + SLACK >= one.sent && *at <= one.ended + SLACK,
+                // What it takes longer than it has is not its own loss.
+                Life::Told => one.sent > *at + STOPPING,
+                Life::Died => *at <= one.ended + SLACK,
+                Life::Ready | Life::Ended => false,
+            }
+    })
+}
+
+fn refusals(one: &Try, attempts: &[&Attempt], class: &Class, breaches: &mut Vec<Breach>) {
+    let End::Refused { .. } = one.end else { return };
+    let ran = attempts.iter().find(|attempt| attempt.did == Did::Ran && attempt.got <= one.ended);
+    if let Some(ran) = ran.filter(|_| class.effect == Effect::Unsafe) {
+        let what = format!(
+            "request {} of class {} was refused at {}, but server {} had it from {} on",
+            one.id.text(),
+            class.name,
+            ms(one.ended),
+            ran.server,
+            ms(ran.got)
+        );
+        breaches.push(Breach { rule: Rule::Refusals, what });
+    }
+}
+
+fn repeats(id: TryId, attempts: &[&Attempt], class: &Class, breaches: &mut Vec<Breach>) {
+    let mut in_order = attempts.to_vec();
+    in_order.sort_by_key(|attempt| attempt.got);
+    let mut broken = |what: String| {
+        let what =
+            format!("request {} of class {} {what}; attempts: {}", id.text(), class.name, list(&in_order));
+        breaches.push(Breach { rule: Rule::Repeats, what });
+    };
+    if in_order.len() > MOST_ATTEMPTS {
+        broken(format!("had {} attempts, {MOST_ATTEMPTS} at most", in_order.len()));
+    }
+    // One that was dropped unseen may not have run, but its node could not know.
+    let Some(ran) = in_order.iter().find(|attempt| attempt.did != Did::Declined) else { return };
+    let again = in_order.iter().filter(|attempt| attempt.got > ran.got || attempt.server != ran.server);
+    for again in again.filter(|again| again.did != Did::Declined) {
+        let limit = match class.effect {
+            Effect::Safe => continue,
+            Effect::Unsafe => 0,
+            Effect::Keyed => (class.window_s.get() * 1e6) as u64 + SLACK,
+        };
+        if again.got.saturating_sub(ran.first) >= limit {
+            broken(format!("went to server {} again at {}", again.server, ms(again.got)));
+            return;
+        }
+    }
+}
+
+fn drains(record: &Record, breaches: &mut Vec<Breach>) {
+    // The word in force at each time, by node and server.
+    let mut told: HashMap<(usize, usize), Vec<(u64, bool)>> = HashMap::new();
+    for word in &record.told {
+        told.entry((word.node, word.server)).or_default().push((word.at, word.ready));
+    }
+    let nodes: HashSet<usize> = record.attempts.iter().map(|attempt| attempt.node).collect();
+    for &(server, ready, at) in &record.changed {
+        let later = |other: &(usize, bool, u64)| other.0 == server && other.2 > at && other.2 <= at + TOLD;
+        if !record.changed.iter().any(later) {
+            nodes.iter().for_each(|&node| told.entry((node, server)).or_default().push((at + TOLD, ready)));
+        }
+    }
+    told.values_mut().for_each(|words| words.sort_by_key(|(at, _)| *at));
+    // A node that starts again has forgotten what it was told.
+    let starts: HashMap<usize, Vec<u64>> = record.lives.iter().fold(HashMap::new(), |mut all, life| {
+        if life.1 == Life::Ready {
+            all.entry(life.0).or_insert_with(Vec::new).push(life.2);
+        }
+        all
+    });
+    let mut named = HashSet::new();
+    for attempt in &record.attempts {
+        let Some(words) = told.get(&(attempt.node, attempt.server)) else { continue };
+        // The last word before the send, and since when it has said the same.
+        let before: Vec<_> = words.iter().filter(|(at, _)| *at <= attempt.first).collect();
+        let since = before.iter().rev().take_while(|(_, ready)| !ready).last();
+        let Some((at, _)) = since else { continue };
+        let forgotten = starts
+            .get(&attempt.node)
+            .is_some_and(|all| all.iter().any(|start| start > at && *start <= attempt.first));
+        if attempt.first > at + DRAIN + SLACK && !forgotten && named.insert(attempt.id) {
+            let what = format!(
+                "node {} sent request {} to server {} at {}, told at {} to send nothing new there",
+                attempt.node,
+                attempt.id.text(),
+                attempt.server,
+                ms(attempt.first),
+                ms(*at)
+            );
+            breaches.push(Breach { rule: Rule::Drains, what });
+        }
+    }
+}
+
+fn list(attempts: &[&Attempt]) -> String {
+    let one = |attempt: &&Attempt| {
+        format!(
+            "server {} at {} ({})",
+            attempt.server,
+            ms(attempt.got),
+            format!("{:?}", attempt.did).to_lowercase()
+        )
+    };
+    if attempts.is_empty() {
+        return "none".to_owned();
+    }
+    attempts.iter().map(one).collect::<Vec<_>>().join(", ")
+}
+
+fn ms(us: u64) -> String {
+    format!("{:.1} ms", us as f64 / 1e3)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::{Fell, Told};
+    use crate::scenario::usual_classes;
+
+    const ID: TryId = TryId { arrival: 7, number: 0 };
+
+    fn asked(end: End) -> Try {
+        Try { id: ID, node: 0, due: 0, sent: 1_000, ended: 90_000, first: false, end }
+    }
+
+    fn attempt(server: usize, at: u64, did: Did) -> Attempt {
+        Attempt { id: ID, node: 0, server, first: at, got: at, did }
+    }
+
+    fn broken(class: usize, tries: Vec<Try>, attempts: Vec<Attempt>, told: Vec<Told>) -> Vec<Rule> {
+        let record = Record { tries, attempts, told, ..Record::default() };
+        check(&record, &usual_classes(), |_| class).into_iter().map(|breach| breach.rule).collect()
+    }
+
+    // Guards against a checker that cannot fail, and against one that blames a node for what it may do.
+    #[test]
+    fn answers_that_are_lost_doubled_or_foreign_are_told_from_those_that_failed() {
+        let ran = || vec![attempt(1, 2_000, Did::Ran)];
+        let broke = |begun| vec![asked(End::Broke { begun })];
+        assert_eq!(broken(0, broke(false), ran(), vec![]), [Rule::OneAnswer]);
+        assert_eq!(broken(0, broke(true), vec![], vec![]), [Rule::OneAnswer]);
+        assert_eq!(broken(0, broke(false), vec![], vec![]), [], "a close that crossed the request");
+        assert_eq!(broken(0, vec![asked(End::Twice)], ran(), vec![]), [Rule::OneAnswer]);
+        assert_eq!(broken(0, vec![asked(End::Foreign)], ran(), vec![]), [Rule::OneAnswer]);
+        assert_eq!(broken(0, vec![asked(End::TimedOut)], ran(), vec![]), []);
+        let lives = vec![(0, Life::Killed, 50_000, String::new())];
+        let record = Record { tries: broke(true), attempts: ran(), lives, ..Record::default() };
+        assert_eq!(check(&record, &usual_classes(), |_| 0), [], "its node was killed");
+    }
+
+    #[test]
+    fn repeats_and_refusals_go_by_the_class() {
+        let twice = |did, later| vec![attempt(1, 2_000, did), attempt(2, later, Did::Ran)];
+        let tried = |end| vec![asked(end)];
+        assert_eq!(broken(0, tried(End::Served), twice(Did::Ran, 9_000), vec![]), []);
+        assert_eq!(broken(1, tried(End::Served), twice(Did::Ran, 9_000), vec![]), []);
+        assert_eq!(broken(1, tried(End::Served), twice(Did::Ran, 4_100_000), vec![]), [Rule::Repeats]);
+        assert_eq!(broken(2, tried(End::Served), twice(Did::Ran, 9_000), vec![]), [Rule::Repeats]);
+        assert_eq!(broken(2, tried(End::Served), twice(Did::Dropped, 9_000), vec![]), [Rule::Repeats]);
+        assert_eq!(broken(2, tried(End::Served), twice(Did::Declined, 9_000), vec![]), []);
+        let refused = || tried(End::Refused { retry_after: None });
+        assert_eq!(broken(2, refused(), vec![attempt(1, 2_000, Did::Ran)], vec![]), [Rule::Refusals]);
+        assert_eq!(broken(2, refused(), vec![attempt(1, 2_000, Did::Declined)], vec![]), []);
+        assert_eq!(broken(0, refused(), vec![attempt(1, 2_000, Did::Ran)], vec![]), []);
+        let many = (0..7).map(|i| attempt(i, 2_000 + i as u64, Did::Ran)).collect();
+        assert_eq!(broken(0, tried(End::Served), many, vec![]), [Rule::Repeats]);
+    }
+
+    #[test]
+    fn sends_after_a_drain_count_from_when_it_was_told() {
+        let told = |at, ready| Told { node: 0, server: 1, ready, at };
+        let at = |at| vec![attempt(1, at, Did::Ran)];
+        let words = || vec![told(0, true), told(100_000, false), told(200_000, false)];
+        assert_eq!(broken(0, vec![], at(390_000), words()), []);
+        assert_eq!(broken(0, vec![], at(410_000), words()), [Rule::Drains]);
+        let back = [words(), vec![told(300_000, true)]].concat();
+        assert_eq!(broken(0, vec![], at(410_000), back), []);
+        assert_eq!(broken(0, vec![], vec![attempt(2, 410_000, Did::Ran)], words()), [], "another server");
+        // A node that does not ask is told all the same.
+        let unheard = |at, changed| {
+            let record = Record { attempts: vec![attempt(1, at, Did::Ran)], changed, ..Record::default() };
+            check(&record, &usual_classes(), |_| 0).len()
+        };
+        assert_eq!(unheard(6_200_000, vec![(1, false, 0)]), 0);
+        assert_eq!(unheard(6_400_000, vec![(1, false, 0)]), 1);
+        assert_eq!(unheard(6_400_000, vec![(1, false, 0), (1, true, 5_000_000)]), 0);
+    }
+
+    #[test]
+    fn what_falls_over_counts_where_the_nodes_could_know() {
+        let fell = |server, cold| Fell { server, at: 1, sent: 9.0, able: 3.0, cold };
+        let rules = |fell| {
+            let record = Record { fell: vec![fell], ..Record::default() };
+            check(&record, &usual_classes(), |_| 0).len()
+        };
+        assert_eq!((rules(fell(Some(1), 1.0)), rules(fell(None, 0.5)), rules(fell(None, 0.1))), (1, 1, 0));
+    }
+}
