Write the node's log through tracing, as text or JSON; lab runs without a node and at other rates

Need: collectors want a log they can read, and the rig must say what it can do without a node between.

Reports draw changes of the load as bands too, name whom a fault struck, and no longer cut the last label.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -69,6 +69,12 @@
     /// Play each so many times, with seeds that follow one another
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=10_000))]
     repeat: u64,
+    /// First tries a second, in place of the scenario's
+    #[arg(long, value_name = "N", value_parser = clap::value_parser!(u32).range(1..=200_000))]
+    rate: Option<u32>,
+    /// Send the load straight to the cache servers, with no node between: what the rig itself can do
+    #[arg(long, conflicts_with_all = ["node", "features"])]
+    direct: bool,
     /// Write a report of each run there, as JSON and as a page
     #[arg(long, value_name = "DIR")]
     out: Option<PathBuf>,
@@ -123,7 +129,12 @@
         let mut scenarios = Vec::new();
         for file in &self.files {
             match Scenario::load(file) {
-                Ok(scenario) => scenarios.push((name(file), scenario)),
+                Ok(mut scenario) => {
+                    if let Some(rate) = self.rate.and_then(|rate| f64::from(rate).try_into().ok()) {
+                        scenario.load.rate = rate;
+                    }
+                    scenarios.push((name(file), scenario));
+                }
                 Err(error) => return unusable(error),
             }
         }
@@ -132,7 +143,7 @@
                 return unusable(format!("cannot make {}: {error}", out.display()));
             }
         }
-        let program = self.node.program()?;
+        let program = if self.direct { Program::Nothing } else { self.node.program()? };
         let stop = crate::stop_at_interrupt()?;
         let mut hold = true;
         for (name, scenario) in &scenarios {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,9 +4,10 @@
 mod multiget;
 mod up;
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 use slatelink_config::{operators, platform};
 use slatelink_observe::audit::{self, Verdict};
+use slatelink_observe::Format;
 use std::error::Error;
 use std::fs::File;
 use std::io::{self, BufReader, Write};
@@ -26,10 +27,21 @@
     /// Settings of the operators' features, in TOML; without it all of them are off
     #[arg(long, value_name = "FILE")]
     features: Option<PathBuf>,
+    /// How the node's log is written to standard error
+    #[arg(long, value_enum, default_value_t = LogFormat::Text)]
+    log_format: LogFormat,
     #[command(subcommand)]
     command: Option<Command>,
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    /// Lines of words
+    Text,
+    /// A JSON object a line
+    Json,
+}
+
 /// Without one, the node runs.
 #[derive(Subcommand)]
 enum Command {
@@ -57,7 +69,7 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let ended = match cli.command {
-        None => start(cli.features),
+        None => start(cli.features, cli.log_format),
         Some(Command::Audit(AuditCommand::Verify { file })) => verify(file),
         Some(Command::Up(up)) => up.run(),
         Some(Command::Lab(lab)) => lab.run(),
@@ -87,11 +99,15 @@
     }
 }
 
-fn start(features: Option<PathBuf>) -> Result<ExitCode, Box<dyn Error>> {
+fn start(features: Option<PathBuf>, format: LogFormat) -> Result<ExitCode, Box<dyn Error>> {
     let features = features.map(operators::load).transpose()?.unwrap_or_default();
+    let format = match format {
+        LogFormat::Text => Format::Text,
+        LogFormat::Json => Format::Json,
+    };
     let config = platform::load(|name| std::env::var(name).ok())?;
     // A node has one core: one thread, and no locks between its parts.
-    LocalSet::new().block_on(&one_thread()?, slatelink_node::run(config, features))
+    LocalSet::new().block_on(&one_thread()?, slatelink_node::run(config, features, format))
 }
 
 /// A flag that Ctrl-C or SIGTERM raises: what runs then ends in order, and leaves nothing behind.
--- a/crates/cli/tests/node_lifecycle.rs
+++ b/crates/cli/tests/node_lifecycle.rs
@@ -142,3 +142,26 @@
     assert_eq!(discovery.asked.lock().unwrap()[calls], "/v1/servers");
     assert_eq!(node.read("read", 1).status(), 200);
 }
+
+// Guards against a log that a collector cannot read.
+#[test]
+fn the_log_is_json_where_that_is_asked_for() {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let path = write_config(&config(discovery.address).to_string());
+    let mut child = command()
+        .args(["--log-format", "json"])
+        .env("LB_CONFIG", &path)
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    std::io::BufRead::read_line(&mut std::io::BufReader::new(child.stderr.take().unwrap()), &mut line)
+        .unwrap();
+    child.kill().unwrap();
+    child.wait().unwrap();
+    std::fs::remove_file(path).unwrap();
+    let line: serde_json::Value = serde_json::from_str(&line).unwrap();
+    assert!(line["message"].as_str().unwrap().starts_with("node n0 listens on 127.0.0.1:"), "{line}");
+    assert_eq!(line["level"], "INFO");
+}
--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -116,6 +116,7 @@
         live: Arc<Live>,
         stop: Arc<AtomicBool>,
     ) -> Rc<Self> {
+        let nodes = table.read().map_or(0, |table| table.len());
         Rc::new(Self {
             plan,
             classes: scenario.classes.clone(),
@@ -126,7 +127,7 @@
             stop,
             most: (scenario.fleet.sockets / 3).max(1),
             idle: RefCell::default(),
-            open: Rc::new((0..scenario.fleet.nodes).map(|_| Cell::new(0)).collect()),
+            open: Rc::new((0..nodes).map(|_| Cell::new(0)).collect()),
             turn: Cell::new(0),
             record: RefCell::default(),
         })
--- a/crates/lab/src/nodes.rs
+++ b/crates/lab/src/nodes.rs
@@ -33,6 +33,8 @@
     /// Something inside this process, which is given a node's configuration and says where it listens: for tests of
     /// the checker. It cannot be killed or signalled.
     Inside(Arc<dyn Fn(Value) -> io::Result<SocketAddr> + Send + Sync>),
+    /// Nothing: clients ask the servers themselves, for what the rig can do without a node.
+    Nothing,
 }
 
 /// Why nodes do not run.
@@ -142,6 +144,9 @@
             Program::Inside(begin) => {
                 begin(self.config.clone()).map_err(|error| NodeError::Start("a node inside".into(), error))?
             }
+            Program::Nothing => {
+                return Err(NodeError::NotReady { node: self.place, why: "there is none".into() })
+            }
             Program::Binary(path, arguments) => {
                 let mut child = Command::new(path)
                     .args(arguments)
--- a/crates/lab/src/page.rs
+++ b/crates/lab/src/page.rs
@@ -1,6 +1,6 @@
 //! A report as one HTML page that needs nothing beside it: the figures as tables, time lines as SVG.
 
-use crate::report::{Figures, Report};
+use crate::report::{Band, Figures, Report};
 use plotters::prelude::*;
 use thiserror::Error;
 
@@ -89,7 +89,7 @@
         put(self.chart("database", "calls", &[("database".into(), calls)], None)?);
         if !self.faults.is_empty() {
             put("<h2>Faults</h2><table><tr><th>kind<th>whom<th>from s<th>to s".into());
-            for (kind, whom, from, to) in &self.faults {
+            for Band { kind, whom, from, to } in &self.faults {
                 put(format!("<tr><td>{}<td>{whom}<td>{from:.1}<td>{to:.1}", kind.replace('_', " ")));
             }
             put("</table>".into());
@@ -124,15 +124,18 @@
         let told = |error: &dyn std::fmt::Display| error.to_string();
         let root = SVGBackend::with_string(svg, SIZE).into_drawing_area();
         let most = lines.iter().flat_map(|(_, points)| points).fold(0.0f64, |most, point| most.max(*point));
+        // A chart with a fixed top has one line, which its heading names.
+        let top_is_open = top.is_none();
         let top = top.unwrap_or(most * 1.1).max(1e-3);
         let end = (self.by_second.len() as f64).max(1.0);
         let mut chart = ChartBuilder::on(&root)
             .margin(8)
+            .margin_right(24)
             .x_label_area_size(28)
             .y_label_area_size(56)
             .build_cartesian_2d(0.0..end, 0.0..top)
             .map_err(|error| told(&error))?;
-        let bands = self.faults.iter().map(|(_, _, from, to)| {
+        let bands = self.faults.iter().map(|Band { from, to, .. }| {
             // A fault of a moment is still to be seen.
             Rectangle::new(
                 [(*from, 0.0), (to.max(from + end / 300.0), top)],
@@ -158,7 +161,7 @@
                 .label(name)
                 .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(2)));
         }
-        if lines.len() > 1 {
+        if lines.len() > 1 || top_is_open {
             chart
                 .configure_series_labels()
                 .position(SeriesLabelPosition::UpperRight)
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -3,7 +3,7 @@
 use crate::record::{End, Record, TryId};
 use crate::rules::Breach;
 use crate::run::Played;
-use crate::scenario::Scenario;
+use crate::scenario::{Kind, Scenario};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -51,6 +51,19 @@
     pub ends: BTreeMap<&'static str, u64>,
 }
 
+/// Something that went wrong, on the time line.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Band {
+    /// Its kind.
+    pub kind: String,
+    /// Whom it struck.
+    pub whom: String,
+    /// Seconds.
+    pub from: f64,
+    /// Seconds.
+    pub to: f64,
+}
+
 /// Everything that a report says.
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
@@ -90,8 +103,8 @@
     pub doubt: Option<String>,
     /// By second.
     pub by_second: Vec<Second>,
-    /// Faults: kind, server or node, from and to in seconds.
-    pub faults: Vec<(String, usize, f64, f64)>,
+    /// Faults, and changes of the load that have a beginning.
+    pub faults: Vec<Band>,
     /// By second and server: requests held at most.
     pub held: Vec<Vec<usize>>,
     /// By second: calls at the database at most.
@@ -245,7 +258,7 @@
                 format!("the rig itself sent first tries late ({rig_late_ms:.1} ms at the 99th percentile): its figures are no node's")
             }),
             by_second,
-            faults: faults(record, seconds),
+            faults: faults(scenario, record, seconds),
             held,
             database,
         };
@@ -312,16 +325,30 @@
     }
 }
 
-fn faults(record: &Record, seconds: f64) -> Vec<(String, usize, f64, f64)> {
-    let end = |until: Option<u64>| until.map_or(seconds, |until| until as f64 / 1e6).min(seconds);
-    let name = |kind| serde_json::to_value(kind).ok().and_then(|kind| Some(kind.as_str()?.to_owned()));
-    record
-        .faults
-        .iter()
-        .map(|(kind, from, until, whom)| {
-            (name(kind).unwrap_or_default(), *whom, *from as f64 / 1e6, end(*until))
-        })
-        .collect()
+fn faults(scenario: &Scenario, record: &Record, seconds: f64) -> Vec<Band> {
+    let name = |kind: &Kind| serde_json::to_value(kind).ok().and_then(|kind| Some(kind.as_str()?.to_owned()));
+    let load = scenario.load.changes.iter().filter_map(|change| {
+        let (kind, at, long) = change.span()?;
+        let (from, to) = (at.min(seconds), (at + long).min(seconds));
+        Some(Band { kind: kind.to_owned(), whom: "the load".to_owned(), from, to })
+    });
+    let struck = record.faults.iter().map(|(kind, from, until, whom)| Band {
+        kind: name(kind).unwrap_or_default(),
+        whom: match kind {
+            kind if kind.of_servers() => format!("server {whom}"),
+            kind if kind.of_nodes() => format!("node {whom}"),
+            _ => "discovery".to_owned(),
+        },
+        from: *from as f64 / 1e6,
+        // What has no end of its own is a moment, but for what stays as it is.
+        to: match until {
+            Some(until) => *until as f64 / 1e6,
+            None if kind.lasts() => seconds,
+            None => *from as f64 / 1e6,
+        }
+        .min(seconds),
+    });
+    load.chain(struck).collect()
 }
 
 /// By second: requests held at each server at most, and calls at the database.
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -104,8 +104,13 @@
     }
 }
 
-/// What the stand-ins listen on, for each node: discovery's two addresses.
-type Addresses = Vec<[SocketAddr; 2]>;
+/// What the stand-ins listen on.
+struct Addresses {
+    /// For each node: discovery's two addresses.
+    discovery: Vec<[SocketAddr; 2]>,
+    /// The servers', as the first node knows them.
+    servers: Vec<SocketAddr>,
+}
 
 /// Told to the stand-ins while they run.
 enum Word {
@@ -128,7 +133,7 @@
         let (scenario, plan, hand) = (scenario.clone(), plan.clone(), options.by_hand);
         move || stand_ins(scenario, plan, start, hand, addresses, heard, ending)
     })?;
-    let discovery = match listening.recv() {
+    let listening = match listening.recv() {
         Ok(addresses) => addresses,
         Err(_) => {
             return Err(joined(stand_ins, "stand-ins")?
@@ -137,7 +142,7 @@
         }
     };
     let one = runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
-    let played = one.block_on(nodes(scenario, options, &plan, start, discovery, &folder, words));
+    let played = one.block_on(nodes(scenario, options, &plan, start, listening, &folder, words));
     over.send_replace(true);
     let seen = joined(stand_ins, "stand-ins")??;
     let (clients, lives, zero, lasted) = played?;
@@ -167,11 +172,19 @@
     options: &Options,
     plan: &Arc<Plan>,
     start: Instant,
-    discovery: Addresses,
+    listening: Addresses,
     folder: &Folder,
     words: channel::UnboundedSender<Word>,
 ) -> Result<(Record, Vec<(usize, crate::record::Life, u64, String)>, u64, Duration), RunError> {
-    let table: Table = Arc::new(std::sync::RwLock::new(vec![None; discovery.len()]));
+    let Addresses { mut discovery, servers } = listening;
+    let listed = match options.program {
+        Program::Nothing => {
+            discovery.clear();
+            servers.into_iter().map(Some).collect()
+        }
+        _ => vec![None; discovery.len()],
+    };
+    let table: Table = Arc::new(std::sync::RwLock::new(listed));
     let lives: Lives = Arc::default();
     let mut all = Vec::new();
     for (place, discovery) in discovery.into_iter().enumerate() {
@@ -306,6 +319,7 @@
                 dials.push(floor.listen(server, node).await?);
             }
         }
+        let servers = dials[0][..fleet.servers].to_vec();
         let directory = Directory::new(floor.clone(), fleet, count, dials);
         let mut told = Vec::new();
         for node in 0..fleet.nodes {
@@ -315,7 +329,7 @@
         spawn_local(floor.clone().sample());
         spawn_local(listen(scenario.clone(), floor.clone(), directory, heard));
         // The run may have ended before it began.
-        let _ = addresses.send(told);
+        let _ = addresses.send(Addresses { discovery: told, servers });
         let _ = ending.wait_for(|over| *over).await;
         let mut record = floor.record.take();
         let world = floor.world.borrow();
@@ -338,10 +352,14 @@
     }
 }
 
-/// Each fault with one of the servers it strikes, and when; faults of discovery and nodes once.
+/// Each fault with each server or node that it strikes, and when; faults of discovery once.
 fn struck(scenario: &Scenario) -> impl Iterator<Item = (Fault, usize, Duration)> + '_ {
     scenario.faults.iter().map(toml::Spanned::get_ref).flat_map(|fault| {
-        let whom = if fault.kind.of_servers() { fault.struck(&scenario.fleet) } else { vec![0] };
+        let whom = match fault.kind {
+            kind if kind.of_servers() => fault.struck(&scenario.fleet),
+            kind if kind.of_nodes() => fault.nodes.clone(),
+            _ => vec![0],
+        };
         let apart = fault.apart_s.get();
         whom.into_iter().enumerate().map(move |(nth, server)| {
             (fault.clone(), server, Duration::from_secs_f64(fault.at_s.get() + apart * nth as f64))
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -294,6 +294,18 @@
     },
 }
 
+impl Change {
+    /// Its name, beginning and length in seconds, where it has one.
+    pub fn span(&self) -> Option<(&'static str, f64, f64)> {
+        match self {
+            Self::Burst { at_s, for_s, .. } => Some(("burst", at_s.get(), for_s.get())),
+            Self::HotKey { at_s, for_s, .. } => Some(("hot_key", at_s.get(), for_s.get())),
+            Self::Scan { at_s, for_s, .. } => Some(("scan", at_s.get(), for_s.get())),
+            Self::Wave { .. } | Self::Ramp { .. } => None,
+        }
+    }
+}
+
 /// What a repeat of a request does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -453,6 +465,10 @@
     pub fn of_nodes(self) -> bool {
         matches!(self, Self::NodeKill | Self::NodeTerm | Self::NodeHup)
     }
+    /// Whether one without an end of its own stays as it is.
+    pub fn lasts(self) -> bool {
+        !self.of_nodes() && self != Self::Replace
+    }
     fn of_discovery(self) -> bool {
         matches!(self, Self::DiscoveryDown | Self::DiscoveryLate | Self::DiscoveryLies)
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,7 +19,7 @@
 use slatelink_config::platform::{self, Config};
 use slatelink_decide::Balancer;
 use slatelink_observe::audit::Stop;
-use slatelink_observe::Observers;
+use slatelink_observe::{Format, Observers};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -38,7 +38,11 @@
 const SPARE_SOCKETS: usize = 24;
 
 /// Runs a node until it is told to stop; on a current-thread runtime, within a `LocalSet`.
-pub async fn run(config: Config, wanted: operators::Settings) -> Result<ExitCode, Box<dyn Error>> {
+pub async fn run(
+    config: Config,
+    wanted: operators::Settings,
+    format: Format,
+) -> Result<ExitCode, Box<dyn Error>> {
     // Before anything else: a signal without a handler ends the process.
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
@@ -61,7 +65,7 @@
         return Err(format!("a limit of {sockets} sockets leaves no room beside the features").into());
     }
     let classes: Vec<_> = settings.classes.iter().map(|class| class.name.clone()).collect();
-    let observers = Observers::start(&wanted, &classes)?;
+    let observers = Observers::start(&wanted, &classes, format)?;
     let log = observers.log.clone();
     let stops = observers.stops()?;
     log.line(&format!("node {name} listens on {}", listener.local_addr()?));
--- a/crates/observe/src/figures.rs
+++ b/crates/observe/src/figures.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and timers of requests and attempts, in batches to a file, standard error or UDP.
 
-use crate::writer::{Lane, Log, Writer};
+use crate::log::Log;
+use crate::writer::{Lane, Writer};
 use crate::End;
 use slatelink_config::operators::{Figures as Settings, Format, Target};
 use slatelink_config::{Host, Listing};
@@ -454,7 +455,13 @@
 
     fn figures(text: &str, writer: &Writer) -> (Figures, UnboundedReceiver<bool>) {
         let settings: Settings = toml::from_str(text).unwrap();
-        Figures::open(&settings, &["look up".into(), "put".into()], writer, Log::Direct).unwrap()
+        Figures::open(
+            &settings,
+            &["look up".into(), "put".into()],
+            writer,
+            Log::new(None, crate::Format::Text),
+        )
+        .unwrap()
     }
 
     /// The lines that `events` come to, sent in one datagram or more.
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -6,9 +6,10 @@
 pub mod audit;
 mod figures;
 mod hotlist;
+mod log;
 mod writer;
 
-pub use writer::Log;
+pub use log::{Format, Log};
 
 use audit::{Audit, Stop};
 use figures::Figures;
@@ -87,12 +88,12 @@
 
 impl Observers {
     /// Begins what the settings name, for these classes of requests. Its tasks run on the present local set.
-    pub fn start(settings: &Settings, classes: &[Name]) -> Result<Rc<Self>, String> {
+    pub fn start(settings: &Settings, classes: &[Name], format: Format) -> Result<Rc<Self>, String> {
         let writer = match settings.writes() {
             true => Some(Writer::start().map_err(|error| format!("cannot start the writer: {error}"))?),
             false => None,
         };
-        let log = writer.as_ref().map_or(Log::Direct, Log::queued);
+        let log = Log::new(writer.as_ref(), format);
         if writer.is_some() {
             // A file that may grow no further is an error of the write, not the process's end.
             let caught = signal(SignalKind::from_raw(libc::SIGXFSZ));
--- a/crates/observe/src/writer.rs
+++ b/crates/observe/src/writer.rs
@@ -1,11 +1,9 @@
 //! The one thread that writes files and standard error for the features. The node is one thread too: a pipe that
 //! nobody reads, a slow disk or a FIFO must stall this one and never that.
 
-use std::cell::Cell;
 use std::fs::File;
-use std::io::{self, Write};
+use std::io;
 use std::os::fd::AsFd;
-use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{sync_channel, SyncSender};
 use std::sync::Arc;
@@ -16,9 +14,6 @@
 
 /// Places in the queue, at least as many as all lanes have together: a lane that has one gets it.
 const QUEUE: usize = 1024;
-/// Lines of the node's log that may wait.
-const LOG_LINES: usize = 128;
-
 type Job = Box<dyn FnOnce(&mut File) + Send>;
 
 /// The way to the thread. It ends with the process, or when the last lane has gone.
@@ -89,37 +84,6 @@
     }
 }
 
-/// The node's own log. Beside features that write to standard error it goes through the same queue: by itself,
-/// a line would stall the node behind theirs.
-#[derive(Clone, Debug)]
-pub enum Log {
-    Direct,
-    Queued { lane: Rc<Lane>, lost: Rc<Cell<u64>> },
-}
-
-impl Log {
-    pub fn queued(writer: &Writer) -> Self {
-        Self::Queued { lane: Rc::new(writer.lane(LOG_LINES)), lost: Rc::default() }
-    }
-
-    pub fn line(&self, text: &str) {
-        match self {
-            Self::Direct => eprintln!("{text}"),
-            Self::Queued { lane, lost } => {
-                let mut lines = match lost.get() {
-                    0 => String::new(),
-                    lost => format!("{lost} lines of the log are lost: standard error is not read\n"),
-                };
-                lines.push_str(text);
-                lines.push('\n');
-                // There is nowhere to report an error to.
-                let put = lane.put(move |stderr| drop(stderr.write_all(lines.as_bytes())));
-                lost.set(if put { 0 } else { lost.get() + 1 });
-            }
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
