Give the emulator load reports, probes and a discovery that answers 503; test that Ctrl-C leaves nothing

Need: the lab lacked parts of the platform's protocol, and nothing proved that an interrupted run cleans up.

Change: fleet.reports and fleet.probes, fault discovery_refuses; a wait for the next arrival looks for the word to stop; a test interrupts a fleet and looks for its nodes.

--- a/crates/cli/tests/lab.rs
+++ b/crates/cli/tests/lab.rs
@@ -2,8 +2,9 @@
 
 use serde_json::Value;
 use std::fs;
+use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
 fn slatelink(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_slatelink")).args(arguments).output().unwrap()
@@ -61,7 +62,7 @@
             "network.toml",
             &[
                 fault("cut", "for_s = 1\nzone = \"b\""),
-                fault("discovery_down", "for_s = 1"),
+                fault("discovery_refuses", "for_s = 1"),
                 fault("garbage", "for_s = 1\nservers = [0]"),
                 fault("reset", "for_s = 1\nservers = [2]"),
             ]
@@ -150,3 +151,20 @@
     assert_eq!(bad.status.code(), Some(2));
     assert!(text(&bad.stderr).contains("a time from 1s to 1h was expected"));
 }
+
+// Guards against processes that outlive the run which started them.
+#[test]
+fn an_interrupt_ends_a_fleet_in_order_and_leaves_nothing() {
+    let mut up =
+        Command::new(env!("CARGO_BIN_EXE_slatelink")).arg("up").stdout(Stdio::piped()).spawn().unwrap();
+    let mut lines = BufReader::new(up.stdout.take().unwrap()).lines();
+    let first = lines.next().unwrap().unwrap();
+    let node = PathBuf::from(format!("/proc/{}", first.rsplit(' ').next().unwrap()));
+    assert!(node.exists(), "{first}");
+    let sent = Command::new("kill").args(["-INT", &up.id().to_string()]).status().unwrap();
+    assert!(sent.success());
+    let rest: Vec<_> = lines.map_while(Result::ok).collect();
+    assert!(up.wait().unwrap().success(), "{rest:?}");
+    assert!(!node.exists(), "the node lives on");
+    assert!(rest.iter().any(|line| line.starts_with("up: holds")), "a summary: {rest:?}");
+}
--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -19,6 +19,9 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, sleep_until, timeout_at};
 
+/// How long a wait for the next arrival may go on before the word to stop is looked for.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// Running counts, for whoever watches.
 #[derive(Debug, Default)]
 pub struct Live {
@@ -138,8 +141,8 @@
         let mut out = JoinSet::new();
         for i in 0..self.plan.arrivals.len() {
             let due = self.start + self.plan.arrivals[i].due;
-            if due > Instant::now() {
-                sleep_until(due.into()).await;
+            while due > Instant::now() && !self.stop.load(Ordering::Relaxed) {
+                sleep_until(due.min(Instant::now() + LOOK).into()).await;
             }
             if self.stop.load(Ordering::Relaxed) {
                 break;
--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -42,6 +42,8 @@
     /// Down: calls and open connections are reset.
     down: watch::Sender<bool>,
     lies: Cell<bool>,
+    /// Calls are answered 503.
+    pub refuses: Cell<bool>,
     /// Changes are told so late.
     pub late: Cell<Duration>,
     /// The address of each node's that no longer serves.
@@ -61,6 +63,7 @@
             seq: watch::Sender::new(1),
             down: watch::Sender::new(false),
             lies: Cell::new(false),
+            refuses: Cell::new(false),
             late: Cell::new(Duration::from_secs_f64(fleet.discovery_late_s.get())),
         })
     }
@@ -153,6 +156,11 @@
                 conn.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await.map_err(drop)?;
                 continue;
             }
+            if self.refuses.get() {
+                let refused = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+                conn.write(refused).await.map_err(drop)?;
+                continue;
+            }
             let after = figure("after");
             if let (Some(after), Some(wait)) = (after, figure("wait_ms")) {
                 let mut seq = self.seq.subscribe();
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -233,6 +233,12 @@
         self.servers[server].held.len() + self.servers[server].waiting.len()
     }
 
+    /// Cores at work, requests that wait for one, and how many cores there are.
+    pub fn load(&self, server: usize) -> (usize, usize, usize) {
+        let it = &self.servers[server];
+        (it.busy, it.waiting.len(), it.terms.cores)
+    }
+
     /// Calls that the database holds.
     pub fn calls(&self) -> usize {
         self.calls.len()
--- a/crates/lab/src/nodes.rs
+++ b/crates/lab/src/nodes.rs
@@ -334,6 +334,7 @@
             "az": fleet.zones[place % fleet.zones.len()], "zones": fleet.zones, "balancers": fleet.nodes,
             "membership_mode": "subscribe", "weights": "cores", "orgs": [], "lanes": lanes,
             "family_info": {"mode": "through"},
+            "report": {"fields": if fleet.reports { "inflight,queue,util" } else { "" }},
             "limits": {
                 "connect_timeout_us": 250_000, "keepalive_us": us(fleet.idle_close_s.get()), "most_tries": 6,
                 "cancelling": true, "retry_after": true, "max_retry_after_us": 2_000_000, "second_copies": true,
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -425,6 +425,7 @@
             directory.change(new, "ready", unix_ms());
         }
         Kind::DiscoveryDown => directory.set_down(true),
+        Kind::DiscoveryRefuses => directory.refuses.set(true),
         Kind::DiscoveryLate => directory.late.set(directory.late.get() + Duration::from_secs_f64(by)),
         Kind::DiscoveryLies => directory.set_lies(true),
         Kind::NodeKill | Kind::NodeTerm | Kind::NodeHup => {}
@@ -447,6 +448,7 @@
             directory.change(server, "gone", 0);
         }
         Kind::DiscoveryDown => directory.set_down(false),
+        Kind::DiscoveryRefuses => directory.refuses.set(false),
         Kind::DiscoveryLate => {
             directory.late.set(directory.late.get().saturating_sub(Duration::from_secs_f64(by)));
         }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -134,6 +134,10 @@
     pub idle_close_s: Seconds,
     /// Whether a cancelled request that waits is dropped; one at work always goes on.
     pub drops_cancelled: bool,
+    /// Whether answers hold load reports (`Srv-Load`).
+    pub reports: bool,
+    /// Whether servers answer `GET /healthz` and `GET /load`; else both are 404.
+    pub probes: bool,
     /// Discovery tells of a change so many seconds late.
     pub discovery_late_s: Seconds,
     /// Descriptors of a node.
@@ -159,6 +163,8 @@
             fall_s: Within(1.5),
             idle_close_s: Within(15.0),
             drops_cancelled: true,
+            reports: false,
+            probes: false,
             discovery_late_s: Within(0.3),
             sockets: 1024,
             front_late_s: Within(1.0),
@@ -444,6 +450,8 @@
     Cut,
     /// Discovery is down: calls are reset.
     DiscoveryDown,
+    /// Discovery answers every call 503.
+    DiscoveryRefuses,
     /// Discovery tells of changes `by` seconds later than usual.
     DiscoveryLate,
     /// Discovery calls all servers ready, whatever they are.
@@ -470,7 +478,10 @@
         !self.of_nodes() && self != Self::Replace
     }
     fn of_discovery(self) -> bool {
-        matches!(self, Self::DiscoveryDown | Self::DiscoveryLate | Self::DiscoveryLies)
+        matches!(
+            self,
+            Self::DiscoveryDown | Self::DiscoveryRefuses | Self::DiscoveryLate | Self::DiscoveryLies
+        )
     }
 }
 
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -62,6 +62,8 @@
     classes: Vec<Class>,
     idle_close: Duration,
     most: usize,
+    reports: bool,
+    probes: bool,
     by_hand: bool,
     manners: Vec<watch::Sender<Manner>>,
     open: Vec<Cell<usize>>,
@@ -90,6 +92,8 @@
             classes: scenario.classes.clone(),
             idle_close: Duration::from_secs_f64(scenario.fleet.idle_close_s.get()),
             most: scenario.fleet.connections,
+            reports: scenario.fleet.reports,
+            probes: scenario.fleet.probes,
             by_hand: hand,
             manners: (0..count).map(|_| watch::Sender::new(Manner::Well)).collect(),
             open: (0..count).map(|_| Cell::new(0)).collect(),
@@ -180,6 +184,15 @@
             let got = Instant::now();
             let first = self.us(asked.first.unwrap_or(got));
             let Some(text) = asked.id else {
+                if self.probes && now != Manner::Hang {
+                    let report = self.load(server);
+                    let body = if asked.path == "/load" { Some(report) } else { None };
+                    if let Some(body) = body.or((asked.path == "/healthz").then(String::new)) {
+                        let bytes = [head(200, "", body.len()), body.into_bytes()].concat();
+                        conn.write(&bytes).await.map_err(drop)?;
+                        continue;
+                    }
+                }
                 conn.write(&head(404, "", 0)).await.map_err(drop)?;
                 continue;
             };
@@ -310,12 +323,22 @@
         // Its first words say for whom it was made: a body for another request would show.
         let words = format!("{id} by {server} ");
         let length = if job.write { WRITTEN } else { job.size }.max(words.len());
-        let mut bytes = head(200, note, length);
+        let mut headers = note.to_owned();
+        if self.reports {
+            headers.extend(["Srv-Load: ", self.load(server).as_str(), "\r\n"]);
+        }
+        let mut bytes = head(200, &headers, length);
         bytes.extend_from_slice(words.as_bytes());
         bytes.resize(bytes.len() + length - words.len(), b'.');
         bytes
     }
 
+    /// A server's load report.
+    fn load(&self, server: usize) -> String {
+        let (busy, waiting, cores) = self.world.borrow().load(server);
+        format!("inflight={},queue={waiting},util={:.2}", busy + waiting, busy as f64 / cores as f64)
+    }
+
     /// Moves the model on, for as long as the run lasts.
     pub async fn pump(self: Rc<Self>) {
         let mut ended = Vec::new();
