Test that a node's death is a verdict and not a hang; shorten the lab's lines for a terminal

Need: nothing proved that a run whose node dies ends with a verdict, and lines wrapped at 110 columns.

Change: a test kills a node of `up` and reads the broken rule and exit code 1; the lines of a report fit 100 columns.

--- a/crates/cli/tests/lab.rs
+++ b/crates/cli/tests/lab.rs
@@ -168,3 +168,23 @@
     assert!(!node.exists(), "the node lives on");
     assert!(rest.iter().any(|line| line.starts_with("up: holds")), "a summary: {rest:?}");
 }
+
+// Guards against a node's death that goes unnoticed, or that a run waits for in vain.
+#[test]
+fn a_node_that_dies_is_a_verdict() {
+    let mut up = Command::new(env!("CARGO_BIN_EXE_slatelink"))
+        .args(["up", "--nodes", "2", "--for", "2s"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(up.stdout.take().unwrap()).lines();
+    let first = lines.next().unwrap().unwrap();
+    let killed = Command::new("kill").args(["-KILL", first.rsplit(' ').next().unwrap()]).status().unwrap();
+    assert!(killed.success());
+    let rest: Vec<_> = lines.map_while(Result::ok).collect();
+    assert_eq!(up.wait().unwrap().code(), Some(1), "{rest:?}");
+    assert!(
+        rest.iter().any(|line| line.contains("node 0 ended at") && line.contains("signal: 9")),
+        "{rest:?}"
+    );
+}
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -302,13 +302,13 @@
             self.seed
         ));
         line(format!(
-            "  {} requests in {:.1} s, {} attempts at servers, {} calls at the database",
+            "  {} requests in {:.1} s, {} attempts at servers, {} calls at the database; worth in time:",
             self.all.asked, self.seconds, self.attempts, self.fetches
         ));
         let classes = self.classes.iter().map(|(name, figures)| (name.as_str(), figures));
         for (name, it) in classes.chain([("all", &self.all)]) {
             line(format!(
-                "  {name:<12} {:>7} asked  {:>5.1} % of the worth in time  {:>5} late  {:>5} unserved  p50 {:>6.1}  p99 {:>6.1} ms",
+                "  {name:<12}{:>7} asked {:>5.1} % in time {:>5} late {:>5} unserved, p50 {:>6.1} p99 {:>6.1} ms",
                 it.asked, it.served * 100.0, it.late, it.unserved, it.p50_ms, it.p99_ms
             ));
         }
