Park idle client connections: buffers and parser are given back after 300 ms

Need: an idle client connection cost 16.3 KB of resident memory, and game clients hold one for a whole evening.

Change: a connection idle for 300 ms gives up hyper's part and waits with its socket alone; hyper is built anew when the client speaks, with what was read ahead in front.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -3,6 +3,7 @@
 use clap::{Args, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use slatelink_lab::compare::{self, Measured};
+use slatelink_lab::idle;
 use slatelink_lab::nodes::Program;
 use slatelink_lab::report::Report;
 use slatelink_lab::run::{play, Options};
@@ -26,6 +27,17 @@
     Run(Run),
     /// Compare two reports, or two node binaries in turn over the same seeds
     Compare(Compare),
+    /// Measure what idle client connections cost a node, and how it bears all of them speaking at once
+    Idle {
+        /// Connections to hold; each takes two descriptors of this machine
+        #[arg(long, default_value_t = 5_000, value_parser = clap::value_parser!(u32).range(1..=200_000))]
+        count: u32,
+        /// Make so many at a time, half a second apart
+        #[arg(long, default_value_t = 500, value_parser = clap::value_parser!(u32).range(1..=200_000))]
+        batch: u32,
+        #[command(flatten)]
+        node: Node,
+    },
     /// List the scenarios of a folder
     List {
         /// The folder
@@ -109,6 +121,27 @@
         match self {
             Self::Run(run) => run.run(),
             Self::Compare(compare) => compare.run(),
+            Self::Idle { count, batch, node } => {
+                let it = idle::measure(node.program()?, count as usize, batch as usize)?;
+                let mut out = io::stdout().lock();
+                writeln!(
+                    out,
+                    "{} idle connections held, {} closed by the node with their answer",
+                    it.held, it.closed
+                )?;
+                let (before, after) = (it.before_kib, it.after_kib);
+                writeln!(
+                    out,
+                    "resident memory {before} KiB before, {after} KiB with them: {:.0} bytes each",
+                    it.bytes_each
+                )?;
+                writeln!(
+                    out,
+                    "all spoke at once: {} answered, the last after {:.0} ms",
+                    it.answered, it.burst_ms
+                )?;
+                Ok(ExitCode::SUCCESS)
+            }
             Self::List { folder } => list(&folder),
         }
     }
--- a/crates/cli/tests/node_clients.rs
+++ b/crates/cli/tests/node_clients.rs
@@ -328,3 +328,36 @@
     let mut oldest = kept.pop_front().unwrap();
     assert_eq!(oldest.answer(), None, "the oldest idle connection is closed in its place");
 }
+
+// Guards against a connection that was idle for a while and lost its place, its bytes or its end.
+#[test]
+fn a_connection_that_has_been_parked_is_as_good_as_ever() {
+    // Past what a connection is idle before it gives its buffers back; later is as good.
+    const REST: std::time::Duration = std::time::Duration::from_millis(700);
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    let (mut usual, mut halting, mut left) = (node.client(), node.client(), node.client());
+    for (key, client) in [&mut usual, &mut halting, &mut left].into_iter().enumerate() {
+        assert_eq!(client.ask(&read("read", key as u64, 20_000)).status(), 200);
+    }
+    for key in 10..12 {
+        std::thread::sleep(REST);
+        let served = usual.ask(&read("read", key, 20_000));
+        assert_eq!((served.status(), served.header("connection")), (200, None));
+    }
+    // The first part wakes it, the second makes the request whole; and two at once are both answered.
+    let text = read("read", 20, 20_000);
+    halting.send(&text[..10]);
+    std::thread::sleep(REST / 2);
+    assert_eq!(halting.ask(&text[10..]).status(), 200);
+    std::thread::sleep(REST);
+    halting.send(&[read("read", 21, 20_000), read("read", 22, 20_000)].concat());
+    assert_eq!((halting.answer().unwrap().status(), halting.answer().unwrap().status()), (200, 200));
+    left.leave();
+    assert_eq!(left.answer(), None);
+    std::thread::sleep(REST);
+    node.terminate();
+    assert_eq!((usual.answer(), halting.answer()), (None, None));
+    assert!(node.exit().success());
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod compare;
 pub mod discovery;
 pub mod http;
+pub mod idle;
 pub mod model;
 pub mod nodes;
 pub mod page;
--- a/crates/node/src/multiget.rs
+++ b/crates/node/src/multiget.rs
@@ -148,8 +148,9 @@
     // One call a connection: so its time has a bound, whatever its client takes of the answer.
     http.max_buf_size(server::LARGEST_HEAD).keep_alive(false);
     let longest = side.front.classes.iter().map(|(_, deadline)| *deadline).max().unwrap_or_default();
-    let serving = http.serve_connection(place.watch(stream), service);
-    let driven = place.drive(serving, |serving| serving.graceful_shutdown(), side.front.stage.clone());
+    let mut serving = http.serve_connection(place.watch(stream), service);
+    // With one call a connection it is never idle for long, and parked is as good as over.
+    let driven = place.drive(&mut serving, |serving| serving.graceful_shutdown(), side.front.stage.clone());
     // Cut off, it is as if its client had left.
     let _ = timeout(longest + AROUND, driven).await;
 }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -1,7 +1,7 @@
 //! The clients' side: reads requests, hands them to the driver, writes the answers, sees clients leave.
 
 use crate::driver::{Answer, Input, Taken};
-use crate::table::{Place, Table};
+use crate::table::{Driven, Heard, Place, Table};
 use crate::upstream::{Message, OpenIds, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -16,7 +16,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::hash::{DefaultHasher, Hasher};
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -140,11 +140,8 @@
         match accepted {
             Ok((stream, slot)) => {
                 // In the table at once: room that is made before it is first polled must see it.
-                let serving = connection(stream, Place::new(room.table.clone()));
-                tokio::task::spawn_local(async move {
-                    serving.await;
-                    drop(slot);
-                });
+                // Spawned as it is: a future that waits for another one holds it twice.
+                tokio::task::spawn_local(connection(stream, Place::new(room.table.clone(), slot)));
             }
             Err(error) => {
                 log.line(&format!("accept: {error}"));
@@ -165,16 +162,42 @@
 
 /// A client's connection, to its end.
 pub async fn connection(stream: TcpStream, place: Place, front: Rc<Front>) {
-    let service = service_fn(async |request| {
-        place.asked();
-        let response = respond(&front, &place, request).await;
-        place.answered();
-        Ok::<_, Infallible>(response)
-    });
-    let mut http = http1::Builder::new();
-    http.max_buf_size(LARGEST_HEAD);
-    let serving = http.serve_connection(place.watch(stream), service);
-    place.drive(serving, |serving| serving.graceful_shutdown(), front.stage.clone()).await;
+    let mut heard = place.watch(stream);
+    loop {
+        let idle = busy(heard, &place, &front).await;
+        let Some(idle) = idle else { return };
+        if !place.parked(&idle, front.stage.clone()).await {
+            return;
+        }
+        heard = idle;
+    }
+}
+
+/// Serves a connection until it ends, or has been idle for a while: then its socket is given back. In a box of its own,
+/// which is gone while the connection is parked.
+fn busy<'a>(
+    heard: Heard,
+    place: &'a Place,
+    front: &'a Front,
+) -> Pin<Box<dyn Future<Output = Option<Heard>> + 'a>> {
+    Box::pin(async move {
+        let service = service_fn(async |request| {
+            place.asked();
+            let response = respond(front, place, request).await;
+            place.answered();
+            Ok::<_, Infallible>(response)
+        });
+        let mut http = http1::Builder::new();
+        http.max_buf_size(LARGEST_HEAD);
+        let mut serving = http.serve_connection(heard, service);
+        match place.drive(&mut serving, |serving| serving.graceful_shutdown(), front.stage.clone()).await {
+            Driven::Over => None,
+            Driven::Park => {
+                let parts = serving.into_parts();
+                Some(place.park(parts.io, parts.read_buf))
+            }
+        }
+    })
 }
 
 /// Tells the driver of a client that left: hyper drops the answer's future with its connection.
--- a/crates/node/src/table.rs
+++ b/crates/node/src/table.rs
@@ -2,6 +2,7 @@
 //! place is left.
 
 use crate::server::Stage;
+use bytes::Bytes;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,7 +14,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{watch, Notify};
+use tokio::sync::{watch, Notify, OwnedSemaphorePermit};
 use tokio::time::{interval, Instant};
 
 /// From its first byte, or from the connection's start for the first one, a request has come whole by then. A
@@ -23,6 +24,8 @@
 const TAKING: Duration = Duration::from_secs(4);
 /// An idle connection is kept for so long: many clients ask once and never close.
 const IDLE: Duration = Duration::from_secs(10);
+/// One that has been idle for so long gives its buffers and parser back; a client in a conversation asks sooner.
+const PARK: Duration = Duration::from_millis(300);
 /// One that has said nothing for so long gives way where there is no room; a usual client asks at once.
 const SILENCE: Duration = Duration::from_millis(30);
 /// One that has been idle for so long is hardly missed.
@@ -52,17 +55,19 @@
     Answering,
     /// All that came is answered.
     Idle,
+    /// So for a while: it holds nothing but its socket.
+    Parked,
 }
 
 impl Phase {
-    const COUNT: usize = 5;
+    const COUNT: usize = 6;
 
     fn limit(self) -> Option<Duration> {
         match self {
             Self::Silent | Self::Asking => Some(ASKING),
             Self::Open => None,
             Self::Answering => Some(TAKING),
-            Self::Idle => Some(IDLE),
+            Self::Idle | Self::Parked => Some(IDLE),
         }
     }
 }
@@ -78,6 +83,7 @@
     /// It was told to end.
     leaving: Cell<bool>,
     close: Notify,
+    park: Notify,
 }
 
 impl State {
@@ -143,16 +149,22 @@
         states.get(number).filter(|_| since.elapsed() >= age).cloned()
     }
 
+    /// The one that has been idle for longest, if that is `age` or more. Those that are parked have been so for longer
+    /// than the others.
+    fn oldest_idle(&self, age: Duration) -> Option<Rc<State>> {
+        self.oldest(Phase::Parked, age).or_else(|| self.oldest(Phase::Idle, age))
+    }
+
     /// Asks one to close in favour of one that waits unaccepted. `false` where none can yet. A silent flood lives
     /// off itself first; but it must not wait for itself either, with usual clients behind it, while connections
     /// that nobody uses or half requests hold the other places.
     pub fn make_room(&self) -> bool {
         let found = self
             .oldest(Phase::Silent, SILENCE)
-            .or_else(|| self.oldest(Phase::Idle, UNUSED))
+            .or_else(|| self.oldest_idle(UNUSED))
             .or_else(|| self.oldest(Phase::Asking, HALTING))
             .or_else(|| {
-                self.oldest(Phase::Idle, Duration::ZERO)
+                self.oldest_idle(Duration::ZERO)
                     .filter(|_| self.oldest(Phase::Silent, Duration::ZERO).is_none())
             });
         found.inspect(|state| state.end()).is_some()
@@ -161,9 +173,10 @@
     /// Whether so many connections are used that one which is being answered must give way. One that may be
     /// closed by the terms, since nobody has used it for long, goes in its place.
     fn crowded(&self) -> bool {
-        let used = [Phase::Open, Phase::Answering, Phase::Idle].map(|phase| self.order.of(phase).len());
+        let used = [Phase::Open, Phase::Answering, Phase::Idle, Phase::Parked]
+            .map(|phase| self.order.of(phase).len());
         used.iter().sum::<usize>() >= self.crowd
-            && self.oldest(Phase::Idle, UNUSED).inspect(|state| state.end()).is_none()
+            && self.oldest_idle(UNUSED).inspect(|state| state.end()).is_none()
     }
 
     /// Ends connections whose time is up, for as long as the node runs.
@@ -172,12 +185,15 @@
         loop {
             turns.tick().await;
             let states = self.states.borrow();
-            for phase in [Phase::Silent, Phase::Asking, Phase::Answering, Phase::Idle] {
+            for phase in [Phase::Silent, Phase::Asking, Phase::Answering, Phase::Idle, Phase::Parked] {
                 let Some(limit) = phase.limit() else { continue };
                 let order = self.order.of(phase);
                 let over = order.iter().take_while(|(since, _)| since.elapsed() > limit);
                 over.filter_map(|(_, number)| states.get(number)).for_each(|state| state.end());
             }
+            let order = self.order.of(Phase::Idle);
+            let long = order.iter().take_while(|(since, _)| since.elapsed() > PARK);
+            long.filter_map(|(_, number)| states.get(number)).for_each(|state| state.park.notify_one());
         }
     }
 }
@@ -188,10 +204,11 @@
     table: Rc<Table>,
     number: u64,
     state: Rc<State>,
+    _slot: OwnedSemaphorePermit,
 }
 
 impl Place {
-    pub fn new(table: Rc<Table>) -> Self {
+    pub fn new(table: Rc<Table>, slot: OwnedSemaphorePermit) -> Self {
         let number = table.next.replace(table.next.get() + 1);
         let since = Instant::now();
         let order = table.order.clone();
@@ -204,9 +221,10 @@
             ahead: Cell::default(),
             leaving: Cell::default(),
             close: Notify::new(),
+            park: Notify::new(),
         });
         table.states.borrow_mut().insert(number, state.clone());
-        Self { table, number, state }
+        Self { table, number, state, _slot: slot }
     }
 
     /// Whether others may wait for this one, which is about to be answered.
@@ -234,36 +252,79 @@
 
     /// The socket, which tells the table what passes on it.
     pub fn watch(&self, stream: TcpStream) -> Heard {
-        Heard { stream, state: self.state.clone() }
+        Heard { stream, state: self.state.clone(), before: Bytes::new() }
+    }
+
+    /// The connection gives up all but its socket; `before` was read from that and not used.
+    pub fn park(&self, heard: Heard, before: Bytes) -> Heard {
+        self.state.turn(Phase::Parked, self.state.since.get());
+        // As it comes it would keep all of the buffer that it was read into.
+        Heard { before: Bytes::copy_from_slice(&before), ..heard }
     }
 
-    /// Drives a connection to its end: what was taken is finished when the node closes; a connection whose
-    /// time is up is dropped, but for an idle one, which may be met by a request just then.
-    pub async fn drive<C>(&self, serving: C, close: impl Fn(Pin<&mut C>), mut stage: watch::Receiver<Stage>)
+    /// Waits until a parked connection's client speaks or leaves. `false` where the node ends it first.
+    pub async fn parked(&self, heard: &Heard, mut stage: watch::Receiver<Stage>) -> bool {
+        if !heard.before.is_empty() {
+            return true;
+        }
+        tokio::select! {
+            // What has come by then is taken: it goes before the end.
+            biased;
+            ready = heard.stream.readable() => ready.is_ok(),
+            _ = stage.wait_for(|stage| *stage == Stage::Closing) => false,
+            () = self.state.close.notified() => false,
+        }
+    }
+
+    /// Drives a connection to its end, or until it is to be parked: what was taken is finished when the node closes; a
+    /// connection whose time is up is dropped, but for an idle one, which may be met by a request just then.
+    pub async fn drive<C>(
+        &self,
+        serving: &mut C,
+        close: impl Fn(Pin<&mut C>),
+        mut stage: watch::Receiver<Stage>,
+    ) -> Driven
     where
-        C: Future,
+        C: Future + Unpin,
     {
-        let mut serving = pin!(serving);
         let mut closing = pin!(stage.wait_for(|stage| *stage == Stage::Closing));
         let mut closed = false;
         loop {
             tokio::select! {
                 biased;
                 // An error here is a client that left or spoke no HTTP: hyper has answered what can be.
-                _ = &mut serving => return,
+                _ = &mut *serving => return Driven::Over,
                 _ = &mut closing, if !closed => {
                     closed = true;
-                    close(serving.as_mut());
+                    close(Pin::new(serving));
                 }
                 () = self.state.close.notified() => match self.state.phase.get() {
-                    Phase::Asking | Phase::Answering => return,
-                    _ => close(serving.as_mut()),
+                    Phase::Asking | Phase::Answering => return Driven::Over,
+                    _ => {
+                        closed = true;
+                        close(Pin::new(serving));
+                    }
                 },
+                // The word may be old: another request may have come since.
+                () = self.state.park.notified(), if !closed => {
+                    if self.state.phase.get() == Phase::Idle {
+                        return Driven::Park;
+                    }
+                }
             }
         }
     }
 }
 
+/// What a connection came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Driven {
+    /// It has ended, or is to be dropped.
+    Over,
+    /// It has been idle for a while.
+    Park,
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         let state = &self.state;
@@ -276,6 +337,8 @@
 pub struct Heard {
     stream: TcpStream,
     state: Rc<State>,
+    /// Read before it was parked, and not used then.
+    before: Bytes,
 }
 
 impl Read for Heard {
@@ -284,6 +347,11 @@
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.before.is_empty() {
+            let part = self.before.len().min(buf.remaining());
+            buf.put_slice(&self.before.split_to(part));
+            return Poll::Ready(Ok(()));
+        }
         // A cursor does not tell what was read into it: the bytes pass through a buffer that does.
         let mut bytes = [0; READ];
         let room = buf.remaining().min(READ);
@@ -294,7 +362,7 @@
             match self.state.phase.get() {
                 // The time of the first request runs from the connection's start.
                 Phase::Silent => self.state.turn(Phase::Asking, self.state.since.get()),
-                Phase::Idle => self.state.enter(Phase::Asking),
+                Phase::Idle | Phase::Parked => self.state.enter(Phase::Asking),
                 Phase::Asking => {}
                 Phase::Open | Phase::Answering => self.state.ahead.set(true),
             }
