--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -1,5 +1,6 @@
 //! `slatelink lab`: plays scenarios, compares nodes, lists what there is to play.
 
+use crate::LogFormat;
 use clap::{Args, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use slatelink_lab::compare::{self, Measured};
@@ -55,9 +56,22 @@
     /// The operators' file of each node
     #[arg(long, value_name = "FILE")]
     features: Option<PathBuf>,
+    /// Write the rig's own log to standard error: faults, and what becomes of nodes
+    #[arg(long, value_enum)]
+    log_format: Option<LogFormat>,
 }
 
 impl Node {
+    /// Begins the log, where one is asked for.
+    pub fn log(&self) {
+        let lines = tracing_subscriber::fmt().with_writer(io::stderr).with_ansi(false).with_target(false);
+        match self.log_format {
+            None => {}
+            Some(LogFormat::Text) => lines.init(),
+            Some(LogFormat::Json) => lines.json().flatten_event(true).init(),
+        }
+    }
+
     pub fn program(&self) -> io::Result<Program> {
         let binary = self.node.clone().map_or_else(std::env::current_exe, Ok)?;
         Ok(self.of(binary))
@@ -122,6 +136,7 @@
             Self::Run(run) => run.run(),
             Self::Compare(compare) => compare.run(),
             Self::Idle { count, batch, node } => {
+                node.log();
                 let it = idle::measure(node.program()?, count as usize, batch as usize)?;
                 let mut out = io::stdout().lock();
                 writeln!(
@@ -176,6 +191,7 @@
                 return unusable(format!("cannot make {}: {error}", out.display()));
             }
         }
+        self.node.log();
         let program = if self.direct { Program::Nothing } else { self.node.program()? };
         let stop = crate::stop_at_interrupt()?;
         let mut hold = true;
@@ -271,7 +287,7 @@
                 Err(error) => return unusable(error),
             };
             let name = name(file);
-            let node = Node { node: None, features: self.features.clone() };
+            let node = Node { node: None, features: self.features.clone(), log_format: None };
             let mut pairs = Vec::new();
             for i in 0..self.seeds {
                 let seed = scenario.seed.wrapping_add(i);
--- a/crates/cli/src/up.rs
+++ b/crates/cli/src/up.rs
@@ -59,6 +59,7 @@
             long.as_secs(), self.nodes, self.servers, self.rate
         );
         let scenario = Scenario::parse(&text, "up".as_ref())?;
+        self.node.log();
         let (ready, told) = mpsc::channel();
         let stop = crate::stop_at_interrupt()?;
         let options =
--- a/crates/cli/tests/lab.rs
+++ b/crates/cli/tests/lab.rs
@@ -92,7 +92,9 @@
     let reports: Vec<Value> = printed.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
     assert_eq!(reports.len(), 2);
     assert_ne!(reports[0]["all"]["asked"], 0);
-    let again = slatelink(&["lab", "run", &day, "--json"]);
+    let again = slatelink(&["lab", "run", &day, "--json", "--log-format", "json"]);
+    let logged: Value = serde_json::from_str(text(&again.stderr).lines().next().unwrap()).unwrap();
+    assert_eq!((&logged["message"], &logged["life"]), (&"a node".into(), &"Ready".into()));
     let again: Value = serde_json::from_str(text(&again.stdout).trim()).unwrap();
     assert_eq!(again["all"]["asked"], reports[0]["all"]["asked"]);
     let page = fs::read_to_string(out.join("day-5.html")).unwrap();
--- a/crates/lab/src/nodes.rs
+++ b/crates/lab/src/nodes.rs
@@ -118,6 +118,7 @@
 
     fn note(&self, life: Life, word: &str) {
         let at = self.start.elapsed().as_micros() as u64;
+        tracing::info!(node = self.place, life = ?life, word, "a node");
         if let Ok(mut lives) = self.lives.lock() {
             lives.push((self.place, life, at, word.to_owned()));
         }
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -384,9 +384,11 @@
         let (floor, directory) = (floor.clone(), directory.clone());
         spawn_local(async move {
             sleep_until((begun + at).into()).await;
+            tracing::info!(kind = ?fault.kind, whom = server, "a fault begins");
             set(&fault, server, new, &floor, &directory);
             if let Some(long) = long {
                 sleep(long).await;
+                tracing::info!(kind = ?fault.kind, whom = server, "a fault ends");
                 unset(&fault, server, &floor, &directory);
             }
             if let Some(back) = fault.back_s.filter(|_| fault.kind == Kind::Drain) {
