Read the lab once more: one accept loop, one time line of faults, no state that can be derived

Need: servers and discovery each had the same accept loop, faults of nodes were timed by a copy of what times the others, a node's process id stood beside the child that knows it, and probes made a report that was thrown away.

Change: http::listen serves both; nodes() takes its faults from struck(); pid() asks the child; one write_config, which replaces the file whole; discovery's addresses need no RefCell; the plan is shared and not copied; the checker takes the words before a send by their order; the histogram has no second way to be made; a stale comment is corrected. Behaviour is as before, but that a node named twice in one fault is struck twice, as servers are.

--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -2,7 +2,7 @@
 //!
 //! Each node has two addresses of its own; the second is where a SIGHUP sends it.
 
-use crate::http::Conn;
+use crate::http::{listen, reset, Conn};
 use crate::record::Told;
 use crate::scenario::Fleet;
 use crate::servers::Floor;
@@ -12,7 +12,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -37,7 +36,7 @@
     fleet: Fleet,
     entries: RefCell<Vec<Entry>>,
     /// Where each server listens for each node: `[node][server]`.
-    dials: RefCell<Vec<Vec<SocketAddr>>>,
+    dials: Vec<Vec<SocketAddr>>,
     seq: watch::Sender<u64>,
     /// Down: calls and open connections are reset.
     down: watch::Sender<bool>,
@@ -59,7 +58,7 @@
             fleet: fleet.clone(),
             entries: RefCell::new((0..all).map(entry).collect()),
             closed: watch::Sender::new(vec![None; dials.len()]),
-            dials: RefCell::new(dials),
+            dials,
             seq: watch::Sender::new(1),
             down: watch::Sender::new(false),
             lies: Cell::new(false),
@@ -111,24 +110,16 @@
 
     /// Listens for a node at its first or second address.
     pub async fn listen(self: &Rc<Self>, node: usize, which: usize) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
         let directory = self.clone();
-        spawn_local(async move {
-            loop {
-                let Ok((stream, _)) = listener.accept().await else {
-                    sleep(Duration::from_millis(10)).await;
-                    continue;
-                };
-                let closed = directory.closed.borrow()[node] == Some(which);
-                if *directory.down.borrow() || closed {
-                    crate::http::reset(stream);
-                } else if let Ok(conn) = Conn::new(stream) {
-                    spawn_local(directory.clone().connection(node, which, conn));
-                }
+        listen(move |stream| {
+            let closed = directory.closed.borrow()[node] == Some(which);
+            if *directory.down.borrow() || closed {
+                reset(stream);
+            } else if let Ok(conn) = Conn::new(stream) {
+                spawn_local(directory.clone().connection(node, which, conn));
             }
-        });
-        Ok(address)
+        })
+        .await
     }
 
     async fn connection(self: Rc<Self>, node: usize, which: usize, mut conn: Conn) {
@@ -182,7 +173,7 @@
 
     /// What a node is told, and what that says of each server.
     fn list(&self, node: usize, after: Option<u64>) -> (String, Vec<(usize, bool)>) {
-        let (entries, dials) = (self.entries.borrow(), self.dials.borrow());
+        let entries = self.entries.borrow();
         let seq = *self.seq.borrow();
         let whole = after.is_none_or(|after| after > seq);
         let (mut hosts, mut told) = (Vec::new(), Vec::new());
@@ -191,7 +182,7 @@
             if whole || after.is_some_and(|after| entry.seq > after) {
                 told.push((server, health == "ready"));
                 if !(whole && health == "gone") {
-                    hosts.push(self.host(server, entry, health, dials[node][server]));
+                    hosts.push(self.host(server, entry, health, self.dials[node][server]));
                 }
             }
         }
--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -2,16 +2,21 @@
 //! peers and resets must stay what they are.
 
 use std::io;
-use std::time::Instant;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 /// A longer message is given up.
 const LARGEST: usize = 256 << 10;
 const HEADERS: usize = 32;
 /// Read at once.
 const CHUNK: usize = 8 << 10;
+/// After a failed accept the next one waits: tried at once, it would fail and spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Why there is no message.
 #[derive(Debug, Error)]
@@ -167,10 +172,26 @@
     }
 }
 
+/// Listens on a port of the kernel's choice, on this thread's local set, and hands each connection over as it comes.
+pub async fn listen(on: impl Fn(TcpStream) + 'static) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    spawn_local(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => on(stream),
+                // Out of descriptors, say: the rig's own want, and the next one may have room.
+                Err(_) => sleep(ACCEPT_PAUSE).await,
+            }
+        }
+    });
+    Ok(address)
+}
+
 /// Ends a connection with a reset.
 pub fn reset(stream: TcpStream) {
     // Without waiting for anything to drain: what follows is a reset. It may be broken already.
-    let _ = socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO));
+    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
 }
 
 fn header<'a>(headers: &[httparse::Header<'a>], name: &str) -> Option<&'a str> {
--- a/crates/lab/src/nodes.rs
+++ b/crates/lab/src/nodes.rs
@@ -79,7 +79,6 @@
     front_late: Duration,
     child: Option<Child>,
     log: Arc<Mutex<Vec<String>>>,
-    pid: Option<i32>,
     live: Arc<Live>,
 }
 
@@ -111,7 +110,6 @@
             front_late: Duration::from_secs_f64(scenario.fleet.front_late_s.get()),
             child: None,
             log: Arc::default(),
-            pid: None,
             live,
         }
     }
@@ -130,17 +128,22 @@
         }
     }
 
+    /// Puts its configuration in place whole, as it must be where a process may be reading it.
+    fn write_config(&self) -> Result<(), NodeError> {
+        let new = self.file.with_extension("new");
+        std::fs::write(&new, self.config.to_string())
+            .and_then(|()| std::fs::rename(&new, &self.file))
+            .map_err(|error| NodeError::Files { path: self.file.clone(), error })
+    }
+
     /// The process's id, while it runs.
     pub fn pid(&self) -> Option<i32> {
-        self.pid
+        self.child.as_ref()?.id().and_then(|id| i32::try_from(id).ok())
     }
 
     /// Starts it and waits until it is ready; then the front deals it connections.
     pub async fn up(&mut self) -> Result<SocketAddr, NodeError> {
-        let write = |path: &Path, text: String| {
-            std::fs::write(path, text).map_err(|error| NodeError::Files { path: path.into(), error })
-        };
-        write(&self.file, self.config.to_string())?;
+        self.write_config()?;
         let address = match &self.program {
             Program::Inside(begin) => {
                 begin(self.config.clone()).map_err(|error| NodeError::Start("a node inside".into(), error))?
@@ -163,7 +166,6 @@
                     .process_group(0)
                     .spawn()
                     .map_err(|error| NodeError::Start(path.display().to_string(), error))?;
-                self.pid = child.id().and_then(|id| i32::try_from(id).ok());
                 let stderr = child.stderr.take();
                 self.child = Some(child);
                 let Some(stderr) = stderr else {
@@ -221,14 +223,14 @@
     pub fn died(&mut self) -> bool {
         let Some(child) = &mut self.child else { return false };
         let Ok(Some(status)) = child.try_wait() else { return false };
-        (self.child, self.pid) = (None, None);
+        self.child = None;
         self.note(Life::Died, &format!("{status}; {}", self.words()));
         self.list(None);
         true
     }
 
     fn signal(&self, signal: Signal) {
-        if let Some(pid) = self.pid {
+        if let Some(pid) = self.pid() {
             // It may have ended meanwhile, which shows elsewhere.
             let _ = kill(Pid::from_raw(pid), signal);
         }
@@ -256,10 +258,7 @@
                 let old = self.follows;
                 self.follows = 1 - old;
                 self.config["discovery"] = json!(self.discovery[self.follows].to_string());
-                let new = self.file.with_extension("new");
-                std::fs::write(&new, self.config.to_string())
-                    .and_then(|()| std::fs::rename(&new, &self.file))
-                    .map_err(|error| NodeError::Files { path: self.file.clone(), error })?;
+                self.write_config()?;
                 self.signal(Signal::SIGHUP);
                 return Ok(Some(old));
             }
@@ -271,7 +270,7 @@
     async fn wait(&mut self) -> Option<ExitStatus> {
         let child = self.child.as_mut()?;
         let status = timeout(ENDING, child.wait()).await.ok()?.ok();
-        (self.child, self.pid) = (None, None);
+        self.child = None;
         status
     }
 
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -133,8 +133,9 @@
 
 impl Tally {
     fn new() -> Self {
-        // Microseconds up to ten minutes in three digits: within what the crate can hold, so this cannot fail.
-        let times = Histogram::new_with_bounds(1, 600_000_000, 3).unwrap_or_else(|_| empty());
+        // Microseconds up to ten minutes.
+        let times =
+            Histogram::new_with_bounds(1, 600_000_000, 3).expect("three digits are in the crate's range");
         Self { figures: Figures::default(), worth: (0.0, 0.0), times }
     }
 
@@ -183,13 +184,6 @@
     }
 }
 
-fn empty() -> Histogram<u64> {
-    let mut times =
-        Histogram::new(3).unwrap_or_else(|_| unreachable!("three digits are in the crate's range"));
-    times.auto(true);
-    times
-}
-
 impl Report {
     /// Makes a report of a run.
     pub fn new(name: &str, scenario: &Scenario, seed: u64, played: &Played) -> Self {
--- a/crates/lab/src/rules.rs
+++ b/crates/lab/src/rules.rs
@@ -215,7 +215,7 @@
     for attempt in &record.attempts {
         let Some(words) = told.get(&(attempt.node, attempt.server)) else { continue };
         // The last word before the send, and since when it has said the same.
-        let before: Vec<_> = words.iter().filter(|(at, _)| *at <= attempt.first).collect();
+        let before = &words[..words.partition_point(|(at, _)| *at <= attempt.first)];
         let since = before.iter().rev().take_while(|(_, ready)| !ready).last();
         let Some((at, _)) = since else { continue };
         let forgotten = starts
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -75,7 +75,7 @@
 /// A run that was played to its end.
 pub struct Played {
     /// What was asked.
-    pub plan: Plan,
+    pub plan: Arc<Plan>,
     /// What was seen.
     pub record: Record,
     /// The rules that were broken.
@@ -150,7 +150,6 @@
     record.shift(zero);
     let class_of = |id: crate::record::TryId| plan.arrivals[id.arrival as usize].class;
     let breaches = rules::check(&record, &scenario.classes, class_of);
-    let plan = Arc::try_unwrap(plan).unwrap_or_else(|plan| (*plan).clone());
     Ok(Played { plan, record, breaches, lasted })
 }
 
@@ -224,16 +223,10 @@
     })?;
     let mut running = Vec::new();
     for (place, (mut node, _)) in all.into_iter().enumerate() {
-        let mut faults: Vec<(Duration, Fault)> = Vec::new();
-        for fault in scenario.faults.iter().map(toml::Spanned::get_ref).filter(|fault| fault.kind.of_nodes())
-        {
-            if let Some(nth) = fault.nodes.iter().position(|&node| node == place) {
-                faults.push((
-                    Duration::from_secs_f64(fault.at_s.get() + fault.apart_s.get() * nth as f64),
-                    fault.clone(),
-                ));
-            }
-        }
+        let mut faults: Vec<_> = struck(scenario)
+            .filter(|(fault, whom, _)| fault.kind.of_nodes() && *whom == place)
+            .map(|(fault, _, at)| (at, fault))
+            .collect();
         faults.sort_by_key(|(at, _)| *at);
         let (words, stop) = (words.clone(), options.stop.clone());
         let (end, ended) = watch::channel(false);
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -5,7 +5,7 @@
 //! on a port that must stay its own. One that is cut off accepts and says nothing; once it is back, what was open is
 //! reset.
 
-use crate::http::{Conn, ReadError};
+use crate::http::{listen, reset, Conn, ReadError};
 use crate::model::{Ended, Job, JobId, Note, Offer, World};
 use crate::plan::{mix, Plan};
 use crate::record::{Attempt, Did, Record, Sample, TryId};
@@ -17,7 +17,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout};
@@ -39,7 +38,7 @@
     Refuse,
     /// Nothing comes through.
     Cut,
-    /// Its process is gone; each life has a number, so that connections of an earlier one end.
+    /// Its process is gone, and its connections with it.
     Down,
 }
 
@@ -127,27 +126,17 @@
 
     /// Listens for one node at one server.
     pub async fn listen(self: &Rc<Self>, server: usize, node: usize) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
         let floor = self.clone();
-        spawn_local(async move {
-            loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => {
-                        let manner = *floor.manners[server].borrow();
-                        let full = floor.open[server].get() >= floor.most;
-                        if matches!(manner, Manner::Down | Manner::Refuse) || full {
-                            crate::http::reset(stream);
-                        } else if let Ok(conn) = Conn::new(stream) {
-                            spawn_local(floor.clone().connection(server, node, conn));
-                        }
-                    }
-                    // Out of descriptors, say: the rig's own want, and the next one may have room.
-                    Err(_) => sleep(Duration::from_millis(10)).await,
-                }
+        listen(move |stream| {
+            let manner = *floor.manners[server].borrow();
+            let full = floor.open[server].get() >= floor.most;
+            if matches!(manner, Manner::Down | Manner::Refuse) || full {
+                reset(stream);
+            } else if let Ok(conn) = Conn::new(stream) {
+                spawn_local(floor.clone().connection(server, node, conn));
             }
-        });
-        Ok(address)
+        })
+        .await
     }
 
     async fn connection(self: Rc<Self>, server: usize, node: usize, mut conn: Conn) {
@@ -184,16 +173,17 @@
             let got = Instant::now();
             let first = self.us(asked.first.unwrap_or(got));
             let Some(text) = asked.id else {
-                if self.probes && now != Manner::Hang {
-                    let report = self.load(server);
-                    let body = if asked.path == "/load" { Some(report) } else { None };
-                    if let Some(body) = body.or((asked.path == "/healthz").then(String::new)) {
-                        let bytes = [head(200, "", body.len()), body.into_bytes()].concat();
-                        conn.write(&bytes).await.map_err(drop)?;
-                        continue;
-                    }
-                }
-                conn.write(&head(404, "", 0)).await.map_err(drop)?;
+                let body = match asked.path.as_str() {
+                    _ if !self.probes || now == Manner::Hang => None,
+                    "/load" => Some(self.load(server)),
+                    "/healthz" => Some(String::new()),
+                    _ => None,
+                };
+                let bytes = body.map_or_else(
+                    || head(404, "", 0),
+                    |body| [head(200, "", body.len()), body.into_bytes()].concat(),
+                );
+                conn.write(&bytes).await.map_err(drop)?;
                 continue;
             };
             let known = TryId::parse(&text).filter(|id| (id.arrival as usize) < self.plan.arrivals.len());
@@ -213,8 +203,7 @@
                     self.record.borrow_mut().attempts[i].did = did;
                 }
             };
-            let manner_now = *manner.borrow();
-            if manner_now == Manner::Hang {
+            if *manner.borrow() == Manner::Hang {
                 conn.gone().await;
                 return Ok(());
             }
