Decide admission to connections without I/O: one budget, a table, a timing wheel

Change: crates/front has a budget of descriptors and bytes with a floor for each side, given out as leases; the table of connections as a machine with time passed in, on doubly linked lists; and a hierarchical timing wheel. Nothing uses it yet.

--- /dev/null
+++ b/crates/front/tests/front.rs
@@ -0,0 +1,306 @@
+//! Random interleavings against simple models of what is kept.
+
+use slatelink_front::{Budget, Cause, Door, Lease, Phase, Share, Short, Side, Terms, Told, Wheel};
+use std::collections::{BTreeMap, HashMap};
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::Duration;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn address(last: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, 0, last))
+}
+
+// Guards against a leak, a double release, and a side that the others keep from its floor.
+#[test]
+fn a_budget_keeps_its_floors_and_gives_all_back() {
+    for seed in 0..200 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let places = random.usize(3..60);
+        let shares = Side::ALL.map(|_| {
+            let floor = random.usize(0..=places / 3);
+            Share { floor, most: random.usize(floor..=places) }
+        });
+        let bytes = random.usize(0..10_000);
+        let budget = Budget::new(places, shares, bytes).expect("floors of a third each fit");
+        let mut held: Vec<(Side, usize, Lease)> = Vec::new();
+        for _ in 0..2_000 {
+            match random.u8(0..4) {
+                0 | 1 => {
+                    let side = Side::ALL[random.usize(0..3)];
+                    let own = held.iter().filter(|(of, ..)| *of == side).count();
+                    match budget.lease(side) {
+                        Ok(lease) => held.push((side, 0, lease)),
+                        Err(_) => assert!(
+                            own >= shares[side as usize].floor,
+                            "seed {seed}: refused under its floor"
+                        ),
+                    }
+                }
+                2 if !held.is_empty() => drop(held.swap_remove(random.usize(0..held.len()))),
+                _ if !held.is_empty() => {
+                    let wanted = random.usize(0..2_000);
+                    let all: usize = held.iter().map(|(_, bytes, _)| bytes).sum();
+                    let one = random.usize(0..held.len());
+                    let (_, bytes_of, lease) = &mut held[one];
+                    let fits = wanted <= *bytes_of || all - *bytes_of + wanted <= bytes;
+                    assert_eq!(lease.hold(wanted), fits, "seed {seed}");
+                    if fits {
+                        *bytes_of = wanted;
+                    }
+                }
+                _ => {}
+            }
+            let counted = Side::ALL.map(|side| held.iter().filter(|(of, ..)| *of == side).count());
+            assert_eq!(budget.held().places, counted, "seed {seed}");
+            assert_eq!(
+                budget.held().bytes,
+                held.iter().map(|(_, bytes, _)| bytes).sum::<usize>(),
+                "seed {seed}"
+            );
+            assert!(counted.iter().sum::<usize>() <= places, "seed {seed}");
+            assert!(
+                Side::ALL.iter().all(|side| counted[*side as usize] <= budget.most(*side)),
+                "seed {seed}"
+            );
+        }
+        held.clear();
+        assert_eq!(budget.held(), Default::default(), "seed {seed}: all is given back");
+    }
+}
+
+// Guards against one side that lives off its own connections while the other sits on the shared part idly.
+#[test]
+fn the_side_furthest_above_its_floor_is_asked_to_give_way() {
+    let share = |floor| Share { floor, most: 12 };
+    let budget = Budget::new(12, [share(4), share(4), share(0)], 0).expect("fits");
+    let take = |side, count| (0..count).map(|_| budget.lease(side).expect("free")).collect::<Vec<_>>();
+    let clients = take(Side::Clients, 4);
+    let mut servers = take(Side::Servers, 8);
+    assert_eq!(budget.lease(Side::Clients).err(), Some(Short::Other(Side::Servers)));
+    assert_eq!(budget.lease(Side::Servers).err(), Some(Short::Own));
+    servers.pop();
+    assert!(budget.lease(Side::Clients).is_ok());
+    drop(clients);
+    assert_eq!(budget.most(Side::Clients), 8, "the servers' floor stays theirs");
+    assert!(Budget::new(7, [share(4), share(4), share(0)], 0).is_none(), "floors past the whole");
+}
+
+// Guards against timers that are lost, early, doubled or late, however far off and however the work is cut.
+#[test]
+fn a_wheel_fires_what_a_sorted_map_would() {
+    for seed in 0..40 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut wheel = Wheel::default();
+        let mut model: HashMap<u32, Duration> = HashMap::new();
+        let mut now = Duration::ZERO;
+        for _ in 0..3_000 {
+            let id = random.u32(0..64);
+            match random.u8(0..8) {
+                0..=3 => {
+                    let far = [100, 5_000, 60_000, 10_000_000][random.usize(0..4)];
+                    let at = now + ms(random.u64(0..far));
+                    wheel.set(id, at);
+                    model.insert(id, at);
+                }
+                4 => assert_eq!(wheel.cancel(id), model.remove(&id).is_some(), "seed {seed}"),
+                _ => {
+                    let far = [20, 2_000, 100_000, 4_000_000][random.usize(0..4)];
+                    now += ms(random.u64(0..far));
+                    let mut fired = Vec::new();
+                    while !wheel.advance(now, random.usize(1..9), &mut fired) {}
+                    for id in fired {
+                        let at = model.remove(&id).expect("set, and fired once");
+                        assert!(at <= now, "seed {seed}: {at:?} fired at {now:?}");
+                    }
+                    assert!(model.values().all(|at| *at + ms(20) > now), "seed {seed}: late at {now:?}");
+                }
+            }
+            assert_eq!(wheel.len(), model.len(), "seed {seed}");
+        }
+    }
+}
+
+fn door(terms: Terms) -> (Door, Budget) {
+    let share = Share { floor: 0, most: 1 << 20 };
+    let budget = Budget::new(1 << 20, [share; 3], 1_000).expect("fits");
+    (Door::new(Terms { crowd: 1 << 20, idle: ms(10_000), busy: 100, parked: 1, ..terms }), budget)
+}
+
+fn enter(door: &mut Door, budget: &Budget, now: Duration, last: u8) -> u32 {
+    door.enter(now, address(last), budget.lease(Side::Clients).expect("free"))
+}
+
+/// A request and its answer.
+fn converse(door: &mut Door, now: Duration, id: u32) {
+    door.speaks(id).expect("memory is there");
+    door.heard(now, id);
+    door.asked(now, id);
+    assert!(!door.opened(now, id, 0));
+    door.answered(now, id);
+    door.flushed(now, id);
+}
+
+// Guards against counts that drift from what is there, and connections that outlive their time, whatever happens when.
+#[test]
+fn a_table_agrees_with_a_plain_model_through_any_interleaving() {
+    for seed in 0..60 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let (mut door, budget) = door(Terms { per_address: Some(40), ..Terms::default() });
+        let mut now = Duration::ZERO;
+        let mut model: BTreeMap<u32, (Phase, u8)> = BTreeMap::new();
+        let mut left = 0;
+        for _ in 0..2_000 {
+            now += ms(random.u64(0..60));
+            let some = model.keys().nth(random.usize(0..model.len().max(1))).copied();
+            match (random.u8(0..9), some) {
+                (0 | 1, _) => {
+                    let last = random.u8(0..3);
+                    if door.admits(address(last)).is_ok() {
+                        let id = enter(&mut door, &budget, now, last);
+                        assert!(
+                            model.insert(id, (Phase::Silent, last)).is_none(),
+                            "seed {seed}: a number in use"
+                        );
+                    } else {
+                        let count = model.values().filter(|(_, of)| *of == last).count();
+                        assert!(count >= 40, "seed {seed}: kept out with {count}");
+                    }
+                }
+                (2 | 3, Some(id)) if model[&id].0 != Phase::Open => {
+                    if door.speaks(id).is_ok() {
+                        door.heard(now, id);
+                        door.asked(now, id);
+                        door.opened(now, id, 0);
+                        model.get_mut(&id).expect("in").0 = Phase::Open;
+                    }
+                }
+                (4 | 5, Some(id)) if model[&id].0 == Phase::Open => {
+                    door.answered(now, id);
+                    door.flushed(now, id);
+                    model.get_mut(&id).expect("in").0 = Phase::Idle;
+                }
+                (6, Some(id)) => {
+                    door.leave(id);
+                    model.remove(&id);
+                    left += 1;
+                }
+                _ => {
+                    let mut woken = Vec::new();
+                    while !door.advance(now, random.usize(1..5), &mut woken) {}
+                    for id in woken {
+                        match door.told(id) {
+                            Told::Park => {
+                                door.parked(id);
+                                model.get_mut(&id).expect("in").0 = Phase::Parked;
+                            }
+                            Told::Finish | Told::Drop => {
+                                door.leave(id);
+                                model.remove(&id);
+                                left += 1;
+                            }
+                            Told::Stay => {}
+                        }
+                    }
+                }
+            }
+            let figures = door.figures();
+            for phase in Phase::ALL {
+                let count = model.values().filter(|(at, _)| *at == phase).count();
+                assert_eq!(figures.phases[phase as usize], count, "seed {seed}: {phase:?}");
+            }
+            assert_eq!(
+                door.ids().collect::<Vec<_>>(),
+                model.keys().copied().collect::<Vec<_>>(),
+                "seed {seed}"
+            );
+            assert_eq!(figures.closed.iter().sum::<u64>(), left, "seed {seed}");
+            assert_eq!(budget.held().places[0], model.len(), "seed {seed}");
+        }
+        model.keys().for_each(|id| door.leave(*id));
+        assert!(door.is_empty() && budget.held() == Default::default(), "seed {seed}: all is given back");
+    }
+}
+
+// Guards against a thread that is held while a whole crowd's time is up.
+#[test]
+fn a_mass_expiry_is_handed_out_in_parts() {
+    let (mut door, budget) = door(Terms::default());
+    for _ in 0..100_000 {
+        enter(&mut door, &budget, ms(5), 1);
+    }
+    let (mut woken, mut parts) = (Vec::new(), 0);
+    while !door.advance(ms(1_900), 256, &mut woken) {}
+    assert!(woken.is_empty(), "their time is 2 s");
+    while !door.advance(ms(2_100), 256, &mut woken) {
+        assert!(woken.len() <= (parts + 1) * 256);
+        parts += 1;
+    }
+    assert_eq!(woken.len(), 100_000);
+    assert!(parts >= 390, "{parts} parts");
+    assert!(woken.iter().all(|id| door.told(*id) == Told::Finish));
+    woken.iter().for_each(|id| door.leave(*id));
+    assert_eq!(door.figures().closed[Cause::Silent as usize], 100_000);
+}
+
+// Guards against an address, or a class, that takes the whole table.
+#[test]
+fn an_address_gives_up_its_own_idle_connection_first_and_a_class_over_its_share_is_told() {
+    let (mut door, budget) =
+        door(Terms { per_address: Some(2), per_class: vec![None, Some(1)], ..Terms::default() });
+    let first = enter(&mut door, &budget, ms(0), 1);
+    let second = enter(&mut door, &budget, ms(1), 1);
+    assert_eq!(door.admits(address(1)), Err(None), "neither is idle");
+    assert_eq!(door.admits(address(2)), Ok(()), "another address has its own share");
+    converse(&mut door, ms(2), second);
+    converse(&mut door, ms(3), first);
+    assert_eq!(door.admits(address(1)), Err(Some(second)), "idle for longest");
+    assert_eq!(door.told(second), Told::Finish);
+    assert_eq!(door.admits(address(1)), Err(Some(first)), "the next, as that one ends already");
+    door.leave(second);
+    door.leave(first);
+    let figures = door.figures();
+    assert_eq!(figures.closed[Cause::Address as usize], 2);
+    assert_eq!(figures.refused[Cause::Address as usize], 1);
+    let ids = [1, 2].map(|last| enter(&mut door, &budget, ms(4), last));
+    assert!(!door.opened(ms(5), ids[0], 1));
+    assert!(door.opened(ms(5), ids[1], 1), "a second one of a class of one");
+    door.leave(ids[0]);
+    door.answered(ms(6), ids[1]);
+    door.asked(ms(6), ids[1]);
+    assert!(!door.opened(ms(7), ids[1], 1), "what left is counted no more");
+}
+
+// Guards against a burst of a parked crowd that takes more memory than there is.
+#[test]
+fn a_connection_that_speaks_waits_for_memory_which_an_idle_one_gives_up() {
+    let (mut door, budget) = door(Terms::default());
+    let ids: Vec<_> = (0..11).map(|_| enter(&mut door, &budget, ms(0), 1)).collect();
+    ids[..9].iter().for_each(|id| converse(&mut door, ms(1), *id));
+    assert_eq!(budget.held().bytes, 902);
+    assert_eq!(door.speaks(ids[9]), Err(Some(ids[0])));
+    assert_eq!(door.told(ids[0]), Told::Park);
+    door.parked(ids[0]);
+    assert_eq!(door.speaks(ids[9]), Ok(()));
+    assert_eq!(door.speaks(ids[10]), Err(Some(ids[1])));
+}
+
+// Guards against a crowd that keeps idle connections while answered ones close, and against waiting for nothing.
+#[test]
+fn who_gives_way_is_the_one_that_is_missed_least() {
+    let (mut door, budget) = door(Terms::default());
+    let [old, new, silent, half] = [0, 1_500, 2_440, 1_900].map(|at| enter(&mut door, &budget, ms(at), 1));
+    converse(&mut door, ms(10), old);
+    converse(&mut door, ms(2_000), new);
+    door.heard(ms(1_900), half);
+    let next = |door: &mut Door, now| door.make_room(ms(now));
+    assert_eq!(next(&mut door, 2_460), Some(old), "unused for over 2 s; the silent one is too young");
+    assert_eq!(next(&mut door, 2_460), Some(half), "half a request for over 0.5 s");
+    assert_eq!(next(&mut door, 2_460), None, "the silent one may speak yet");
+    assert_eq!(next(&mut door, 2_480), Some(silent));
+    assert_eq!(next(&mut door, 2_480), Some(new), "the idle one, where nobody is silent");
+    assert_eq!(door.told(half), Told::Drop);
+    assert_eq!(door.told(new), Told::Finish);
+}
