--- a/crates/config/src/operators.rs
+++ b/crates/config/src/operators.rs
@@ -1,6 +1,7 @@
 //! The operators' settings of the features: one TOML file, named on the command line and read at the start only.
 
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -26,6 +27,8 @@
     pub audit: Option<Audit>,
     pub hotlist: Option<HotList>,
     pub multiget: Option<MultiGet>,
+    #[serde(default)]
+    pub front: Front,
     #[serde(skip)]
     pub source: Option<Source>,
 }
@@ -134,6 +137,40 @@
     }
 }
 
+/// Section `front`: who may hold how much of the node. All of it has a default.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Front {
+    clients_percent: Option<Within<1, 100>>,
+    servers_floor: Option<Within<1, 1_000_000>>,
+    idle_s: Option<Within<2, 86_400>>,
+    per_address: Option<Within<1, 1_000_000>>,
+    /// Percent of the clients' places that open requests of a class may take, by its name.
+    pub per_class: BTreeMap<String, Within<1, 100>>,
+}
+
+impl Front {
+    /// Of so many descriptors, those that clients use at most: a third, where nothing else is said.
+    pub fn clients_part(&self, descriptors: usize) -> usize {
+        self.clients_percent.map_or(descriptors / 3, |percent| descriptors * percent.0 / 100)
+    }
+
+    /// Of so many descriptors, those that are kept for connections to servers.
+    pub fn servers_floor(&self, descriptors: usize) -> usize {
+        self.servers_floor.map_or(descriptors / 3, |floor| floor.0)
+    }
+
+    /// An idle connection is closed after this.
+    pub fn idle(&self) -> Duration {
+        Duration::from_secs(self.idle_s.map_or(10, |idle| idle.0 as u64))
+    }
+
+    /// Connections of one client address, at most.
+    pub fn per_address(&self) -> Option<usize> {
+        self.per_address.map(|most| most.0)
+    }
+}
+
 /// How a line is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -37,6 +37,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that the node may use; all there is, where nothing is said.
+    pub memory: Option<u64>,
     /// The cache servers as this node last knew them.
     pub known: Listing,
     pub settings: Settings,
@@ -60,6 +62,7 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    memory_mb: Option<u32>,
 }
 
 /// Fewer descriptors than this don't hold the runtime's own and one connection each way.
@@ -91,6 +94,7 @@
         discovery: address(DISCOVERY, file.discovery)?,
         seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
         sockets,
+        memory: file.limits.memory_mb.map(|mb| u64::from(mb) << 20),
         known: file.known,
         settings: read_settings(&pairs)?,
         path,
--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -293,6 +293,8 @@
     pub write: bool,
     /// Whether it is marked as a client's repeat.
     pub client_retry: bool,
+    /// Whether its class has more requests open than its share, or there is no memory for it: it is refused.
+    pub over_share: bool,
 }
 
 impl Request {
@@ -307,6 +309,7 @@
             expected_work: None,
             write: false,
             client_retry: false,
+            over_share: false,
         }
     }
 }
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -330,7 +330,10 @@
                 self.drawn += 1;
                 let luck = unit(mix(self.seed ^ self.drawn));
                 let held = Held { request, attempts: Vec::new(), luck, arrived: now, done: false };
-                self.decide(now, held, actions);
+                match held.request.over_share {
+                    true => self.end(now, held, actions),
+                    false => self.decide(now, held, actions),
+                }
             }
             Event::Outcome(outcome) => self.outcome(now, &outcome, actions),
             Event::Abandoned(id) => self.held.get_mut(&id).into_iter().for_each(|held| held.done = true),
--- a/crates/front/src/door.rs
+++ b/crates/front/src/door.rs
@@ -176,9 +176,15 @@
     ahead: bool,
     /// It is to give up its buffers.
     parking: bool,
-    ending: Option<Cause>,
-    /// The close comes with its answer: nobody needs to be told.
-    quietly: bool,
+    ending: Option<Ending>,
+    /// It has something to say and no memory to be read with.
+    starved: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Ending {
+    cause: Cause,
+    way: Told,
 }
 
 #[derive(Debug, Default)]
@@ -203,6 +209,8 @@
     open_of: Vec<usize>,
     fired: Vec<Id>,
     waiting: usize,
+    /// Connections that wait for memory.
+    starving: usize,
     closed: [u64; Cause::ALL.len()],
     refused: [u64; Cause::ALL.len()],
 }
@@ -222,6 +230,7 @@
             open_of: Vec::new(),
             fired: Vec::new(),
             waiting: 0,
+            starving: 0,
             closed: [0; Cause::ALL.len()],
             refused: [0; Cause::ALL.len()],
         }
@@ -298,7 +307,7 @@
             ahead: false,
             parking: false,
             ending: None,
-            quietly: false,
+            starved: false,
         };
         let id = match self.free.pop() {
             Some(id) => id,
@@ -316,9 +325,10 @@
     /// A connection is over.
     pub fn leave(&mut self, id: Id) {
         let Some(entry) = self.entries.get_mut(id as usize).and_then(Option::take) else { return };
-        self.closed[entry.ending.unwrap_or(Cause::Client) as usize] += 1;
+        self.closed[entry.ending.map_or(Cause::Client, |ending| ending.cause) as usize] += 1;
         self.phases.remove(id);
         self.timers.cancel(id);
+        self.starving -= usize::from(entry.starved);
         self.release(entry.class);
         if let Some(address) = entry.address {
             self.idle_of.remove(id);
@@ -338,13 +348,22 @@
         self.phases.list(id).map_or(Phase::Silent, |phase| Phase::ALL[phase])
     }
 
-    /// Bytes have come, and none of the memory to read them is held yet. `false` where there is none: the one to be woken
-    /// gives up its own, if any does, and this one asks again.
-    pub fn speaks(&mut self, id: Id) -> Result<(), Option<Id>> {
+    /// Bytes have come, and none of the memory to read them is held yet. Where there is none it asks again once some is
+    /// given back, and is closed if none is in the time for a request: `Err` with the one that is to give up its own,
+    /// if any can, and has to be woken.
+    pub fn speaks(&mut self, now: Duration, id: Id) -> Result<(), Option<Id>> {
         let busy = self.terms.busy;
-        if self.entry_mut(id).is_none_or(|entry| entry.lease.hold(busy)) {
+        let Some(entry) = self.entry_mut(id) else { return Ok(()) };
+        if entry.lease.hold(busy) {
+            self.starving -= usize::from(std::mem::take(&mut entry.starved));
             return Ok(());
         }
+        if !std::mem::replace(&mut entry.starved, true) {
+            self.starving += 1;
+            if self.phase(id).is_idle() {
+                self.turn(now, id, Phase::Asking);
+            }
+        }
         let idle = self.phases.iter(Phase::Idle as usize).take(PASSED_OVER);
         let other =
             idle.filter(|other| *other != id).find(|other| self.entry(*other).is_some_and(|e| !e.parking));
@@ -354,6 +373,13 @@
         Err(other)
     }
 
+    /// So many bytes are held beside what a connection in use is counted as, until its answer. `false` where there are not
+    /// that many.
+    pub fn holds(&mut self, id: Id, bytes: usize) -> bool {
+        let bytes = self.terms.busy.saturating_add(bytes);
+        self.entry_mut(id).is_none_or(|entry| entry.lease.hold(bytes))
+    }
+
     /// Bytes were read.
     pub fn heard(&mut self, now: Duration, id: Id) {
         match self.phase(id) {
@@ -396,7 +422,11 @@
 
     /// Its answer is at hand.
     pub fn answered(&mut self, now: Duration, id: Id) {
-        let class = self.entry_mut(id).and_then(|entry| entry.class.take());
+        let busy = self.terms.busy;
+        let class = self.entry_mut(id).and_then(|entry| {
+            entry.lease.hold(busy);
+            entry.class.take()
+        });
         self.release(class);
         self.turn(now, id, Phase::Answering);
     }
@@ -404,7 +434,11 @@
     /// All that was to be written is out.
     pub fn flushed(&mut self, now: Duration, id: Id) {
         if self.phase(id) == Phase::Answering {
-            let ahead = self.entry(id).is_some_and(|entry| entry.ahead);
+            let starving = self.starving > 0;
+            let Some(entry) = self.entry_mut(id) else { return };
+            let ahead = entry.ahead;
+            // Others wait for what it holds.
+            entry.parking = !ahead && starving;
             self.turn(now, id, if ahead { Phase::Asking } else { Phase::Idle });
         }
     }
@@ -426,20 +460,27 @@
         let phase = self.phase(id);
         let Some(entry) = self.entry_mut(id) else { return Told::Drop };
         match entry.ending {
-            Some(_) if entry.quietly => Told::Stay,
-            Some(_) if matches!(phase, Phase::Asking | Phase::Answering) => Told::Drop,
-            Some(_) => Told::Finish,
+            Some(ending) => ending.way,
             // The word may be old: another request may have come since.
             None if std::mem::take(&mut entry.parking) && phase == Phase::Idle => Told::Park,
             None => Told::Stay,
         }
     }
 
-    /// It closes for this cause.
+    /// It closes for this cause: at once where it keeps the node waiting, else when what it has asked is answered. A
+    /// request that crosses the word is read to its end.
     pub fn end(&mut self, id: Id, cause: Cause) {
+        let halting = matches!(self.phase(id), Phase::Asking | Phase::Answering) && cause != Cause::Stop;
+        self.close(id, cause, if halting { Told::Drop } else { Told::Finish });
+    }
+
+    fn close(&mut self, id: Id, cause: Cause, way: Told) {
         if let Some(entry) = self.entry_mut(id) {
-            entry.ending.get_or_insert(cause);
-            entry.quietly = false;
+            // The first cause is the cause; what is to close at once does so whatever was said before.
+            let ending = entry.ending.get_or_insert(Ending { cause, way });
+            if ending.way != Told::Drop {
+                ending.way = way;
+            }
         }
     }
 
@@ -457,8 +498,9 @@
                 return (false, Some(other));
             }
         }
-        if let Some(entry) = self.entry_mut(id).filter(|entry| entry.ending.is_none()) {
-            (entry.ending, entry.quietly) = (Some(Cause::Crowd), true);
+        if self.entry(id).is_some_and(|entry| entry.ending.is_none()) {
+            // Its answer says so: nobody needs to be told.
+            self.close(id, Cause::Crowd, Told::Stay);
         }
         (true, None)
     }
@@ -479,6 +521,14 @@
         Some(found)
     }
 
+    /// Picks one that the terms let close, in favour of another side: one that was not used for long, or never. It has to
+    /// be woken.
+    pub fn spare(&mut self, now: Duration) -> Option<Id> {
+        let found = self.oldest(now, Phase::Silent, SILENCE).or_else(|| self.oldest_idle(now, UNUSED))?;
+        self.end(found, Cause::Room);
+        Some(found)
+    }
+
     /// Ends connections whose time is up and parks idle ones, in no more than `work` steps: those to be woken are appended
     /// to `woken`. `false` where there is more to do now.
     pub fn advance(&mut self, now: Duration, work: usize, woken: &mut Vec<Id>) -> bool {
@@ -489,6 +539,7 @@
             let Some(entry) = self.entry_mut(id) else { continue };
             let over = entry.since + idle;
             let cause = match phase {
+                Phase::Silent | Phase::Asking if entry.starved => Cause::Bytes,
                 Phase::Silent => Cause::Silent,
                 Phase::Asking => Cause::Slow,
                 Phase::Open => continue,
--- a/crates/front/src/wheel.rs
+++ b/crates/front/src/wheel.rs
@@ -95,7 +95,7 @@
             // What is due in the slots above comes down first. One that is left half emptied is taken up again: none of
             // what comes down lands in it anew.
             let at = self.at;
-            for level in (1..LEVELS).rev().filter(|level| at % SLOTS.pow(*level) == 0) {
+            for level in (1..LEVELS).rev().filter(|level| at.is_multiple_of(SLOTS.pow(*level))) {
                 let list = slot_list(level, (at >> (BITS * level)) % SLOTS);
                 while let Some(id) = self.lists.first(list) {
                     if work == 0 {
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -135,7 +135,7 @@
 
 /// A request and its answer.
 fn converse(door: &mut Door, now: Duration, id: u32) {
-    door.speaks(id).expect("memory is there");
+    door.speaks(now, id).expect("memory is there");
     door.heard(now, id);
     door.asked(now, id);
     assert!(!door.opened(now, id, 0));
@@ -170,11 +170,14 @@
                     }
                 }
                 (2 | 3, Some(id)) if model[&id].0 != Phase::Open => {
-                    if door.speaks(id).is_ok() {
+                    let phase = &mut model.get_mut(&id).expect("in").0;
+                    if door.speaks(now, id).is_ok() {
                         door.heard(now, id);
                         door.asked(now, id);
                         door.opened(now, id, 0);
-                        model.get_mut(&id).expect("in").0 = Phase::Open;
+                        *phase = Phase::Open;
+                    } else if *phase != Phase::Silent {
+                        *phase = Phase::Asking;
                     }
                 }
                 (4 | 5, Some(id)) if model[&id].0 == Phase::Open => {
@@ -280,11 +283,16 @@
     let ids: Vec<_> = (0..11).map(|_| enter(&mut door, &budget, ms(0), 1)).collect();
     ids[..9].iter().for_each(|id| converse(&mut door, ms(1), *id));
     assert_eq!(budget.held().bytes, 902);
-    assert_eq!(door.speaks(ids[9]), Err(Some(ids[0])));
+    assert_eq!(door.speaks(ms(2), ids[9]), Err(Some(ids[0])));
     assert_eq!(door.told(ids[0]), Told::Park);
     door.parked(ids[0]);
-    assert_eq!(door.speaks(ids[9]), Ok(()));
-    assert_eq!(door.speaks(ids[10]), Err(Some(ids[1])));
+    assert_eq!(door.speaks(ms(2), ids[9]), Ok(()));
+    assert_eq!(door.speaks(ms(3), ids[10]), Err(Some(ids[1])));
+    let mut woken = Vec::new();
+    while !door.advance(ms(2_100), 64, &mut woken) {}
+    assert!(woken.contains(&ids[10]), "it waits for no longer than a request may take");
+    door.leave(ids[10]);
+    assert_eq!(door.figures().closed[Cause::Bytes as usize], 1);
 }
 
 // Guards against a crowd that keeps idle connections while answered ones close, and against waiting for nothing.
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -39,6 +39,7 @@
     pub expected_work: Option<Duration>,
     pub write: bool,
     pub client_retry: bool,
+    pub over_share: bool,
     pub message: Message,
     pub answer: oneshot::Sender<Answer>,
 }
@@ -258,6 +259,7 @@
             expected_work: taken.expected_work,
             write: taken.write,
             client_retry: taken.client_retry,
+            over_share: taken.over_share,
         }));
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,22 +14,24 @@
 use discovery::Discovery;
 use driver::Driver;
 use multiget::MultiGet;
-use server::{connection, serve, Front, Room, Stage};
+use server::{serve, Connection, Front, Room, Stage, LARGEST_HEAD};
 use slatelink_config::operators;
 use slatelink_config::platform::{self, Config};
-use slatelink_decide::Balancer;
+use slatelink_decide::{Balancer, Name};
+use slatelink_front::{Budget, Share, Side, Terms};
 use slatelink_observe::audit::Stop;
-use slatelink_observe::{Format, Observers};
+use slatelink_observe::{Format, Observer, Observers};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
+use table::Table;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{interval, sleep};
 use upstream::Upstream;
 
 /// New connections keep coming for 0.4 s after SIGTERM: until the front has noticed, the node serves them.
@@ -37,6 +39,19 @@
 /// Descriptors left for the runtime, the listener, discovery and the standard streams.
 const SPARE_SOCKETS: usize = 24;
 
+/// Bytes of a connection in use: hyper's read buffer, parser and task as measured, and a head of the longest.
+const BUSY: usize = (16 << 10) + LARGEST_HEAD;
+/// Of one that holds nothing but its socket.
+const PARKED: usize = 1 << 10;
+/// Of one to a cache server: a read buffer and what is around it.
+const SERVERS: usize = 10 << 10;
+/// Of the program itself, without connections.
+const PROGRAM: u64 = 6 << 20;
+/// Of the clients' places, this part is kept free for those that have no connection yet.
+const FREE_PART: usize = 5;
+/// The table is told of so often.
+const TELL: Duration = Duration::from_secs(1);
+
 /// Runs a node until it is told to stop; on a current-thread runtime, within a `LocalSet`.
 pub async fn run(
     config: Config,
@@ -46,7 +61,7 @@
     // Before anything else: a signal without a handler ends the process.
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
-    let Config { name, listen, discovery, seed, sockets, known, settings, path, text } = config;
+    let Config { name, listen, discovery, seed, sockets, memory, known, settings, path, text } = config;
     let listener =
         TcpListener::bind(listen).await.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
     let side = match wanted.side_port() {
@@ -57,14 +72,11 @@
         }
         None => None,
     };
-    // A request holds a connection of its client for as long as one to a cache server.
-    let most = sockets.saturating_sub(
-        SPARE_SOCKETS + Observers::descriptors(&wanted) + side.as_ref().map_or(0, |_| MultiGet::DESCRIPTORS),
-    ) / 2;
-    if most == 0 {
-        return Err(format!("a limit of {sockets} sockets leaves no room beside the features").into());
-    }
     let classes: Vec<_> = settings.classes.iter().map(|class| class.name.clone()).collect();
+    let beside = side.as_ref().map_or(0, |_| MultiGet::DESCRIPTORS);
+    let places = sockets.saturating_sub(SPARE_SOCKETS + Observers::descriptors(&wanted) + beside);
+    let budget = shares(&wanted, places, sockets, memory)?;
+    let terms = terms(&wanted.front, &classes, &budget, sockets)?;
     let observers = Observers::start(&wanted, &classes, format)?;
     let log = observers.log.clone();
     let stops = observers.stops()?;
@@ -77,8 +89,10 @@
     let (events, inputs) = mpsc::unbounded_channel();
     let (stages, stage) = watch::channel(Stage::Serving);
     let (follow, ready) = (Rc::new(Notify::new()), Rc::default());
-    let upstream = Rc::new(Upstream::new(most, settings.connect_timeout, settings.keepalive));
-    let room = Room::new(most, sockets);
+    let table = Table::new(budget.clone(), Side::Clients, terms.clone());
+    let (connect, keepalive) = (settings.connect_timeout, settings.keepalive);
+    let upstream = Rc::new(Upstream::new(budget.clone(), table.clone(), connect, keepalive));
+    let room = Room { table: table.clone(), servers: upstream.clone() };
     let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone(), log.clone(), room));
     let seq = (!known.hosts.is_empty()).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
@@ -86,21 +100,28 @@
     let watching = Discovery { address, seq, random, events: events.clone(), log: log.clone() };
 
     spawn_local(upstream.clone().sweep());
-    spawn_local(front.room.table.clone().sweep());
+    spawn_local(table.clone().sweep());
+    spawn_local(tell(table, observers.clone()));
     spawn_local(watching.run(follow.clone()));
     spawn_local(reload(hangup, addresses, observers.clone()));
     let balancer = Balancer::new(settings, seed);
-    spawn_local(Driver::new(balancer, upstream, follow, ready, events, observers.clone()).run(known, inputs));
+    let driver_upstream = upstream.clone();
+    spawn_local(
+        Driver::new(balancer, driver_upstream, follow, ready, events, observers.clone()).run(known, inputs),
+    );
     let beside = match side {
         Some(listener) => {
             log.line(&format!("multi-get listens on {}", listener.local_addr()?));
-            let multiget = MultiGet::new(front.clone(), wanted.multiget.unwrap_or_default());
+            // One address may well be all that asks there, and a call is no request of a class.
+            let terms = Terms { crowd: usize::MAX, per_address: None, per_class: Vec::new(), ..terms };
+            let room = Room { table: Table::new(budget, Side::Beside, terms), servers: upstream };
+            let multiget = MultiGet::new(front.clone(), wanted.multiget.unwrap_or_default(), room);
             Some(spawn_local(multiget.serve(listener)))
         }
         None => None,
     };
     let (room, stage) = (front.room.clone(), front.stage.clone());
-    let connection = move |stream, place| connection(stream, place, front.clone());
+    let connection = move |stream, place| Connection::new(stream, place, front.clone());
     let serving = spawn_local(serve(listener, room, stage, log.clone(), connection));
 
     let drained = async {
@@ -130,6 +151,70 @@
     Ok(if by == Stop::TERMINATE { ExitCode::SUCCESS } else { ExitCode::from(128 + by.number) })
 }
 
+/// One budget for all connections, with a floor for each side.
+fn shares(
+    wanted: &operators::Settings,
+    places: usize,
+    sockets: usize,
+    memory: Option<u64>,
+) -> Result<Budget, String> {
+    let beside = wanted.side_port().map_or(0, |_| MultiGet::CONNECTIONS);
+    // Of three quarters: the rest is for how memory is cut up. A third of it is the servers' connections'.
+    let bytes = memory.map_or(usize::MAX, |memory| {
+        usize::try_from((memory / 4 * 3).saturating_sub(PROGRAM)).unwrap_or(usize::MAX).max(BUSY * 32)
+    });
+    let most = places.min(bytes / 3 / SERVERS);
+    let servers = Share { floor: wanted.front.servers_floor(places).min(most), most };
+    let left = places.saturating_sub(servers.floor + beside);
+    let clients = Share { floor: (sockets / 3).min(places / 2).min(left), most: places };
+    let beside = Share { floor: beside, most: beside };
+    let budget = Budget::new(places, [clients, servers, beside], bytes / 3 * 2);
+    budget.filter(|budget| budget.most(Side::Clients) > 0 && budget.most(Side::Servers) > 0).ok_or_else(
+        || {
+            format!(
+            "a limit of {sockets} sockets leaves {places} beside the features: not enough for {} to servers \
+             (front.servers_floor), {} of the side port, and clients",
+            servers.floor, beside.floor
+        )
+        },
+    )
+}
+
+/// What holds for the table of clients' connections.
+fn terms(
+    wanted: &operators::Front,
+    classes: &[Name],
+    budget: &Budget,
+    sockets: usize,
+) -> Result<Terms, String> {
+    if let Some(name) =
+        wanted.per_class.keys().find(|name| !classes.iter().any(|class| class.as_str() == *name))
+    {
+        let known: Vec<_> = classes.iter().map(Name::as_str).collect();
+        return Err(format!("front.per_class names {name:?}: the classes are {}", known.join(", ")));
+    }
+    let usable = budget.most(Side::Clients).min(wanted.clients_part(sockets));
+    let share =
+        |class: &Name| wanted.per_class.get(class.as_str()).map(|part| (usable * part.0 / 100).max(1));
+    Ok(Terms {
+        crowd: (usable - usable / FREE_PART).max(1),
+        idle: wanted.idle(),
+        per_address: wanted.per_address(),
+        per_class: classes.iter().map(share).collect(),
+        busy: BUSY,
+        parked: PARKED,
+    })
+}
+
+/// Tells whoever watches of the table, for as long as the node runs.
+async fn tell(table: Rc<Table>, observers: Rc<Observers>) {
+    let mut turns = interval(TELL);
+    loop {
+        turns.tick().await;
+        observers.connections(&table.figures());
+    }
+}
+
 /// Takes the configuration's `discovery` anew at each SIGHUP; the rest of it holds from the start. A file that
 /// cannot be used is one line in the log, and what the node had goes on.
 async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, observers: Rc<Observers>) {
--- a/crates/node/src/multiget.rs
+++ b/crates/node/src/multiget.rs
@@ -3,7 +3,7 @@
 
 use crate::driver::Answer;
 use crate::server::{self, ask, key_number, plain, read_body, read_terms, Front, Room, Terms};
-use crate::table::Place;
+use crate::table::{Heard, Place};
 use crate::upstream::Message;
 use bytes::Bytes;
 use http_body_util::{Either, Full};
@@ -26,8 +26,6 @@
 use tokio::task::JoinSet;
 use tokio::time::{timeout, timeout_at, Instant};
 
-/// Connections that the side port holds at most; their descriptors come out of the node's limit.
-const CONNECTIONS: usize = 8;
 /// Items are given up so long before the client's time is up: later, the driver's own end of their time would come
 /// first, and what is unfinished would read as failed.
 const EARLY: Duration = Duration::from_millis(10);
@@ -117,11 +115,13 @@
 }
 
 impl MultiGet {
-    /// Descriptors that it holds: its listener's and its connections'.
-    pub const DESCRIPTORS: usize = 1 + CONNECTIONS;
+    /// Descriptors that it holds beside its connections: its listener's.
+    pub const DESCRIPTORS: usize = 1;
+    /// Connections that it may hold at once.
+    pub const CONNECTIONS: usize = 8;
 
-    pub fn new(front: Rc<Front>, settings: Settings) -> Rc<Self> {
-        Rc::new(Self { front, settings, room: Rc::new(Room::new(CONNECTIONS, usize::MAX)) })
+    pub fn new(front: Rc<Front>, settings: Settings, room: Room) -> Rc<Self> {
+        Rc::new(Self { front, settings, room: Rc::new(room) })
     }
 
     /// Serves until the node closes and every connection has ended.
@@ -136,6 +136,7 @@
 }
 
 async fn connection(stream: TcpStream, place: Place, side: Rc<MultiGet>) {
+    let place = Rc::new(place);
     let service = service_fn(async |request| {
         place.asked();
         let response = respond(&side, &place, request).await.unwrap_or_else(|rejected| {
@@ -148,9 +149,9 @@
     // One call a connection: so its time has a bound, whatever its client takes of the answer.
     http.max_buf_size(server::LARGEST_HEAD).keep_alive(false);
     let longest = side.front.classes.iter().map(|(_, deadline)| *deadline).max().unwrap_or_default();
-    let mut serving = http.serve_connection(place.watch(stream), service);
+    let mut serving = http.serve_connection(Heard::new(stream, place.clone()), service);
     // With one call a connection it is never idle for long, and parked is as good as over.
-    let driven = place.drive(&mut serving, |serving| serving.graceful_shutdown(), side.front.stage.clone());
+    let driven = place.drive(&mut serving, |serving| serving.graceful_shutdown());
     // Cut off, it is as if its client had left.
     let _ = timeout(longest + AROUND, driven).await;
 }
@@ -185,7 +186,7 @@
     if !items.iter().all(|item| ids.insert(&item.id)) {
         return Err(bad("a req_id stands twice"));
     }
-    place.opened();
+    place.opened(terms.class.0);
     // A line waits here for the one before it to be taken: so few are held, however large they are.
     let (sender, lines) = channel(1);
     let (until, parallel) = (at + terms.patience, side.settings.parallel());
@@ -232,8 +233,7 @@
         line.status = Some(StatusCode::CONFLICT.as_u16());
         return line.write();
     };
-    // The places are there for as long as the node is.
-    let _place = front.room.place().await.ok()?;
+    let _place = front.room.lease().await;
     let at = Instant::now();
     let terms = Terms { patience: until.saturating_duration_since(at), ..terms };
     let (target, key) = (item.target, key_number(&item.key));
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::driver::{Answer, Input, Taken};
 use crate::table::{Driven, Heard, Place, Table};
-use crate::upstream::{Message, OpenIds, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
+use crate::upstream::{Message, OpenIds, Upstream, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -11,6 +11,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use slatelink_decide::{ClassId, Name, Settings, TenantId};
+use slatelink_front::{Lease, Side};
 use slatelink_observe::Log;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -19,11 +20,11 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::str::FromStr;
-use std::sync::Arc;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{oneshot, watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, Instant};
 
 pub const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
@@ -35,8 +36,6 @@
 pub const LARGEST_HEAD: usize = 16 << 10;
 /// After a failed accept (no descriptor left, say) the next one waits: tried at once, it would fail and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// A full table in which nothing can give way yet is looked at again after this.
-const ROOM_PAUSE: Duration = Duration::from_millis(10);
 
 /// How far the node is in stopping.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -88,40 +87,24 @@
 
 /// The places that a port has for connections.
 pub struct Room {
-    slots: Arc<Semaphore>,
-    most: usize,
     pub table: Rc<Table>,
+    /// Its connections share the budget.
+    pub servers: Rc<Upstream>,
 }
 
 impl Room {
-    /// `most` places on a node that may hold `descriptors`.
-    pub fn new(most: usize, descriptors: usize) -> Self {
-        Self { slots: Arc::new(Semaphore::new(most)), most, table: Rc::new(Table::new(most, descriptors)) }
+    fn others(&self, side: Side) -> bool {
+        side == Side::Servers && self.servers.give_way()
     }
 
-    /// Waits for a place. Clients keep the connections they have: left idle, they would keep all others out of a
-    /// full table, and the machine takes requests on connections that the node has not accepted yet.
-    pub async fn place(&self) -> std::io::Result<OwnedSemaphorePermit> {
-        loop {
-            self.table.full.set(self.slots.available_permits() == 0);
-            if !self.table.full.get() || self.table.make_room() {
-                break;
-            }
-            sleep(ROOM_PAUSE).await;
-        }
-        self.slots.clone().acquire_owned().await.map_err(std::io::Error::other)
-    }
-
-    /// Waits until all places are free, and keeps nobody from one meanwhile.
-    async fn empty(&self) {
-        while self.slots.available_permits() < self.most {
-            sleep(ROOM_PAUSE).await;
-        }
+    /// A place that is taken without a connection, for what counts as one.
+    pub async fn lease(&self) -> Lease {
+        self.table.lease(|side| self.others(side)).await
     }
 }
 
-/// Accepts and serves until the node closes, then returns when every connection has ended. Connections past those
-/// that there is room for wait unaccepted.
+/// Accepts and serves until the node closes, then returns when every connection has ended. One that there is no room for
+/// is accepted and waits, and those behind it wait unaccepted.
 pub async fn serve<F: Future<Output = ()> + 'static>(
     listener: TcpListener,
     room: Rc<Room>,
@@ -138,11 +121,9 @@
             _ = &mut closing => break,
         };
         match accepted {
-            Ok((stream, slot)) => {
-                // In the table at once: room that is made before it is first polled must see it.
-                // Spawned as it is: a future that waits for another one holds it twice.
-                tokio::task::spawn_local(connection(stream, Place::new(room.table.clone(), slot)));
-            }
+            // In the table at once: room that is made before it is first polled must see it.
+            Ok(Some((stream, place))) => drop(tokio::task::spawn_local(connection(stream, place))),
+            Ok(None) => {}
             Err(error) => {
                 log.line(&format!("accept: {error}"));
                 sleep(ACCEPT_PAUSE).await;
@@ -150,54 +131,79 @@
         }
     }
     drop(listener);
-    room.empty().await;
+    room.table.close().await;
 }
 
-async fn accept(listener: &TcpListener, room: &Room) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
-    let slot = room.place().await?;
-    let (stream, _) = listener.accept().await?;
+async fn accept(listener: &TcpListener, room: &Room) -> std::io::Result<Option<(TcpStream, Place)>> {
+    let (stream, from) = listener.accept().await?;
     stream.set_nodelay(true)?;
-    Ok((stream, slot))
+    let place = room.table.admit(from.ip(), |side| room.others(side)).await;
+    Ok(place.map(|place| (stream, place)))
 }
 
-/// A client's connection, to its end.
-pub async fn connection(stream: TcpStream, place: Place, front: Rc<Front>) {
-    let mut heard = place.watch(stream);
-    loop {
-        let idle = busy(heard, &place, &front).await;
-        let Some(idle) = idle else { return };
-        if !place.parked(&idle, front.stage.clone()).await {
-            return;
-        }
-        heard = idle;
+/// A client's connection, to its end. Between requests it holds nothing but its socket: hyper's part, with buffers and
+/// parser, is in a box of its own, made when the client speaks and gone a while after it has its answer.
+pub struct Connection {
+    place: Rc<Place>,
+    front: Rc<Front>,
+    state: State,
+}
+
+enum State {
+    Parked(Heard),
+    Busy(Pin<Box<dyn Future<Output = Option<Heard>>>>),
+    Over,
+}
+
+impl Connection {
+    pub fn new(stream: TcpStream, place: Place, front: Rc<Front>) -> Self {
+        let place = Rc::new(place);
+        let state = State::Parked(Heard::new(stream, place.clone()));
+        Self { place, front, state }
     }
 }
 
-/// Serves a connection until it ends, or has been idle for a while: then its socket is given back. In a box of its own,
-/// which is gone while the connection is parked.
-fn busy<'a>(
-    heard: Heard,
-    place: &'a Place,
-    front: &'a Front,
-) -> Pin<Box<dyn Future<Output = Option<Heard>> + 'a>> {
-    Box::pin(async move {
-        let service = service_fn(async |request| {
-            place.asked();
-            let response = respond(front, place, request).await;
-            place.answered();
-            Ok::<_, Infallible>(response)
-        });
-        let mut http = http1::Builder::new();
-        http.max_buf_size(LARGEST_HEAD);
-        let mut serving = http.serve_connection(heard, service);
-        match place.drive(&mut serving, |serving| serving.graceful_shutdown(), front.stage.clone()).await {
-            Driven::Over => None,
-            Driven::Park => {
-                let parts = serving.into_parts();
-                Some(place.park(parts.io, parts.read_buf))
+impl Future for Connection {
+    type Output = ();
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let this = &mut *self;
+        loop {
+            match &mut this.state {
+                State::Parked(heard) => {
+                    if !ready!(this.place.poll_spoken(heard, cx)) {
+                        this.state = State::Over;
+                    } else if let State::Parked(heard) = std::mem::replace(&mut this.state, State::Over) {
+                        this.state =
+                            State::Busy(Box::pin(busy(heard, this.place.clone(), this.front.clone())));
+                    }
+                }
+                State::Busy(busy) => {
+                    this.state = ready!(busy.as_mut().poll(cx)).map_or(State::Over, State::Parked)
+                }
+                State::Over => return Poll::Ready(()),
             }
         }
-    })
+    }
+}
+
+/// Serves a connection until it ends, or has been idle for a while: then its socket is given back.
+async fn busy(heard: Heard, place: Rc<Place>, front: Rc<Front>) -> Option<Heard> {
+    let service = service_fn(async |request| {
+        place.asked();
+        let response = respond(&front, &place, request).await;
+        place.answered();
+        Ok::<_, Infallible>(response)
+    });
+    let mut http = http1::Builder::new();
+    http.max_buf_size(LARGEST_HEAD);
+    let mut serving = http.serve_connection(heard, service);
+    match place.drive(&mut serving, |serving| serving.graceful_shutdown()).await {
+        Driven::Over => None,
+        Driven::Park => {
+            let parts = serving.into_parts();
+            Some(place.park(parts.io, parts.read_buf))
+        }
+    }
 }
 
 /// Tells the driver of a client that left: hyper drops the answer's future with its connection.
@@ -258,12 +264,17 @@
     if head.headers.contains_key(TRANSFER_ENCODING) {
         return Err(plain(StatusCode::LENGTH_REQUIRED, "a body needs a Content-Length"));
     }
-    let asked = read_head(front, &head.headers).map_err(|what| plain(StatusCode::BAD_REQUEST, what))?;
-    let body = read_body(body).await?;
+    let mut asked = read_head(front, &head.headers).map_err(|what| plain(StatusCode::BAD_REQUEST, what))?;
+    // Where there is no memory for it the body stays unread: the request is refused.
+    let large = body.size_hint().lower().min(LARGEST_BODY as u64) as usize;
+    let (fits, body) = match place.holds(large) {
+        true => (true, read_body(body).await?),
+        false => (false, Bytes::new()),
+    };
     // Sent on, it would be a second copy of another client's request.
     let id =
         front.open.enter(asked.id).ok_or_else(|| plain(StatusCode::CONFLICT, "Req-Id is open already"))?;
-    place.opened();
+    asked.terms.over_share = place.opened(asked.terms.class.0) || !fits;
     let message = Message { method: head.method, target, id, idempotency_key: asked.idempotency_key, body };
     Ok(reply(ask(front, at, key, asked.terms, message).await))
 }
@@ -296,6 +307,8 @@
     pub tenant: Option<TenantId>,
     pub expected_work: Option<Duration>,
     pub client_retry: bool,
+    /// Its class, or all requests, hold all of what they may already.
+    pub over_share: bool,
 }
 
 fn read_head(front: &Front, headers: &HeaderMap) -> Result<Asked, &'static str> {
@@ -330,6 +343,7 @@
         tenant,
         expected_work: cost.map(|us| Duration::from_micros(us.into())),
         client_retry: text(headers, &REQ_RETRY)? == Some("1"),
+        over_share: false,
     })
 }
 
@@ -375,6 +389,7 @@
         expected_work: terms.expected_work,
         write: message.method == Method::PUT,
         client_retry: terms.client_retry,
+        over_share: terms.over_share,
         message,
         answer: sender,
     };
--- a/crates/node/src/table.rs
+++ b/crates/node/src/table.rs
@@ -1,318 +1,298 @@
-//! The table of clients' connections: what each is at, how long it may be, and which one gives way when no
-//! place is left.
+//! The sockets behind the table of clients' connections: what the table says of each is done here.
 
-use crate::server::Stage;
 use bytes::Bytes;
 use hyper::rt::{Read, ReadBufCursor, Write};
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
-use std::future::Future;
+use slatelink_front::{Budget, Cause, Door, Figures, Id, Lease, Lists, Short, Side, Terms, Told};
+use std::cell::RefCell;
+use std::future::{poll_fn, Future};
 use std::io;
-use std::pin::{pin, Pin};
+use std::net::IpAddr;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{watch, Notify, OwnedSemaphorePermit};
-use tokio::time::{interval, Instant};
-
-/// From its first byte, or from the connection's start for the first one, a request has come whole by then. A
-/// client is owed an error or a close within 3 s, whatever it sends or leaves out.
-const ASKING: Duration = Duration::from_secs(2);
-/// A client that does not take its answer holds its place for no longer than this.
-const TAKING: Duration = Duration::from_secs(4);
-/// An idle connection is kept for so long: many clients ask once and never close.
-const IDLE: Duration = Duration::from_secs(10);
-/// One that has been idle for so long gives its buffers and parser back; a client in a conversation asks sooner.
-const PARK: Duration = Duration::from_millis(300);
-/// One that has said nothing for so long gives way where there is no room; a usual client asks at once.
-const SILENCE: Duration = Duration::from_millis(30);
-/// One that has been idle for so long is hardly missed.
-const UNUSED: Duration = Duration::from_secs(2);
-/// A request that is still on its way after so long gives way; usual ones come within a few packets.
-const HALTING: Duration = Duration::from_millis(500);
-const SWEEP: Duration = Duration::from_millis(100);
+use tokio::sync::Notify;
+use tokio::task::yield_now;
+use tokio::time::{interval, timeout, Instant};
+
+const SWEEP: Duration = Duration::from_millis(50);
+/// Connections that are told of at once: others' work goes on between two such parts.
+const PART: usize = 256;
+/// A wait for a place looks again after this: a place may come from elsewhere than this table.
+const ROOM_PAUSE: Duration = Duration::from_millis(10);
+/// One that was asked to give way is waited for so many looks before another one is asked.
+const LOOKS: u32 = 10;
 /// Bytes read from a socket at once.
 const READ: usize = 8 << 10;
 
-/// Clients use at most this part of the node's descriptors for their requests: connections that stand idle in it
-/// keep every other client from opening one, although the node has places left.
-const CLIENTS_PART: usize = 3;
-/// Of the places that clients can use, this part is kept free for those that have no connection yet.
-const FREE_PART: usize = 5;
-
-/// What a connection is at.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    /// Nothing has come yet.
-    Silent,
-    /// A request is coming.
-    Asking,
-    /// A request is with the driver.
-    Open,
-    /// An answer is being written.
-    Answering,
-    /// All that came is answered.
-    Idle,
-    /// So for a while: it holds nothing but its socket.
-    Parked,
-}
-
-impl Phase {
-    const COUNT: usize = 6;
-
-    fn limit(self) -> Option<Duration> {
-        match self {
-            Self::Silent | Self::Asking => Some(ASKING),
-            Self::Open => None,
-            Self::Answering => Some(TAKING),
-            Self::Idle | Self::Parked => Some(IDLE),
-        }
-    }
-}
-
-#[derive(Debug)]
-struct State {
-    number: u64,
-    order: Rc<Order>,
-    phase: Cell<Phase>,
-    since: Cell<Instant>,
-    /// Bytes came before the answer to the last request was out: the next request has begun.
-    ahead: Cell<bool>,
-    /// It was told to end.
-    leaving: Cell<bool>,
-    close: Notify,
-    park: Notify,
+/// All connections of one port.
+pub struct Table {
+    door: RefCell<Door>,
+    budget: Budget,
+    side: Side,
+    origin: Instant,
+    /// By number.
+    wakers: RefCell<Vec<Option<Waker>>>,
+    /// Those that have something to say and no memory to be read with.
+    starved: RefCell<Lists>,
+    freed: Notify,
 }
 
-impl State {
-    fn enter(&self, phase: Phase) {
-        self.turn(phase, Instant::now());
-    }
-
-    fn turn(&self, phase: Phase, since: Instant) {
-        self.order.of(self.phase.get()).remove(&(self.since.get(), self.number));
-        self.phase.set(phase);
-        self.since.set(since);
-        self.order.of(phase).insert((since, self.number));
+impl Table {
+    /// A table whose connections are this side's of the budget.
+    pub fn new(budget: Budget, side: Side, terms: Terms) -> Rc<Self> {
+        Rc::new(Self {
+            door: RefCell::new(Door::new(terms)),
+            budget,
+            side,
+            origin: Instant::now(),
+            wakers: RefCell::default(),
+            starved: RefCell::new(Lists::new(1)),
+            freed: Notify::new(),
+        })
     }
 
-    fn end(&self) {
-        self.leaving.set(true);
-        self.close.notify_one();
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
     }
-}
-
-/// The connections of each phase, by when they entered it: what is asked at each answer, how many there are and
-/// which is the oldest, is known without a walk over all of them.
-#[derive(Debug, Default)]
-struct Order([RefCell<BTreeSet<(Instant, u64)>>; Phase::COUNT]);
 
-impl Order {
-    fn of(&self, phase: Phase) -> std::cell::RefMut<'_, BTreeSet<(Instant, u64)>> {
-        self.0[phase as usize].borrow_mut()
+    /// What there is to tell.
+    pub fn figures(&self) -> Figures {
+        self.door.borrow().figures()
     }
-}
-
-/// All connections of clients.
-#[derive(Debug)]
-pub struct Table {
-    next: Cell<u64>,
-    /// No place is left: others may wait unaccepted.
-    pub full: Cell<bool>,
-    /// With so many used connections, an answered one gives way to clients that have none.
-    crowd: usize,
-    order: Rc<Order>,
-    states: RefCell<BTreeMap<u64, Rc<State>>>,
-}
 
-impl Table {
-    /// A table of `places` on a node that may hold `descriptors`.
-    pub fn new(places: usize, descriptors: usize) -> Self {
-        let usable = places.min(descriptors / CLIENTS_PART);
-        Self {
-            next: Cell::default(),
-            full: Cell::default(),
-            crowd: (usable - usable / FREE_PART).max(1),
-            order: Rc::default(),
-            states: RefCell::default(),
+    fn wake(&self, id: Id) {
+        let waker = self.wakers.borrow().get(id as usize).cloned().flatten();
+        // One that was never polled is in the queue to be.
+        if let Some(waker) = waker {
+            waker.wake();
         }
     }
 
-    /// The one that has been in this phase for longest, if that is `age` or more, but for those that end anyway.
-    fn oldest(&self, phase: Phase, age: Duration) -> Option<Rc<State>> {
-        let states = self.states.borrow();
-        let order = self.order.of(phase);
-        let staying = |&&(_, number): &&(Instant, u64)| states.get(&number).is_some_and(|s| !s.leaving.get());
-        let (since, number) = order.iter().find(staying)?;
-        states.get(number).filter(|_| since.elapsed() >= age).cloned()
+    /// Asks the connection that is missed least to close. `false` where none can yet.
+    pub fn make_room(&self) -> bool {
+        let found = self.door.borrow_mut().make_room(self.now());
+        found.inspect(|id| self.wake(*id)).is_some()
     }
 
-    /// The one that has been idle for longest, if that is `age` or more. Those that are parked have been so for longer
-    /// than the others.
-    fn oldest_idle(&self, age: Duration) -> Option<Rc<State>> {
-        self.oldest(Phase::Parked, age).or_else(|| self.oldest(Phase::Idle, age))
+    /// Asks one that the terms let close to do so, for a connection to a server. `false` where there is none.
+    pub fn spare(&self) -> bool {
+        let found = self.door.borrow_mut().spare(self.now());
+        found.inspect(|id| self.wake(*id)).is_some()
     }
 
-    /// Asks one to close in favour of one that waits unaccepted. `false` where none can yet. A silent flood lives
-    /// off itself first; but it must not wait for itself either, with usual clients behind it, while connections
-    /// that nobody uses or half requests hold the other places.
-    pub fn make_room(&self) -> bool {
-        let found = self
-            .oldest(Phase::Silent, SILENCE)
-            .or_else(|| self.oldest_idle(UNUSED))
-            .or_else(|| self.oldest(Phase::Asking, HALTING))
-            .or_else(|| {
-                self.oldest_idle(Duration::ZERO)
-                    .filter(|_| self.oldest(Phase::Silent, Duration::ZERO).is_none())
-            });
-        found.inspect(|state| state.end()).is_some()
+    /// Waits for a place for a connection of this address that is accepted. `others` asks another side of the budget
+    /// for one. `None` where its address has all it may.
+    pub async fn admit(self: &Rc<Self>, address: IpAddr, others: impl Fn(Side) -> bool) -> Option<Place> {
+        let admitted = self.door.borrow_mut().admits(address);
+        if let Err(oldest) = admitted {
+            // Its own idle one makes room for it, and is as good as closed.
+            self.wake(oldest?);
+        }
+        let lease = self.lease(others).await;
+        let id = self.door.borrow_mut().enter(self.now(), address, lease);
+        let mut wakers = self.wakers.borrow_mut();
+        if wakers.len() <= id as usize {
+            wakers.resize(id as usize + 1, None);
+        }
+        wakers[id as usize] = None;
+        Some(Place { table: self.clone(), id })
     }
 
-    /// Whether so many connections are used that one which is being answered must give way. One that may be
-    /// closed by the terms, since nobody has used it for long, goes in its place.
-    fn crowded(&self) -> bool {
-        let used = [Phase::Open, Phase::Answering, Phase::Idle, Phase::Parked]
-            .map(|phase| self.order.of(phase).len());
-        used.iter().sum::<usize>() >= self.crowd
-            && self.oldest_idle(UNUSED).inspect(|state| state.end()).is_none()
+    /// Waits for a place. Clients keep the connections they have: left idle, they would keep all others out.
+    pub async fn lease(&self, others: impl Fn(Side) -> bool) -> Lease {
+        struct Waits<'a>(&'a Table);
+        impl Drop for Waits<'_> {
+            fn drop(&mut self) {
+                self.0.door.borrow_mut().waited();
+            }
+        }
+        let mut waits = None;
+        let mut asked = 0;
+        loop {
+            let short = match self.budget.lease(self.side) {
+                Ok(lease) => return lease,
+                Err(short) => short,
+            };
+            waits.get_or_insert_with(|| {
+                self.door.borrow_mut().wait();
+                Waits(self)
+            });
+            if asked == 0 {
+                let made = match short {
+                    Short::Other(side) => others(side) || self.make_room(),
+                    Short::Own => self.make_room(),
+                };
+                asked = if made { LOOKS } else { 0 };
+            } else {
+                asked -= 1;
+            }
+            let _ = timeout(ROOM_PAUSE, self.freed.notified()).await;
+        }
     }
 
     /// Ends connections whose time is up, for as long as the node runs.
     pub async fn sweep(self: Rc<Self>) {
         let mut turns = interval(SWEEP);
+        let mut woken = Vec::with_capacity(PART);
         loop {
             turns.tick().await;
-            let states = self.states.borrow();
-            for phase in [Phase::Silent, Phase::Asking, Phase::Answering, Phase::Idle, Phase::Parked] {
-                let Some(limit) = phase.limit() else { continue };
-                let order = self.order.of(phase);
-                let over = order.iter().take_while(|(since, _)| since.elapsed() > limit);
-                over.filter_map(|(_, number)| states.get(number)).for_each(|state| state.end());
+            loop {
+                let done = self.door.borrow_mut().advance(self.now(), PART, &mut woken);
+                woken.drain(..).for_each(|id| self.wake(id));
+                if done {
+                    break;
+                }
+                yield_now().await;
             }
-            let order = self.order.of(Phase::Idle);
-            let long = order.iter().take_while(|(since, _)| since.elapsed() > PARK);
-            long.filter_map(|(_, number)| states.get(number)).for_each(|state| state.park.notify_one());
+        }
+    }
+
+    /// Tells all connections to finish what they have taken and close; returns once all have.
+    pub async fn close(&self) {
+        let ids: Vec<_> = self.door.borrow().ids().collect();
+        for part in ids.chunks(PART) {
+            for id in part {
+                self.door.borrow_mut().end(*id, Cause::Stop);
+                self.wake(*id);
+            }
+            yield_now().await;
+        }
+        while !self.door.borrow().is_empty() {
+            let _ = timeout(ROOM_PAUSE, self.freed.notified()).await;
+        }
+    }
+
+    fn fed(&self) {
+        let mut starved = self.starved.borrow_mut();
+        if let Some(id) = starved.first(0) {
+            starved.remove(id);
+            self.wake(id);
         }
     }
 }
 
 /// A connection's place in the table.
-#[derive(Debug)]
 pub struct Place {
     table: Rc<Table>,
-    number: u64,
-    state: Rc<State>,
-    _slot: OwnedSemaphorePermit,
+    id: Id,
 }
 
 impl Place {
-    pub fn new(table: Rc<Table>, slot: OwnedSemaphorePermit) -> Self {
-        let number = table.next.replace(table.next.get() + 1);
-        let since = Instant::now();
-        let order = table.order.clone();
-        order.of(Phase::Silent).insert((since, number));
-        let state = Rc::new(State {
-            number,
-            order,
-            phase: Cell::new(Phase::Silent),
-            since: Cell::new(since),
-            ahead: Cell::default(),
-            leaving: Cell::default(),
-            close: Notify::new(),
-            park: Notify::new(),
-        });
-        table.states.borrow_mut().insert(number, state.clone());
-        Self { table, number, state, _slot: slot }
+    /// What is polled with this context is woken where the table has something to tell it.
+    pub fn follow(&self, cx: &Context<'_>) {
+        if let Some(waker) = self.table.wakers.borrow_mut().get_mut(self.id as usize) {
+            // A task's waker stays the same for as long as it runs.
+            waker.get_or_insert_with(|| cx.waker().clone());
+        }
+    }
+
+    fn told(&self) -> Told {
+        self.table.door.borrow_mut().told(self.id)
     }
 
     /// Whether others may wait for this one, which is about to be answered.
     pub fn wanted(&self) -> bool {
-        self.table.full.get() || self.table.crowded()
+        let (wanted, other) = self.table.door.borrow_mut().gives_way(self.table.now(), self.id);
+        if let Some(other) = other {
+            self.table.wake(other);
+        }
+        wanted
     }
 
     /// A request's head has come; its body may follow.
     pub fn asked(&self) {
-        self.state.ahead.set(false);
-        if !matches!(self.state.phase.get(), Phase::Silent | Phase::Asking) {
-            self.state.enter(Phase::Asking);
-        }
+        self.table.door.borrow_mut().asked(self.table.now(), self.id);
     }
 
-    /// A request has come whole.
-    pub fn opened(&self) {
-        self.state.enter(Phase::Open);
+    /// A request of this class has come whole. Whether its class has more of them open than its share.
+    pub fn opened(&self, class: usize) -> bool {
+        self.table.door.borrow_mut().opened(self.table.now(), self.id, class)
     }
 
-    /// Its answer is at hand.
-    pub fn answered(&self) {
-        self.state.enter(Phase::Answering);
+    /// So many more bytes are held for its request, until the answer. `false` where there is no memory for them.
+    pub fn holds(&self, bytes: usize) -> bool {
+        self.table.door.borrow_mut().holds(self.id, bytes)
     }
 
-    /// The socket, which tells the table what passes on it.
-    pub fn watch(&self, stream: TcpStream) -> Heard {
-        Heard { stream, state: self.state.clone(), before: Bytes::new() }
+    /// Its answer is at hand.
+    pub fn answered(&self) {
+        self.table.door.borrow_mut().answered(self.table.now(), self.id);
     }
 
     /// The connection gives up all but its socket; `before` was read from that and not used.
     pub fn park(&self, heard: Heard, before: Bytes) -> Heard {
-        self.state.turn(Phase::Parked, self.state.since.get());
+        self.table.door.borrow_mut().parked(self.id);
+        self.table.fed();
         // As it comes it would keep all of the buffer that it was read into.
         Heard { before: Bytes::copy_from_slice(&before), ..heard }
     }
 
-    /// Waits until a parked connection's client speaks or leaves. `false` where the node ends it first.
-    pub async fn parked(&self, heard: &Heard, mut stage: watch::Receiver<Stage>) -> bool {
-        if !heard.before.is_empty() {
-            return true;
+    /// Waits until a connection that holds nothing but its socket speaks, and there is memory to read it. `false` where
+    /// the node ends it first, or it is broken.
+    pub fn poll_spoken(&self, heard: &Heard, cx: &mut Context<'_>) -> Poll<bool> {
+        self.follow(cx);
+        // What has come by then is taken: it goes before the end.
+        let spoken =
+            if heard.before.is_empty() { heard.stream.poll_read_ready(cx) } else { Poll::Ready(Ok(())) };
+        if matches!(spoken, Poll::Ready(Err(_))) || self.told() == Told::Drop {
+            return Poll::Ready(false);
+        }
+        if spoken.is_ready() {
+            let fed = self.table.door.borrow_mut().speaks(self.table.now(), self.id);
+            let Err(other) = fed else { return Poll::Ready(true) };
+            self.table.starved.borrow_mut().push(0, self.id);
+            if let Some(other) = other {
+                self.table.wake(other);
+            }
+            return Poll::Pending;
         }
-        tokio::select! {
-            // What has come by then is taken: it goes before the end.
-            biased;
-            ready = heard.stream.readable() => ready.is_ok(),
-            _ = stage.wait_for(|stage| *stage == Stage::Closing) => false,
-            () = self.state.close.notified() => false,
+        if self.told() == Told::Finish {
+            return Poll::Ready(false);
         }
+        Poll::Pending
     }
 
     /// Drives a connection to its end, or until it is to be parked: what was taken is finished when the node closes; a
     /// connection whose time is up is dropped, but for an idle one, which may be met by a request just then.
-    pub async fn drive<C>(
-        &self,
-        serving: &mut C,
-        close: impl Fn(Pin<&mut C>),
-        mut stage: watch::Receiver<Stage>,
-    ) -> Driven
+    pub async fn drive<C>(&self, serving: &mut C, close: impl Fn(Pin<&mut C>)) -> Driven
     where
         C: Future + Unpin,
     {
-        let mut closing = pin!(stage.wait_for(|stage| *stage == Stage::Closing));
         let mut closed = false;
-        loop {
-            tokio::select! {
-                biased;
+        poll_fn(|cx| {
+            self.follow(cx);
+            loop {
                 // An error here is a client that left or spoke no HTTP: hyper has answered what can be.
-                _ = &mut *serving => return Driven::Over,
-                _ = &mut closing, if !closed => {
-                    closed = true;
-                    close(Pin::new(serving));
+                if Pin::new(&mut *serving).poll(cx).is_ready() {
+                    return Poll::Ready(Driven::Over);
                 }
-                () = self.state.close.notified() => match self.state.phase.get() {
-                    Phase::Asking | Phase::Answering => return Driven::Over,
-                    _ => {
+                match self.told() {
+                    Told::Drop => return Poll::Ready(Driven::Over),
+                    Told::Park => return Poll::Ready(Driven::Park),
+                    Told::Finish if !closed => {
                         closed = true;
                         close(Pin::new(serving));
                     }
-                },
-                // The word may be old: another request may have come since.
-                () = self.state.park.notified(), if !closed => {
-                    if self.state.phase.get() == Phase::Idle {
-                        return Driven::Park;
-                    }
+                    Told::Finish | Told::Stay => return Poll::Pending,
                 }
             }
+        })
+        .await
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.table.door.borrow_mut().leave(self.id);
+        if let Some(waker) = self.table.wakers.borrow_mut().get_mut(self.id as usize) {
+            *waker = None;
         }
+        self.table.starved.borrow_mut().remove(self.id);
+        self.table.fed();
+        self.table.freed.notify_one();
     }
 }
 
@@ -325,22 +305,21 @@
     Park,
 }
 
-impl Drop for Place {
-    fn drop(&mut self) {
-        let state = &self.state;
-        state.order.of(state.phase.get()).remove(&(state.since.get(), self.number));
-        self.table.states.borrow_mut().remove(&self.number);
-    }
-}
-
-/// A client's socket under its place's eyes.
+/// A client's socket, which tells the table what passes on it.
 pub struct Heard {
     stream: TcpStream,
-    state: Rc<State>,
+    place: Rc<Place>,
     /// Read before it was parked, and not used then.
     before: Bytes,
 }
 
+impl Heard {
+    /// The socket of a connection in this place.
+    pub fn new(stream: TcpStream, place: Rc<Place>) -> Self {
+        Self { stream, place, before: Bytes::new() }
+    }
+}
+
 impl Read for Heard {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -359,13 +338,8 @@
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
         buf.put_slice(read.filled());
         if !read.filled().is_empty() {
-            match self.state.phase.get() {
-                // The time of the first request runs from the connection's start.
-                Phase::Silent => self.state.turn(Phase::Asking, self.state.since.get()),
-                Phase::Idle | Phase::Parked => self.state.enter(Phase::Asking),
-                Phase::Asking => {}
-                Phase::Open | Phase::Answering => self.state.ahead.set(true),
-            }
+            let Place { table, id } = &*self.place;
+            table.door.borrow_mut().heard(table.now(), *id);
         }
         Poll::Ready(Ok(()))
     }
@@ -379,8 +353,9 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = Pin::new(&mut self.stream).poll_flush(cx);
         // hyper flushes the socket only once all of an answer is written.
-        if self.state.phase.get() == Phase::Answering && matches!(flushed, Poll::Ready(Ok(()))) {
-            self.state.enter(if self.state.ahead.get() { Phase::Asking } else { Phase::Idle });
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            let Place { table, id } = &*self.place;
+            table.door.borrow_mut().flushed(table.now(), *id);
         }
         flushed
     }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Connections to cache servers, one request at a time on each; attempts and how they end.
 
+use crate::table::Table;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -10,6 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use slatelink_decide::{LoadReport, Note, ServerId, Status};
+use slatelink_front::{Budget, Lease, Short, Side};
 use slatelink_wire::read_load;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -45,6 +47,9 @@
 const DROP_SHARE: f64 = 0.2;
 /// Connections break for other causes too, used ones as well: idleness is to blame past this multiple of that.
 const DROP_EXCESS: f64 = 3.0;
+/// A client's connection that was asked for its place is looked for so often, after so long each time.
+const LOOKS: u32 = 10;
+const LOOK: Duration = Duration::from_millis(5);
 /// What was learnt of drops is forgotten after this: the cause may have gone.
 const RELEARN: Duration = Duration::from_secs(120);
 
@@ -233,15 +238,6 @@
     }
 }
 
-/// A place among the descriptors that connections to cache servers may hold.
-struct Slot(Rc<Cell<usize>>);
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// A connection. Dropping it closes the socket at once, also with an answer under way: that is how an
 /// attempt is given up.
 struct Connection {
@@ -249,6 +245,7 @@
     written: Rc<Written>,
     task: AbortHandle,
     kept: Instant,
+    _lease: Lease,
 }
 
 impl Drop for Connection {
@@ -268,19 +265,20 @@
 /// All cache servers, by id.
 pub struct Upstream {
     peers: RefCell<HashMap<ServerId, Rc<Peer>>>,
-    open: Rc<Cell<usize>>,
-    most: usize,
+    budget: Budget,
+    /// Its connections share the budget.
+    clients: Rc<Table>,
     connect_timeout: Duration,
     idling: RefCell<Idling>,
 }
 
 impl Upstream {
-    /// Keeps at most `most` connections.
-    pub fn new(most: usize, connect_timeout: Duration, keepalive: Duration) -> Self {
+    /// Its connections are the servers' side of the budget.
+    pub fn new(budget: Budget, clients: Rc<Table>, connect_timeout: Duration, keepalive: Duration) -> Self {
         Self {
             peers: RefCell::default(),
-            open: Rc::default(),
-            most,
+            budget,
+            clients,
             connect_timeout,
             idling: RefCell::new(Idling::new(keepalive / IDLE_SHARE, Instant::now())),
         }
@@ -387,7 +385,7 @@
                 return Ok(kept);
             }
         }
-        let slot = self.slot()?;
+        let lease = self.lease().await?;
         let connecting = async {
             let stream = TcpStream::connect(peer.dial.get()).await?;
             stream.set_nodelay(true)?;
@@ -399,27 +397,38 @@
             let task = tokio::task::spawn_local(async move {
                 // How it ends shows at the attempt on it, or when it is taken from the idle ones.
                 let _ = driving.await;
-                drop(slot);
             });
-            Ok(Connection { sender, written, task: task.abort_handle(), kept: Instant::now() })
+            let task = task.abort_handle();
+            Ok(Connection { sender, written, task, kept: Instant::now(), _lease: lease })
         };
         timeout(self.connect_timeout, connecting).await.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// A place for a new connection. Where all are taken the idle one that has stood longest gives way: a node
-    /// that met every server once must not be kept from the one it needs by connections that nobody uses.
-    fn slot(&self) -> io::Result<Slot> {
-        if self.open.get() >= self.most {
-            let peers = self.peers.borrow();
-            let oldest =
-                peers.values().filter_map(|p| Some((p.idle.borrow().first()?.kept, p))).min_by_key(|o| o.0);
-            match oldest {
-                Some((_, peer)) => drop(peer.idle.borrow_mut().remove(0)),
-                None => return Err(io::ErrorKind::QuotaExceeded.into()),
+    /// that met every server once must not be kept from the one it needs by connections that nobody uses. Nor by
+    /// those of clients, which need a moment to close.
+    async fn lease(&self) -> io::Result<Lease> {
+        let mut asked = false;
+        for _ in 0..LOOKS {
+            match self.budget.lease(Side::Servers) {
+                Ok(lease) => return Ok(lease),
+                Err(Short::Other(Side::Clients)) if asked || self.clients.spare() => {
+                    asked = true;
+                    sleep(LOOK).await;
+                }
+                Err(_) if self.give_way() => {}
+                Err(_) => break,
             }
         }
-        self.open.set(self.open.get() + 1);
-        Ok(Slot(self.open.clone()))
+        Err(io::ErrorKind::QuotaExceeded.into())
+    }
+
+    /// Closes the idle connection that has stood longest. `false` where there is none.
+    pub fn give_way(&self) -> bool {
+        let peers = self.peers.borrow();
+        let oldest =
+            peers.values().filter_map(|p| Some((p.idle.borrow().first()?.kept, p))).min_by_key(|o| o.0);
+        oldest.map(|(_, peer)| drop(peer.idle.borrow_mut().remove(0))).is_some()
     }
 }
 
--- a/crates/observe/src/figures.rs
+++ b/crates/observe/src/figures.rs
@@ -6,6 +6,7 @@
 use slatelink_config::operators::{Figures as Settings, Format, Target};
 use slatelink_config::{Host, Listing};
 use slatelink_decide::{Availability, ClassId, Name, ServerId, Status};
+use slatelink_front::{Cause, Figures as Connections, Phase};
 use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
@@ -125,6 +126,8 @@
     /// As standard error has it.
     dropped_told: u64,
     open: Vec<u64>,
+    /// As they were told last.
+    connections: Connections,
     /// By host: whether its breaker has tripped and nothing was sent there since.
     blocked: BTreeMap<ServerId, bool>,
     /// Points of one instant and the same tags would replace each other in InfluxDB.
@@ -243,6 +246,27 @@
         }
     }
 
+    /// What the table of clients' connections is like.
+    pub fn connections(&self, now: &Connections) {
+        let state = &mut *self.state.borrow_mut();
+        let was = std::mem::replace(&mut state.connections, now.clone());
+        for (phase, count) in Phase::ALL.iter().zip(now.phases) {
+            self.add(state, "conn.open", &[("phase", phase.word())], count as u64, Measure::Gauge);
+        }
+        self.add(state, "conn.waiting", &[], now.waiting as u64, Measure::Gauge);
+        for (i, cause) in Cause::ALL.iter().enumerate() {
+            let tags = [("cause", cause.word())];
+            for (name, count) in [
+                ("conn.closed", now.closed[i] - was.closed[i]),
+                ("conn.refused", now.refused[i] - was.refused[i]),
+            ] {
+                if count > 0 {
+                    self.add(state, name, &tags, count, Measure::Counter);
+                }
+            }
+        }
+    }
+
     /// The breaker of this host has tripped.
     pub fn tripped(&self, host: &ServerId) {
         if let Some(blocked) = self.state.borrow_mut().blocked.get_mut(host) {
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -66,6 +66,9 @@
     /// Discovery's word, as the node takes it in.
     fn learned(&self, _listing: &Listing) {}
 
+    /// What the table of clients' connections is like; each second.
+    fn connections(&self, _table: &slatelink_front::Figures) {}
+
     /// A line of the decision module's.
     fn said(&self, _text: &str) {}
 }
@@ -214,6 +217,12 @@
         }
     }
 
+    fn connections(&self, table: &slatelink_front::Figures) {
+        if let Some(figures) = &self.figures {
+            figures.connections(table);
+        }
+    }
+
     fn said(&self, text: &str) {
         if let Some(figures) = &self.figures {
             let host = text.strip_prefix("breaker of ").and_then(|rest| rest.strip_suffix(" tripped"));
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -180,6 +180,8 @@
                     expected_work: fields.micros("expected_us")?.filter(|_| options & 1 != 0),
                     write: options & 4 != 0,
                     client_retry: options & 2 != 0,
+                    // The simulator's instances hold no connections.
+                    over_share: false,
                 })
             }
             "timer" => Event::Timer,
