Measure a crowd of idle connections by its size, and let scenarios set the front's limits

Need: lab idle measured one size, and its batches took longer than the node's idle time, so that of 4,000 only 1,900 were still there when the node was measured; no scenario could set the limits of both sides.

Change: lab idle raises the node's idle time, measures memory and look-ups at 0, 1,000, 10,000 and the number asked for, then the burst of all.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -31,8 +31,9 @@
     /// Measure what idle client connections cost a node, and how it bears all of them speaking at once
     Idle {
         /// Connections to hold; each takes two descriptors of this machine
-        #[arg(long, default_value_t = 5_000, value_parser = clap::value_parser!(u32).range(1..=200_000))]
-        count: u32,
+        #[arg(long, visible_alias = "count", default_value_t = 5_000,
+            value_parser = clap::value_parser!(u32).range(1..=200_000))]
+        connections: u32,
         /// Make so many at a time, half a second apart
         #[arg(long, default_value_t = 500, value_parser = clap::value_parser!(u32).range(1..=200_000))]
         batch: u32,
@@ -135,25 +136,33 @@
         match self {
             Self::Run(run) => run.run(),
             Self::Compare(compare) => compare.run(),
-            Self::Idle { count, batch, node } => {
+            Self::Idle { connections, batch, node } => {
                 node.log();
-                let it = idle::measure(node.program()?, count as usize, batch as usize)?;
+                if node.features.is_some() {
+                    return unusable("lab idle writes the node's section front itself: --features must go");
+                }
+                let most = connections as usize;
+                let sizes: Vec<_> =
+                    [0, 1_000, 10_000].into_iter().filter(|&size| size < most).chain([most]).collect();
+                let it = idle::measure(node.program()?, &sizes, batch as usize)?;
                 let mut out = io::stdout().lock();
                 writeln!(
                     out,
-                    "{} idle connections held, {} closed by the node with their answer",
-                    it.held, it.closed
-                )?;
-                let (before, after) = (it.before_kib, it.after_kib);
-                writeln!(
-                    out,
-                    "resident memory {before} KiB before, {after} KiB with them: {:.0} bytes each",
-                    it.bytes_each
+                    "{:>8} {:>10} {:>11} {:>14} {:>14}",
+                    "idle", "KiB", "bytes each", "look-up p50 ms", "p99 ms"
                 )?;
+                for crowd in &it.crowds {
+                    let idle::Crowd { held, resident_kib, bytes_each, p50_ms, p99_ms } = crowd;
+                    writeln!(
+                        out,
+                        "{held:>8} {resident_kib:>10} {bytes_each:>11.0} {p50_ms:>14.2} {p99_ms:>14.2}"
+                    )?;
+                }
+                writeln!(out, "{} were closed by the node with their first answer", it.closed)?;
                 writeln!(
                     out,
-                    "all spoke at once: {} answered, the last after {:.0} ms",
-                    it.answered, it.burst_ms
+                    "all spoke at once: {} answered, the last after {:.0} ms; the node took {} KiB at most",
+                    it.answered, it.burst_ms, it.peak_kib
                 )?;
                 Ok(ExitCode::SUCCESS)
             }
--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -101,7 +101,7 @@
     table: Table,
     live: Arc<Live>,
     stop: Arc<AtomicBool>,
-    /// Connections to a node at most: a third of its descriptors.
+    /// Connections to a node at most.
     most: usize,
     idle: RefCell<Vec<Pooled>>,
     open: Rc<Vec<Cell<usize>>>,
@@ -128,7 +128,7 @@
             table,
             live,
             stop,
-            most: (scenario.fleet.sockets / 3).max(1),
+            most: ((scenario.fleet.sockets as f64 * scenario.fleet.clients.get()) as usize).max(1),
             idle: RefCell::default(),
             open: Rc::new((0..nodes).map(|_| Cell::new(0)).collect()),
             turn: Cell::new(0),
--- a/crates/lab/src/idle.rs
+++ b/crates/lab/src/idle.rs
@@ -8,7 +8,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::sync::{mpsc, Arc};
 use std::thread;
@@ -26,33 +25,49 @@
 const PAUSE: Duration = Duration::from_millis(450);
 /// For an answer.
 const PATIENCE: Duration = Duration::from_secs(5);
+/// Look-ups beside a crowd, one after the other on each of a few connections.
+const LOOKUPS: usize = 4_000;
+const ASKERS: usize = 8;
+
+/// A node with a crowd of idle connections.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Crowd {
+    /// Connections that are held.
+    pub held: usize,
+    /// Resident memory of the node, in KiB.
+    pub resident_kib: u64,
+    /// Bytes of it for each, over what the node took before.
+    pub bytes_each: f64,
+    /// Milliseconds of look-ups on other connections, at the 50th and 99th percentile.
+    pub p50_ms: f64,
+    /// See `p50_ms`.
+    pub p99_ms: f64,
+}
 
 /// What was measured.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Idle {
-    /// Connections that were held.
-    pub held: usize,
-    /// Of those that were asked for, closed by the node with their first answer.
+    /// By the size of the crowd.
+    pub crowds: Vec<Crowd>,
+    /// Of the connections that were made, closed by the node with their first answer.
     pub closed: usize,
-    /// Resident memory of the node before, in KiB.
-    pub before_kib: u64,
-    /// And with all of them idle.
-    pub after_kib: u64,
-    /// Bytes of resident memory for each.
-    pub bytes_each: f64,
     /// When all spoke at once: how many were answered.
     pub answered: usize,
     /// And the time to the last answer, in milliseconds.
     pub burst_ms: f64,
+    /// The most memory that the node ever took, in KiB.
+    pub peak_kib: u64,
 }
 
-/// Holds `count` idle connections at one node, made in batches, measures it, and lets all speak at once. Clients that
-/// come over an evening are in small batches; all in one have their buffers at the same time.
-pub fn measure(program: Program, count: usize, batch: usize) -> Result<Idle, RunError> {
-    // The clients' third of the descriptors, less what is kept free, holds them all.
-    let sockets = count * 4 + 1024;
+/// Holds idle connections at one node, up to each of `sizes` in turn, made in batches; measures the node with each, and
+/// at the end lets all speak at once. Clients that come over an evening are in small batches; all in one have their
+/// buffers at the same time.
+pub fn measure(program: Program, sizes: &[usize], batch: usize) -> Result<Idle, RunError> {
+    // Clients may have all but the servers' part, and idle ones stay.
+    let sockets = sizes.iter().max().copied().unwrap_or_default() * 3 + 1024;
     let text = format!(
-        "about = \"idle\"\nseconds = 3600\n[fleet]\nnodes = 1\nqueue = 100000\nsockets = {sockets}\n[load]\nrate = 1\n"
+        "about = \"idle\"\nseconds = 3600\n[fleet]\nnodes = 1\nqueue = 100000\nsockets = {sockets}\nmemory_mb = 1024\n\
+         speed = [4, 4]\n[load]\nrate = 1\n[front]\nclients_percent = 100\nidle_s = 3600\n"
     );
     let scenario =
         Scenario::parse(&text, Path::new("idle")).map_err(|error| io::Error::other(error.to_string()))?;
@@ -62,7 +77,7 @@
     let playing = thread::spawn(move || play(&scenario, &options));
     let measured = told.recv().ok().and_then(|nodes| nodes.first().copied()).map(|(address, pid)| {
         let one = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        LocalSet::new().block_on(&one, hold(address, pid, count, batch.max(1)))
+        LocalSet::new().block_on(&one, hold(address, pid, sizes, batch.max(1)))
     });
     stop.store(true, Ordering::Relaxed);
     let played = playing.join().map_err(|_| RunError::Thread("run"))?;
@@ -73,14 +88,49 @@
     }
 }
 
-async fn hold(address: SocketAddr, pid: Option<i32>, count: usize, batch: usize) -> io::Result<Idle> {
-    let before_kib = resident(pid)?;
-    let places = Arc::new(Semaphore::new(AT_ONCE));
-    let mut making = JoinSet::new();
-    for i in 0..count {
-        if i > 0 && i % batch == 0 {
+async fn hold(address: SocketAddr, pid: Option<i32>, sizes: &[usize], batch: usize) -> io::Result<Idle> {
+    let mut idle = Idle::default();
+    // What the node takes for its first look-ups is not the crowd's.
+    lookups(address).await?;
+    sleep(REST).await;
+    let before = memory(pid, "VmRSS:")?;
+    let mut held = Vec::new();
+    for &size in sizes {
+        while held.len() + idle.closed < size {
+            let part = batch.min(size - held.len() - idle.closed);
+            let made = connect(address, held.len(), part).await?;
+            idle.closed += part - made.len();
+            held.extend(made);
             sleep(PAUSE).await;
         }
+        sleep(REST).await;
+        let resident_kib = memory(pid, "VmRSS:")?;
+        let bytes_each = (resident_kib.saturating_sub(before) << 10) as f64 / held.len().max(1) as f64;
+        let (p50_ms, p99_ms) = lookups(address).await?;
+        idle.crowds.push(Crowd { held: held.len(), resident_kib, bytes_each, p50_ms, p99_ms });
+    }
+    let begun = Instant::now();
+    let mut speaking = JoinSet::new();
+    for (i, mut conn) in held.into_iter().enumerate() {
+        speaking.spawn_local(async move {
+            let answered = ask(&mut conn, i).await.is_ok();
+            (answered, begun.elapsed().as_secs_f64() * 1e3)
+        });
+    }
+    while let Some(spoken) = speaking.join_next().await {
+        let (answered, at) = spoken.map_err(io::Error::other)?;
+        idle.answered += usize::from(answered);
+        idle.burst_ms = idle.burst_ms.max(at);
+    }
+    idle.peak_kib = memory(pid, "VmHWM:")?;
+    Ok(idle)
+}
+
+/// Connections that have asked once, and were kept.
+async fn connect(address: SocketAddr, first: usize, count: usize) -> io::Result<Vec<Conn>> {
+    let places = Arc::new(Semaphore::new(AT_ONCE));
+    let mut making = JoinSet::new();
+    for i in first..first + count {
         let place = places.clone().acquire_owned().await.map_err(io::Error::other)?;
         making.spawn_local(async move {
             let mut conn = Conn::new(TcpStream::connect(address).await?)?;
@@ -89,34 +139,37 @@
             Ok::<_, io::Error>(kept.then_some(conn))
         });
     }
-    let (mut held, mut closed) = (Vec::new(), 0);
-    while let Some(made) = making.join_next().await {
-        match made.map_err(io::Error::other)? {
-            Ok(Some(conn)) => held.push(conn),
-            Ok(None) => closed += 1,
-            Err(error) => return Err(error),
-        }
+    let mut made = Vec::new();
+    while let Some(one) = making.join_next().await {
+        made.extend(one.map_err(io::Error::other)??);
     }
-    sleep(REST).await;
-    let after_kib = resident(pid)?;
-    let kept = held.len();
-    let begun = Instant::now();
-    let mut speaking = JoinSet::new();
-    let last = Rc::new(std::cell::Cell::new(0.0f64));
-    for (i, mut conn) in held.into_iter().enumerate() {
-        let last = last.clone();
-        speaking.spawn_local(async move {
-            let answered = ask(&mut conn, count + i).await.is_ok();
-            last.set(last.get().max(begun.elapsed().as_secs_f64() * 1e3));
-            answered
+    Ok(made)
+}
+
+/// The 50th and 99th percentile of look-ups, in milliseconds.
+async fn lookups(address: SocketAddr) -> io::Result<(f64, f64)> {
+    let mut asking = JoinSet::new();
+    for asker in 0..ASKERS {
+        asking.spawn_local(async move {
+            let mut conn = Conn::new(TcpStream::connect(address).await?)?;
+            let mut took = Vec::new();
+            for i in 0..LOOKUPS / ASKERS {
+                let begun = Instant::now();
+                if !ask(&mut conn, 10_000_000 + i * ASKERS + asker).await? {
+                    conn = Conn::new(TcpStream::connect(address).await?)?;
+                }
+                took.push(begun.elapsed().as_secs_f64() * 1e3);
+            }
+            Ok::<_, io::Error>(took)
         });
     }
-    let mut answered = 0;
-    while let Some(spoken) = speaking.join_next().await {
-        answered += usize::from(spoken.map_err(io::Error::other)?);
+    let mut all = Vec::new();
+    while let Some(took) = asking.join_next().await {
+        all.extend(took.map_err(io::Error::other)??);
     }
-    let bytes_each = (after_kib.saturating_sub(before_kib) << 10) as f64 / kept.max(1) as f64;
-    Ok(Idle { held: kept, closed, before_kib, after_kib, bytes_each, answered, burst_ms: last.get() })
+    all.sort_by(f64::total_cmp);
+    let at = |share: f64| all.get((all.len() as f64 * share) as usize).copied().unwrap_or_default();
+    Ok((at(0.5), at(0.99)))
 }
 
 /// One request, to its answer: whatever it says, it is one. Whether the connection stays.
@@ -131,11 +184,11 @@
     Ok(!answer.close)
 }
 
-/// Resident memory of a process, in KiB (proc(5), `VmRSS`).
-fn resident(pid: Option<i32>) -> io::Result<u64> {
+/// A line of a process's memory, in KiB (proc(5): `VmRSS:` now, `VmHWM:` at its most).
+fn memory(pid: Option<i32>, name: &str) -> io::Result<u64> {
     let pid = pid.ok_or_else(|| io::Error::other("the node is no process of its own"))?;
     let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
     line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok())
-        .ok_or_else(|| io::Error::other(format!("/proc/{pid}/status has no VmRSS")))
+        .ok_or_else(|| io::Error::other(format!("/proc/{pid}/status has no {name}")))
 }
--- a/crates/lab/src/nodes.rs
+++ b/crates/lab/src/nodes.rs
@@ -37,6 +37,25 @@
     Nothing,
 }
 
+impl Program {
+    /// The same with this section `front` of the operators' file, which is written into `folder`.
+    pub fn with_front(self, front: &toml::Table, folder: &Path) -> Result<Self, NodeError> {
+        let Self::Binary(path, mut arguments) = self else { return Ok(self) };
+        if front.is_empty() {
+            return Ok(Self::Binary(path, arguments));
+        }
+        if arguments.iter().any(|argument| argument == "--features") {
+            return Err(NodeError::TwoFiles);
+        }
+        let file = folder.join("features.toml");
+        let whole = toml::Table::from_iter([("front".to_owned(), toml::Value::Table(front.clone()))]);
+        std::fs::write(&file, whole.to_string())
+            .map_err(|error| NodeError::Files { path: file.clone(), error })?;
+        arguments.extend(["--features".to_owned(), file.display().to_string()]);
+        Ok(Self::Binary(path, arguments))
+    }
+}
+
 /// Why nodes do not run.
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -51,6 +70,9 @@
         /// The end of its log.
         why: String,
     },
+    /// Two operators' files.
+    #[error("the scenario has a section [front] of the operators' file, and --features names another file: one of the two must go")]
+    TwoFiles,
     /// Its files cannot be written.
     #[error("cannot write {}: {error}", .path.display())]
     Files {
@@ -328,7 +350,7 @@
     json!({
         "name": format!("n{place}"), "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
         "seed": format!("{:016x}", crate::plan::mix(seed ^ place as u64)),
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": fleet.sockets},
+        "limits": {"cores": 1.0, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets},
         "known": {"seq": 0, "whole": true, "hosts": []},
         "settings": {
             "az": fleet.zones[place % fleet.zones.len()], "zones": fleet.zones, "balancers": fleet.nodes,
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -185,9 +185,10 @@
     };
     let table: Table = Arc::new(std::sync::RwLock::new(listed));
     let lives: Lives = Arc::default();
+    let program = options.program.clone().with_front(&scenario.front, &folder.0)?;
     let mut all = Vec::new();
     for (place, discovery) in discovery.into_iter().enumerate() {
-        let program = options.program.clone();
+        let program = program.clone();
         let (table, lives) = (table.clone(), lives.clone());
         let mut node = Node::new(
             place,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -97,6 +97,9 @@
     /// What goes wrong.
     #[serde(default, rename = "fault")]
     pub faults: Vec<Spanned<Fault>>,
+    /// Section `front` of each node's operators' file, as the node reads it.
+    #[serde(default, skip_serializing_if = "toml::Table::is_empty")]
+    pub front: toml::Table,
     /// What must hold beside the rules.
     #[serde(default)]
     pub expect: Expect,
@@ -142,6 +145,10 @@
     pub discovery_late_s: Seconds,
     /// Descriptors of a node.
     pub sockets: usize,
+    /// Memory of a node, in MB: it is told so, and not held to it.
+    pub memory_mb: u32,
+    /// Of a node's descriptors, clients use at most this share for their connections.
+    pub clients: Share,
     /// So many seconds after a node's death the front deals it no more connections.
     pub front_late_s: Seconds,
 }
@@ -167,6 +174,8 @@
             probes: false,
             discovery_late_s: Within(0.3),
             sockets: 1024,
+            memory_mb: 192,
+            clients: share(1.0 / 3.0),
             front_late_s: Within(1.0),
         }
     }
