Count refusals by cause, and measure a stop with a crowd of idle connections

Need: requests refused for a class's share or for want of memory were not to be told from the module's other refusals, and SIGTERM with 10,000 idle connections had not been played.

Change: conn.refused counts them by the causes class and bytes; lab idle ends with SIGTERM while the crowd stands idle and prints how many the node closed and when.

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -164,6 +164,11 @@
                     "all spoke at once: {} answered, the last after {:.0} ms; the node took {} KiB at most",
                     it.answered, it.burst_ms, it.peak_kib
                 )?;
+                writeln!(
+                    out,
+                    "SIGTERM with {} of them idle: {} closed, the last after {:.0} ms (500 ms are for the front to notice)",
+                    it.answered, it.stopped, it.stop_ms
+                )?;
                 Ok(ExitCode::SUCCESS)
             }
             Self::List { folder } => list(&folder),
--- a/crates/cli/tests/node_front.rs
+++ b/crates/cli/tests/node_front.rs
@@ -69,7 +69,7 @@
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
     let mut small = config(discovery.address);
     small["limits"]["sockets"] = json!(120);
-    let node = Node::with_features(&small, "[front.per_class]\nonce = 5\n");
+    let node = Node::with_features(&small, "[front.per_class]\nonce = 5\n[figures]\nflush_ms = 20\n");
     // Of the third of 120 that clients use, 5 % are two.
     let held = [0xdead_0001u64, 0xdead_0002].map(|key| {
         let mut client = node.client();
@@ -81,6 +81,10 @@
     assert_eq!(refused.status(), 503);
     assert!(refused.header("retry-after").is_some(), "{refused:?}");
     assert_eq!(node.read("read", 2).status(), 200);
+    wait_for("the figure", || {
+        let log = node.log.lock().unwrap();
+        log.iter().any(|line| line.starts_with("slatelink.conn.refused:1|") && line.ends_with("#cause:class"))
+    });
     drop(held);
     wait_for("a place in the share", || node.read("once", 3).status() == 200);
 }
--- a/crates/front/src/door.rs
+++ b/crates/front/src/door.rs
@@ -89,11 +89,13 @@
     Bytes,
     /// The node stops.
     Stop,
+    /// Its class holds all that it may: a request refused, not a connection closed.
+    Class,
 }
 
 impl Cause {
     /// All of them, in the order of their numbers.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Client,
         Self::Silent,
         Self::Slow,
@@ -104,6 +106,7 @@
         Self::Address,
         Self::Bytes,
         Self::Stop,
+        Self::Class,
     ];
 
     /// The word for it in figures.
@@ -119,6 +122,7 @@
             Self::Address => "address",
             Self::Bytes => "bytes",
             Self::Stop => "stop",
+            Self::Class => "class",
         }
     }
 }
@@ -162,7 +166,7 @@
     pub waiting: usize,
     /// Closed since the start, by the cause's number.
     pub closed: [u64; Cause::ALL.len()],
-    /// Not let in since the start, by the cause's number.
+    /// Connections not let in, and requests that the decision module is told to refuse, since the start, by the cause's number.
     pub refused: [u64; Cause::ALL.len()],
 }
 
@@ -377,7 +381,9 @@
     /// that many.
     pub fn holds(&mut self, id: Id, bytes: usize) -> bool {
         let bytes = self.terms.busy.saturating_add(bytes);
-        self.entry_mut(id).is_none_or(|entry| entry.lease.hold(bytes))
+        let held = self.entry_mut(id).is_none_or(|entry| entry.lease.hold(bytes));
+        self.refused[Cause::Bytes as usize] += u64::from(!held);
+        held
     }
 
     /// Bytes were read.
@@ -417,7 +423,9 @@
             entry.class = u16::try_from(class).ok();
         }
         let most = self.terms.per_class.get(class).copied().flatten();
-        most.is_some_and(|most| self.open_of[class] > most)
+        let over = most.is_some_and(|most| self.open_of[class] > most);
+        self.refused[Cause::Class as usize] += u64::from(over);
+        over
     }
 
     /// Its answer is at hand.
--- a/crates/lab/src/idle.rs
+++ b/crates/lab/src/idle.rs
@@ -1,9 +1,11 @@
 //! What idle connections cost a node: many clients that have asked once and then say nothing, and then all speak.
 
-use crate::http::Conn;
+use crate::http::{Conn, ReadError};
 use crate::nodes::Program;
 use crate::run::{play, Options, RunError};
 use crate::scenario::Scenario;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
 use serde::Serialize;
 use std::io;
 use std::net::SocketAddr;
@@ -57,6 +59,10 @@
     pub burst_ms: f64,
     /// The most memory that the node ever took, in KiB.
     pub peak_kib: u64,
+    /// From SIGTERM, with those that were answered idle again, until the last of them was closed, in milliseconds.
+    pub stop_ms: f64,
+    /// So many of them the node closed by itself.
+    pub stopped: usize,
 }
 
 /// Holds idle connections at one node, up to each of `sizes` in turn, made in batches; measures the node with each, and
@@ -114,15 +120,31 @@
     for (i, mut conn) in held.into_iter().enumerate() {
         speaking.spawn_local(async move {
             let answered = ask(&mut conn, i).await.is_ok();
-            (answered, begun.elapsed().as_secs_f64() * 1e3)
+            (answered.then_some(conn), begun.elapsed().as_secs_f64() * 1e3)
         });
     }
+    let mut held = Vec::new();
     while let Some(spoken) = speaking.join_next().await {
         let (answered, at) = spoken.map_err(io::Error::other)?;
-        idle.answered += usize::from(answered);
+        held.extend(answered);
         idle.burst_ms = idle.burst_ms.max(at);
     }
+    idle.answered = held.len();
     idle.peak_kib = memory(pid, "VmHWM:")?;
+    sleep(REST).await;
+    terminate(pid)?;
+    let begun = Instant::now();
+    let mut closing = JoinSet::new();
+    for mut conn in held {
+        closing.spawn_local(async move {
+            let ended = timeout(PATIENCE, conn.answer()).await;
+            matches!(ended, Ok(Err(ReadError::Ended { begun: false })))
+        });
+    }
+    while let Some(closed) = closing.join_next().await {
+        idle.stopped += usize::from(closed.map_err(io::Error::other)?);
+    }
+    idle.stop_ms = begun.elapsed().as_secs_f64() * 1e3;
     Ok(idle)
 }
 
@@ -184,6 +206,11 @@
     Ok(!answer.close)
 }
 
+fn terminate(pid: Option<i32>) -> io::Result<()> {
+    let pid = pid.ok_or_else(|| io::Error::other("the node is no process of its own"))?;
+    kill(Pid::from_raw(pid), Signal::SIGTERM).map_err(io::Error::from)
+}
+
 /// A line of a process's memory, in KiB (proc(5): `VmRSS:` now, `VmHWM:` at its most).
 fn memory(pid: Option<i32>, name: &str) -> io::Result<u64> {
     let pid = pid.ok_or_else(|| io::Error::other("the node is no process of its own"))?;
