Keep a connection that was parked early for its whole idle time

Cause: a connection that is parked because others wait for memory still had the timer for parking, at 300 ms.

Change: a timer that fires before the idle time is over is set anew, parked or not.

Result: the test of a crowd short of memory has the assertion now, and fails without the change.

--- a/crates/front/src/door.rs
+++ b/crates/front/src/door.rs
@@ -552,10 +552,13 @@
                 Phase::Asking => Cause::Slow,
                 Phase::Open => continue,
                 Phase::Answering => Cause::Untaken,
-                Phase::Idle if now < over => {
-                    entry.parking = true;
+                // One may be parked before this, where others wait for what it holds.
+                Phase::Idle | Phase::Parked if now < over => {
+                    entry.parking = phase == Phase::Idle;
+                    if entry.parking {
+                        woken.push(id);
+                    }
                     self.timers.set(id, over);
-                    woken.push(id);
                     continue;
                 }
                 Phase::Idle | Phase::Parked => Cause::Idle,
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -290,6 +290,7 @@
     assert_eq!(door.speaks(ms(3), ids[10]), Err(Some(ids[1])));
     let mut woken = Vec::new();
     while !door.advance(ms(2_100), 64, &mut woken) {}
+    assert!(!woken.contains(&ids[0]), "parked before its time, it is kept as long as any");
     assert!(woken.contains(&ids[10]), "it waits for no longer than a request may take");
     door.leave(ids[10]);
     assert_eq!(door.figures().closed[Cause::Bytes as usize], 1);
