Serve a client that was accepted and waits for a place when the node closes

Cause: since a connection is accepted before it has its place, the end of accepting dropped one that waited, with its first request unanswered.

Change: the end is only looked for between two connections. The listener stays open until that one has its place, which an answer or an idle connection gives.

Result: a test with ten places, all open, and an eleventh client across SIGTERM: all get a final answer; without the change the eleventh gets none.

--- a/crates/cli/tests/node_front.rs
+++ b/crates/cli/tests/node_front.rs
@@ -4,6 +4,7 @@
 
 use node_common::*;
 use serde_json::json;
+use std::sync::{Arc, Condvar, Mutex};
 
 /// A server that says nothing to requests whose id begins with `held`.
 fn holding() -> CacheServer {
@@ -115,6 +116,47 @@
     assert!(node.exit().success());
 }
 
+// Guards against a client that is accepted into a full table just before the end, and dropped there.
+#[test]
+fn a_client_that_waits_for_a_place_at_the_end_is_served() {
+    let gate = Arc::new((Mutex::new(false), Condvar::new()));
+    let servers: Vec<_> = (0..8)
+        .map(|_| {
+            let held = gate.clone();
+            CacheServer::start(move |_| {
+                let open = held.0.lock().unwrap();
+                drop(held.1.wait_timeout_while(open, PATIENCE, |open| !*open).unwrap());
+                Does::Answer(answer("200 OK", "", "value"))
+            })
+        })
+        .collect();
+    let entries: Vec<_> =
+        servers.iter().enumerate().map(|(i, s)| s.entry(&format!("s-{i}"), "ready")).collect();
+    let discovery = Discovery::start(&entries);
+    let mut small = config(discovery.address);
+    // Ten places for clients, and enough for connections to servers.
+    small["limits"]["sockets"] = json!(60);
+    let node = Node::with_features(
+        &small,
+        "[figures]\nflush_ms = 20\n[front]\nclients_percent = 100\nservers_floor = 24\n",
+    );
+    let mut clients: Vec<_> = (0..11).map(|_| node.client()).collect();
+    for (key, client) in clients.iter_mut().enumerate() {
+        client.send(&read("read", key as u64, 20_000));
+    }
+    let told = |line: &str| node.log.lock().unwrap().iter().any(|l| l.starts_with(line));
+    wait_for("one that waits", || told("slatelink.conn.waiting:1|"));
+    node.terminate();
+    // Past the time in which the node still accepts; later is as good.
+    std::thread::sleep(std::time::Duration::from_millis(1_000));
+    *gate.0.lock().unwrap() = true;
+    gate.1.notify_all();
+    for client in &mut clients {
+        assert!(client.answer().is_some(), "a final answer for each");
+    }
+    assert!(node.exit().success());
+}
+
 // Guards against a limit that is misread and then silently does nothing.
 #[test]
 fn a_limit_that_makes_no_sense_is_one_line_and_a_failed_start() {
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -17,6 +17,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::hash::{DefaultHasher, Hasher};
+use std::net::IpAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::str::FromStr;
@@ -117,10 +118,15 @@
         let accepted = tokio::select! {
             // What the machine has accepted by then is taken: it comes before the end.
             biased;
-            accepted = accept(&listener, &room) => accepted,
+            accepted = listener.accept() => accepted,
             _ = &mut closing => break,
         };
-        match accepted {
+        let admitted = match accepted {
+            // Not to be given up at the end: its first request may be on its way.
+            Ok((stream, from)) => admit(&room, stream, from.ip()).await,
+            Err(error) => Err(error),
+        };
+        match admitted {
             // In the table at once: room that is made before it is first polled must see it.
             Ok(Some((stream, place))) => drop(tokio::task::spawn_local(connection(stream, place))),
             Ok(None) => {}
@@ -134,10 +140,9 @@
     room.table.close().await;
 }
 
-async fn accept(listener: &TcpListener, room: &Room) -> std::io::Result<Option<(TcpStream, Place)>> {
-    let (stream, from) = listener.accept().await?;
+async fn admit(room: &Room, stream: TcpStream, from: IpAddr) -> std::io::Result<Option<(TcpStream, Place)>> {
     stream.set_nodelay(true)?;
-    let place = room.table.admit(from.ip(), |side| room.others(side)).await;
+    let place = room.table.admit(from, |side| room.others(side)).await;
     Ok(place.map(|place| (stream, place)))
 }
 
