List connections that wait for memory once, and share what two places did

Need: a reading of the front door's change found the same said twice: who waits for memory stood as a flag, a count and a list in two places; two choices of whom to close began alike; the lab sorted latencies for percentiles in two places and unpacked a process's id at each use.

Change: the table keeps one list of those that wait for memory; one function finds a connection that the terms let close, one the first that stays, one wakes whom the table names; the lab has one function for its percentiles. What a connection is told is asked once for each look.

--- a/crates/front/src/door.rs
+++ b/crates/front/src/door.rs
@@ -181,8 +181,6 @@
     /// It is to give up its buffers.
     parking: bool,
     ending: Option<Ending>,
-    /// It has something to say and no memory to be read with.
-    starved: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -213,8 +211,8 @@
     open_of: Vec<usize>,
     fired: Vec<Id>,
     waiting: usize,
-    /// Connections that wait for memory.
-    starving: usize,
+    /// One list: those that have something to say and no memory to be read with.
+    starved: Lists,
     closed: [u64; Cause::ALL.len()],
     refused: [u64; Cause::ALL.len()],
 }
@@ -234,7 +232,7 @@
             open_of: Vec::new(),
             fired: Vec::new(),
             waiting: 0,
-            starving: 0,
+            starved: Lists::new(1),
             closed: [0; Cause::ALL.len()],
             refused: [0; Cause::ALL.len()],
         }
@@ -282,8 +280,7 @@
         let Some(holder) = self.holders.get(&address).filter(|holder| holder.count >= most) else {
             return Ok(());
         };
-        let staying = |id: &Id| self.entry(*id).is_some_and(|entry| entry.ending.is_none());
-        let oldest = self.idle_of.iter(holder.idle).take(PASSED_OVER).find(staying);
+        let oldest = self.staying(self.idle_of.iter(holder.idle));
         match oldest {
             Some(id) => self.end(id, Cause::Address),
             None => self.refused[Cause::Address as usize] += 1,
@@ -303,16 +300,8 @@
             });
             holder.count += 1;
         }
-        let entry = Entry {
-            lease,
-            since: now,
-            address,
-            class: None,
-            ahead: false,
-            parking: false,
-            ending: None,
-            starved: false,
-        };
+        let entry =
+            Entry { lease, since: now, address, class: None, ahead: false, parking: false, ending: None };
         let id = match self.free.pop() {
             Some(id) => id,
             None => {
@@ -332,7 +321,7 @@
         self.closed[entry.ending.map_or(Cause::Client, |ending| ending.cause) as usize] += 1;
         self.phases.remove(id);
         self.timers.cancel(id);
-        self.starving -= usize::from(entry.starved);
+        self.starved.remove(id);
         self.release(entry.class);
         if let Some(address) = entry.address {
             self.idle_of.remove(id);
@@ -359,15 +348,13 @@
         let busy = self.terms.busy;
         let Some(entry) = self.entry_mut(id) else { return Ok(()) };
         if entry.lease.hold(busy) {
-            self.starving -= usize::from(std::mem::take(&mut entry.starved));
+            self.starved.remove(id);
             return Ok(());
         }
-        if !std::mem::replace(&mut entry.starved, true) {
-            self.starving += 1;
-            if self.phase(id).is_idle() {
-                self.turn(now, id, Phase::Asking);
-            }
+        if self.phase(id).is_idle() {
+            self.turn(now, id, Phase::Asking);
         }
+        self.starved.push(0, id);
         let idle = self.phases.iter(Phase::Idle as usize).take(PASSED_OVER);
         let other =
             idle.filter(|other| *other != id).find(|other| self.entry(*other).is_some_and(|e| !e.parking));
@@ -442,7 +429,7 @@
     /// All that was to be written is out.
     pub fn flushed(&mut self, now: Duration, id: Id) {
         if self.phase(id) == Phase::Answering {
-            let starving = self.starving > 0;
+            let starving = !self.starved.is_empty(0);
             let Some(entry) = self.entry_mut(id) else { return };
             let ahead = entry.ahead;
             // Others wait for what it holds.
@@ -463,6 +450,14 @@
         }
     }
 
+    /// Memory was given back: the one that has waited for it longest, which is to be woken and asks again.
+    pub fn fed(&mut self) -> Option<Id> {
+        let next = self.starved.first(0)?;
+        // If it gets none the next turn is another's.
+        self.starved.push(0, next);
+        Some(next)
+    }
+
     /// What a connection is to do now.
     pub fn told(&mut self, id: Id) -> Told {
         let phase = self.phase(id);
@@ -517,11 +512,8 @@
     /// must not wait for itself either, with usual clients behind it, while connections that nobody uses or half requests
     /// hold the other places.
     pub fn make_room(&mut self, now: Duration) -> Option<Id> {
-        let found = self
-            .oldest(now, Phase::Silent, SILENCE)
-            .or_else(|| self.oldest_idle(now, UNUSED))
-            .or_else(|| self.oldest(now, Phase::Asking, HALTING))
-            .or_else(|| {
+        let found =
+            self.unmissed(now).or_else(|| self.oldest(now, Phase::Asking, HALTING)).or_else(|| {
                 self.oldest_idle(now, Duration::ZERO)
                     .filter(|_| self.oldest(now, Phase::Silent, Duration::ZERO).is_none())
             })?;
@@ -532,7 +524,7 @@
     /// Picks one that the terms let close, in favour of another side: one that was not used for long, or never. It has to
     /// be woken.
     pub fn spare(&mut self, now: Duration) -> Option<Id> {
-        let found = self.oldest(now, Phase::Silent, SILENCE).or_else(|| self.oldest_idle(now, UNUSED))?;
+        let found = self.unmissed(now)?;
         self.end(found, Cause::Room);
         Some(found)
     }
@@ -544,10 +536,11 @@
         let done = self.timers.advance(now, work, &mut fired);
         for id in fired.drain(..) {
             let (phase, idle) = (self.phase(id), self.terms.idle);
+            let starved = self.starved.list(id).is_some();
             let Some(entry) = self.entry_mut(id) else { continue };
             let over = entry.since + idle;
             let cause = match phase {
-                Phase::Silent | Phase::Asking if entry.starved => Cause::Bytes,
+                Phase::Silent | Phase::Asking if starved => Cause::Bytes,
                 Phase::Silent => Cause::Silent,
                 Phase::Asking => Cause::Slow,
                 Phase::Open => continue,
@@ -602,10 +595,19 @@
         }
     }
 
+    /// The first that does not end anyway.
+    fn staying(&self, ids: impl Iterator<Item = Id>) -> Option<Id> {
+        ids.take(PASSED_OVER).find(|id| self.entry(*id).is_some_and(|entry| entry.ending.is_none()))
+    }
+
+    /// One that the terms let close: never used, or not for long.
+    fn unmissed(&self, now: Duration) -> Option<Id> {
+        self.oldest(now, Phase::Silent, SILENCE).or_else(|| self.oldest_idle(now, UNUSED))
+    }
+
     /// The one that has been in this phase for longest, if that is `age` or more, but for those that end anyway.
     fn oldest(&self, now: Duration, phase: Phase, age: Duration) -> Option<Id> {
-        let staying = |id: &Id| self.entry(*id).is_some_and(|entry| entry.ending.is_none());
-        let found = self.phases.iter(phase as usize).take(PASSED_OVER).find(staying)?;
+        let found = self.staying(self.phases.iter(phase as usize))?;
         self.entry(found).filter(|entry| now.saturating_sub(entry.since) >= age).map(|_| found)
     }
 
--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -44,10 +44,7 @@
 impl Live {
     /// The 50th and 99th percentile of the latest latencies, in milliseconds.
     pub fn percentiles(&self) -> (f32, f32) {
-        let mut latest = self.latest.read().map(|latest| latest.clone()).unwrap_or_default();
-        latest.sort_by(f32::total_cmp);
-        let at = |share: f64| latest.get((latest.len() as f64 * share) as usize).copied().unwrap_or(0.0);
-        (at(0.5), at(0.99))
+        percentiles(self.latest.read().map(|latest| latest.clone()).unwrap_or_default())
     }
 
     /// A node says that a breaker tripped.
@@ -67,6 +64,13 @@
     }
 }
 
+/// The 50th and 99th percentile of a few; 0 of none.
+pub fn percentiles(mut of: Vec<f32>) -> (f32, f32) {
+    of.sort_by(f32::total_cmp);
+    let at = |share: f64| of.get((of.len() as f64 * share) as usize).copied().unwrap_or(0.0);
+    (at(0.5), at(0.99))
+}
+
 /// Latencies and trips kept for whoever watches.
 const LATEST: usize = 4096;
 const TRIPS: usize = 1024;
--- a/crates/lab/src/idle.rs
+++ b/crates/lab/src/idle.rs
@@ -1,5 +1,6 @@
 //! What idle connections cost a node: many clients that have asked once and then say nothing, and then all speak.
 
+use crate::client::percentiles;
 use crate::http::{Conn, ReadError};
 use crate::nodes::Program;
 use crate::run::{play, Options, RunError};
@@ -41,9 +42,9 @@
     /// Bytes of it for each, over what the node took before.
     pub bytes_each: f64,
     /// Milliseconds of look-ups on other connections, at the 50th and 99th percentile.
-    pub p50_ms: f64,
+    pub p50_ms: f32,
     /// See `p50_ms`.
-    pub p99_ms: f64,
+    pub p99_ms: f32,
 }
 
 /// What was measured.
@@ -95,6 +96,7 @@
 }
 
 async fn hold(address: SocketAddr, pid: Option<i32>, sizes: &[usize], batch: usize) -> io::Result<Idle> {
+    let pid = pid.ok_or_else(|| io::Error::other("the node is no process of its own"))?;
     let mut idle = Idle::default();
     // What the node takes for its first look-ups is not the crowd's.
     lookups(address).await?;
@@ -132,7 +134,7 @@
     idle.answered = held.len();
     idle.peak_kib = memory(pid, "VmHWM:")?;
     sleep(REST).await;
-    terminate(pid)?;
+    kill(Pid::from_raw(pid), Signal::SIGTERM)?;
     let begun = Instant::now();
     let mut closing = JoinSet::new();
     for mut conn in held {
@@ -169,18 +171,18 @@
 }
 
 /// The 50th and 99th percentile of look-ups, in milliseconds.
-async fn lookups(address: SocketAddr) -> io::Result<(f64, f64)> {
+async fn lookups(address: SocketAddr) -> io::Result<(f32, f32)> {
     let mut asking = JoinSet::new();
     for asker in 0..ASKERS {
         asking.spawn_local(async move {
             let mut conn = Conn::new(TcpStream::connect(address).await?)?;
-            let mut took = Vec::new();
+            let mut took: Vec<f32> = Vec::new();
             for i in 0..LOOKUPS / ASKERS {
                 let begun = Instant::now();
                 if !ask(&mut conn, 10_000_000 + i * ASKERS + asker).await? {
                     conn = Conn::new(TcpStream::connect(address).await?)?;
                 }
-                took.push(begun.elapsed().as_secs_f64() * 1e3);
+                took.push(begun.elapsed().as_secs_f32() * 1e3);
             }
             Ok::<_, io::Error>(took)
         });
@@ -189,9 +191,7 @@
     while let Some(took) = asking.join_next().await {
         all.extend(took.map_err(io::Error::other)??);
     }
-    all.sort_by(f64::total_cmp);
-    let at = |share: f64| all.get((all.len() as f64 * share) as usize).copied().unwrap_or_default();
-    Ok((at(0.5), at(0.99)))
+    Ok(percentiles(all))
 }
 
 /// One request, to its answer: whatever it says, it is one. Whether the connection stays.
@@ -206,14 +206,8 @@
     Ok(!answer.close)
 }
 
-fn terminate(pid: Option<i32>) -> io::Result<()> {
-    let pid = pid.ok_or_else(|| io::Error::other("the node is no process of its own"))?;
-    kill(Pid::from_raw(pid), Signal::SIGTERM).map_err(io::Error::from)
-}
-
 /// A line of a process's memory, in KiB (proc(5): `VmRSS:` now, `VmHWM:` at its most).
-fn memory(pid: Option<i32>, name: &str) -> io::Result<u64> {
-    let pid = pid.ok_or_else(|| io::Error::other("the node is no process of its own"))?;
+fn memory(pid: i32, name: &str) -> io::Result<u64> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
     let line = status.lines().find_map(|line| line.strip_prefix(name));
     line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok())
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -105,10 +105,8 @@
     spawn_local(watching.run(follow.clone()));
     spawn_local(reload(hangup, addresses, observers.clone()));
     let balancer = Balancer::new(settings, seed);
-    let driver_upstream = upstream.clone();
-    spawn_local(
-        Driver::new(balancer, driver_upstream, follow, ready, events, observers.clone()).run(known, inputs),
-    );
+    let driver = Driver::new(balancer, upstream.clone(), follow, ready, events, observers.clone());
+    spawn_local(driver.run(known, inputs));
     let beside = match side {
         Some(listener) => {
             log.line(&format!("multi-get listens on {}", listener.local_addr()?));
@@ -169,15 +167,14 @@
     let clients = Share { floor: (sockets / 3).min(places / 2).min(left), most: places };
     let beside = Share { floor: beside, most: beside };
     let budget = Budget::new(places, [clients, servers, beside], bytes / 3 * 2);
-    budget.filter(|budget| budget.most(Side::Clients) > 0 && budget.most(Side::Servers) > 0).ok_or_else(
-        || {
-            format!(
-            "a limit of {sockets} sockets leaves {places} beside the features: not enough for {} to servers \
-             (front.servers_floor), {} of the side port, and clients",
-            servers.floor, beside.floor
+    let usable = |budget: &Budget| budget.most(Side::Clients) > 0 && budget.most(Side::Servers) > 0;
+    budget.filter(usable).ok_or_else(|| {
+        let (servers, beside) = (servers.floor, beside.floor);
+        format!(
+            "a limit of {sockets} sockets leaves {places} beside the features: not enough for {servers} to servers \
+             (front.servers_floor), {beside} of the side port, and clients"
         )
-        },
-    )
+    })
 }
 
 /// What holds for the table of clients' connections.
--- a/crates/node/src/table.rs
+++ b/crates/node/src/table.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use hyper::rt::{Read, ReadBufCursor, Write};
-use slatelink_front::{Budget, Cause, Door, Figures, Id, Lease, Lists, Short, Side, Terms, Told};
+use slatelink_front::{Budget, Cause, Door, Figures, Id, Lease, Short, Side, Terms, Told};
 use std::cell::RefCell;
 use std::future::{poll_fn, Future};
 use std::io;
@@ -35,8 +35,6 @@
     origin: Instant,
     /// By number.
     wakers: RefCell<Vec<Option<Waker>>>,
-    /// Those that have something to say and no memory to be read with.
-    starved: RefCell<Lists>,
     freed: Notify,
 }
 
@@ -49,7 +47,6 @@
             side,
             origin: Instant::now(),
             wakers: RefCell::default(),
-            starved: RefCell::new(Lists::new(1)),
             freed: Notify::new(),
         })
     }
@@ -71,16 +68,21 @@
         }
     }
 
+    /// Wakes the one that the table has something to tell, if any. Whether there was one.
+    fn wake_one(&self, found: Option<Id>) -> bool {
+        found.inspect(|id| self.wake(*id)).is_some()
+    }
+
     /// Asks the connection that is missed least to close. `false` where none can yet.
-    pub fn make_room(&self) -> bool {
+    fn make_room(&self) -> bool {
         let found = self.door.borrow_mut().make_room(self.now());
-        found.inspect(|id| self.wake(*id)).is_some()
+        self.wake_one(found)
     }
 
     /// Asks one that the terms let close to do so, for a connection to a server. `false` where there is none.
     pub fn spare(&self) -> bool {
         let found = self.door.borrow_mut().spare(self.now());
-        found.inspect(|id| self.wake(*id)).is_some()
+        self.wake_one(found)
     }
 
     /// Waits for a place for a connection of this address that is accepted. `others` asks another side of the budget
@@ -166,11 +168,8 @@
     }
 
     fn fed(&self) {
-        let mut starved = self.starved.borrow_mut();
-        if let Some(id) = starved.first(0) {
-            starved.remove(id);
-            self.wake(id);
-        }
+        let next = self.door.borrow_mut().fed();
+        self.wake_one(next);
     }
 }
 
@@ -182,7 +181,7 @@
 
 impl Place {
     /// What is polled with this context is woken where the table has something to tell it.
-    pub fn follow(&self, cx: &Context<'_>) {
+    fn follow(&self, cx: &Context<'_>) {
         if let Some(waker) = self.table.wakers.borrow_mut().get_mut(self.id as usize) {
             // A task's waker stays the same for as long as it runs.
             waker.get_or_insert_with(|| cx.waker().clone());
@@ -196,9 +195,7 @@
     /// Whether others may wait for this one, which is about to be answered.
     pub fn wanted(&self) -> bool {
         let (wanted, other) = self.table.door.borrow_mut().gives_way(self.table.now(), self.id);
-        if let Some(other) = other {
-            self.table.wake(other);
-        }
+        self.table.wake_one(other);
         wanted
     }
 
@@ -237,22 +234,20 @@
         // What has come by then is taken: it goes before the end.
         let spoken =
             if heard.before.is_empty() { heard.stream.poll_read_ready(cx) } else { Poll::Ready(Ok(())) };
-        if matches!(spoken, Poll::Ready(Err(_))) || self.told() == Told::Drop {
+        let told = self.told();
+        if matches!(spoken, Poll::Ready(Err(_))) || told == Told::Drop {
             return Poll::Ready(false);
         }
         if spoken.is_ready() {
             let fed = self.table.door.borrow_mut().speaks(self.table.now(), self.id);
             let Err(other) = fed else { return Poll::Ready(true) };
-            self.table.starved.borrow_mut().push(0, self.id);
-            if let Some(other) = other {
-                self.table.wake(other);
-            }
+            self.table.wake_one(other);
             return Poll::Pending;
         }
-        if self.told() == Told::Finish {
-            return Poll::Ready(false);
+        match told {
+            Told::Finish => Poll::Ready(false),
+            _ => Poll::Pending,
         }
-        Poll::Pending
     }
 
     /// Drives a connection to its end, or until it is to be parked: what was taken is finished when the node closes; a
@@ -290,7 +285,6 @@
         if let Some(waker) = self.table.wakers.borrow_mut().get_mut(self.id as usize) {
             *waker = None;
         }
-        self.table.starved.borrow_mut().remove(self.id);
         self.table.fed();
         self.table.freed.notify_one();
     }
