--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -531,7 +531,10 @@
 
     fn outcome(&mut self, now: Timestamp, outcome: &Outcome, actions: &mut Vec<Action>) {
         let Some(mut held) = self.held.remove(&outcome.id) else { return };
-        let Some(attempt) = held.attempts.get_mut(outcome.attempt as usize) else { return self.keep(held) };
+        let attempt = held.attempts.get_mut(outcome.attempt as usize);
+        let Some(attempt) = attempt.filter(|attempt| attempt.status.is_none()) else {
+            return self.keep(held);
+        };
         attempt.status = Some(outcome.status);
         let fetched = outcome.note == Some(Note::Miss) && self.settings.mode == CacheMode::Through;
         // A time-out brings no report. Where answers of late met no queue it was not that server's load (a
--- /dev/null
+++ b/crates/decide/tests/common/events.rs
@@ -0,0 +1,103 @@
+//! Sequences of events for the rules as properties: one generator for the module, the front and the node.
+#![allow(dead_code)]
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
+use slatelink_decide::{Note, Status};
+
+/// Cache servers that discovery may name.
+pub const SERVERS: usize = 5;
+
+/// One thing that happens. Where it picks one of several, `which` counts on from the oldest, round and round.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// A client asks.
+    Ask { class: usize, key: u64, patience_ms: u64, write: bool, over_share: bool },
+    /// An attempt that is out ends so.
+    End { which: usize, how: Status, note: Option<Note> },
+    /// An outcome comes that belongs to no attempt that is out.
+    Stray { which: usize, how: Status },
+    /// A client leaves.
+    Leave { which: usize },
+    /// Discovery tells of one server.
+    Change { server: usize, to: Change },
+    /// Discovery's whole list lacks the servers whose bit stands here.
+    Whole { lacks: u8 },
+    /// A call to discovery failed.
+    NoList,
+    /// Time passes, or none.
+    Pass { ms: u64 },
+}
+
+/// What discovery says of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    Ready,
+    Draining,
+    Gone,
+    /// It has started anew under its id.
+    Restarted,
+    /// It listens elsewhere.
+    Moved,
+}
+
+fn status() -> impl Strategy<Value = Status> {
+    use Status::*;
+    let bad = vec![Failed, QueueFull, TimedOut, ConnectError, Reset, Canceled, Ignored, Miss];
+    prop_oneof![1 => Just(Ok), 2 => proptest::sample::select(bad)]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    use Change::*;
+    let change = proptest::sample::select(vec![Ready, Draining, Gone, Restarted, Moved]);
+    let note =
+        proptest::sample::select(vec![None, Some(Note::Hit), Some(Note::Miss), Some(Note::MissFetching)]);
+    let ask = (0..4usize, 0..8u64, 0..600u64, any::<bool>(), 0..20u8);
+    prop_oneof![
+        8 => ask.prop_map(|(class, key, patience_ms, write, over)| {
+            Step::Ask { class, key, patience_ms, write, over_share: over == 0 }
+        }),
+        8 => (any::<usize>(), status(), note).prop_map(|(which, how, note)| Step::End { which, how, note }),
+        1 => (any::<usize>(), status()).prop_map(|(which, how)| Step::Stray { which, how }),
+        1 => any::<usize>().prop_map(|which| Step::Leave { which }),
+        2 => (0..SERVERS, change).prop_map(|(server, to)| Step::Change { server, to }),
+        1 => any::<u8>().prop_map(|lacks| Step::Whole { lacks }),
+        1 => Just(Step::NoList),
+        4 => prop_oneof![1 => Just(0), 6 => 1..60u64, 1 => 400..3_000u64].prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+/// Plays one sequence of this length from each fixed seed, where finding a shorter one would take too long.
+pub fn check_once(seeds: std::ops::Range<u8>, length: usize, holds: impl Fn(u64, &[Step])) {
+    for seed in seeds {
+        let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+        let mut runner = TestRunner::new_with_rng(Config::default(), random);
+        let steps = vec(step(), length).new_tree(&mut runner).expect("a sequence").current();
+        let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| holds(seed.into(), &steps)));
+        if let Err(panic) = played {
+            eprintln!("seed {seed}: {steps:#?}");
+            std::panic::resume_unwind(panic);
+        }
+    }
+}
+
+/// Plays sequences of up to `length` steps, `cases` from each fixed seed, against a property: `holds` gets the seed and
+/// panics where it does not hold. A failure prints the seed and the shortest sequence that was found to fail.
+pub fn check(seeds: std::ops::Range<u8>, cases: u32, length: usize, holds: impl Fn(u64, &[Step])) {
+    for seed in seeds {
+        let config =
+            Config { cases, failure_persistence: None, max_shrink_iters: 2_000, ..Config::default() };
+        let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+        let played = TestRunner::new_with_rng(config, random).run(&vec(step(), 1..length), |steps| {
+            holds(seed.into(), &steps);
+            Ok(())
+        });
+        match played {
+            Ok(()) => {}
+            Err(TestError::Fail(why, steps)) => panic!("seed {seed}: {why}\n{steps:#?}"),
+            Err(TestError::Abort(why)) => panic!("seed {seed}: {why}"),
+        }
+    }
+}
--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -1,4 +1,4 @@
-//! The four rules, each on its own and under arbitrary legal sequences of events (fixed seeds).
+//! The four rules, each on its own; `properties.rs` has them over arbitrary sequences of events.
 
 mod common;
 use common::*;
@@ -165,92 +165,6 @@
     }
 }
 
-fn arbitrary(seed: u64) -> Vec<Action> {
-    let mut rng = fastrand::Rng::with_seed(seed);
-    let scopes = [Scope::All, Scope::Zone, Scope::Cell];
-    let (mut settings, origin) = if rng.bool() { aside() } else { (settings(), ServerEntry::new("zz")) };
-    settings.classes[1].effect =
-        Effect::Keyed { scope: scopes[rng.usize(0..3)], window: ms(rng.u64(1..900)) };
-    settings.second_copies = rng.bool();
-    settings.cancelling = rng.bool();
-    settings.probing = rng.bool();
-    settings.must_follow = rng.bool();
-    settings.max_attempts = rng.u32(1..7);
-    let mut node = Node::new(settings, seed);
-    let entry = |rng: &mut fastrand::Rng, i: u64, now: Timestamp| ServerEntry {
-        zone: Some(Name::from(["x", "y"][rng.usize(0..2)])),
-        cell: rng.u64(0..3),
-        weight: [0.0, 0.5, 1.0, 4.0, f64::NAN][rng.usize(0..5)],
-        availability: [Availability::Ready, Availability::Draining, Availability::Gone]
-            [rng.usize(0..9).max(6) - 6],
-        started: rng.bool().then_some(Timestamp::from_micros(now.as_micros() - rng.u64(0..9_000_000))),
-        ..ServerEntry::new(&format!("s{i}"))
-    };
-    for _ in 0..600 {
-        match rng.u32(0..20) {
-            0 => {
-                let mut list = vec![origin.clone()];
-                for i in 0..rng.u64(0..9) {
-                    let entry = entry(&mut rng, i, node.now);
-                    list.extend((entry.availability != Availability::Gone).then_some(entry));
-                }
-                node.full_list(list);
-            }
-            1 => {
-                let i = rng.u64(0..9);
-                let changed = entry(&mut rng, i, node.now);
-                node.changes(vec![changed]);
-            }
-            2..=8 => {
-                let mut request = Request::new("", node.now);
-                request.id = format!("q{}", node.requests.len()).as_str().into();
-                request.class = rng.usize(0..4).checked_sub(1).map(ClassId);
-                request.key = rng.bool().then(|| rng.u64(0..6));
-                request.valid_until = node.now + ms(rng.u64(0..600));
-                request.write = rng.u8(0..5) == 0;
-                request.client_retry = rng.bool();
-                request.expected_work = rng.bool().then(|| ms(rng.u64(0..100)));
-                node.submit(request);
-            }
-            9..=14 => {
-                let out = node.all_out();
-                if !out.is_empty() {
-                    use Status::*;
-                    let all = [Ok, Miss, Failed, QueueFull, TimedOut, ConnectError, Reset, Canceled, Ignored];
-                    node.answer(&out[rng.usize(0..out.len())], all[rng.usize(0..9)]);
-                }
-            }
-            15 => {
-                let open = node.requests.iter().filter(|(_, open)| !open.ended).map(|(id, _)| id.clone());
-                if let Some(id) = open.collect::<Vec<_>>().first() {
-                    node.requests.get_mut(id).expect("known").ended = true;
-                    node.feed(Event::Abandoned(id.clone()));
-                }
-            }
-            16 => {
-                node.feed(Event::Servers(ServerList::Unavailable));
-            }
-            _ => node.pass(ms(rng.u64(0..120))),
-        }
-    }
-    node.pass(ms(1_000));
-    node.trace
-}
-
-#[test]
-fn arbitrary_legal_events_break_no_rule() {
-    for seed in 0..150 {
-        arbitrary(seed);
-    }
-}
-
-#[test]
-fn equal_events_give_equal_actions() {
-    for seed in [3, 58] {
-        assert_eq!(arbitrary(seed), arbitrary(seed));
-    }
-}
-
 #[test]
 fn an_outcome_of_an_attempt_never_made_loses_no_request() {
     let mut node = Node::with_servers(settings(), 2);
@@ -263,3 +177,20 @@
     node.pass(ms(500));
     assert!(node.requests[&id].ended);
 }
+
+#[test]
+fn an_outcome_that_is_told_twice_counts_once() {
+    let mut node = Node::with_servers(settings(), 3);
+    let id = node.request(0, 7, ms(400));
+    let (attempt, server) = node.out(&id).expect("sent");
+    node.end_attempt(&id, attempt, Status::Failed);
+    assert!(node.out(&id).is_some(), "sent on");
+    let (note, load, took, finished) = (None, LoadReport::default(), ms(1), false);
+    let again =
+        Outcome { id: id.clone(), attempt, server, status: Status::Failed, note, took, finished, load };
+    for _ in 0..20 {
+        assert_eq!(node.feed(Event::Outcome(again.clone())), [], "no breaker trips of it");
+    }
+    node.answer(&id, Status::Ok);
+    assert!(node.requests[&id].ended);
+}
