Heed no outcome of a server's life before, and hold no place of its at the new one

Cause: a server that is dropped from a list and named again, or that starts anew under its id, was credited with the ends of attempts that its life before still had out. A server named again has a breaker of epoch 0 like the one before it, so failures of before count and trip it. An old trial that told nothing (cancelled) would give back a place that the new breaker never lent: 0 less 1. Outcomes of before also gave back places in flight of the new life, moved its limit, marked its keys as held and called it answering. Ruled out: epochs alone. They protect a restart that discovery tells under an id that stays listed, for the breakers only. At fault: balance.rs, learn() (a fresh epoch, places in flight that stay over a restart) and outcome() (the place found by id). Change: each life of a server has a number; an attempt keeps it, and an outcome whose number is not the server's touches no server. A new start has nothing in flight, and has neither answered nor told of a queue. What is learnt of the machine (limit, gap) stays.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -154,6 +154,9 @@
 #[derive(Debug)]
 struct Server {
     entry: ServerEntry,
+    /// Of all that were ever started or named anew, the how-manieth: what was sent to the one before it tells
+    /// nothing of this one, and holds no place at it.
+    life: u64,
     kind: usize,
     hash: u64,
     breaker: Breaker,
@@ -186,6 +189,8 @@
 #[derive(Debug)]
 struct Attempt {
     entry: ServerEntry,
+    /// Of the server, when it was sent.
+    life: u64,
     sent: Timestamp,
     /// Of the server's breaker, of its class's there and of the origin's, when it was sent.
     epochs: (u32, u32, u32),
@@ -248,6 +253,7 @@
     drawn: u64,
     /// Sorted by id. Draining servers stay until discovery removes them.
     servers: Vec<Server>,
+    lives: u64,
     /// Looked up by id only, never walked: its order differs from run to run.
     held: HashMap<RequestId, Held>,
     due: BTreeSet<(Timestamp, RequestId)>,
@@ -302,6 +308,7 @@
             fetch_cut: Timestamp::default(),
             ends: [(0.0, 0.0); 2],
             servers: Vec::new(),
+            lives: 0,
             held: HashMap::new(),
             due: BTreeSet::new(),
             armed: None,
@@ -369,12 +376,15 @@
                     self.servers.remove(i);
                 }
                 Ok(i) => {
-                    if entry.started != self.servers[i].entry.started {
-                        let server = &mut self.servers[i];
+                    let server = &mut self.servers[i];
+                    if entry.started != server.entry.started {
+                        self.lives += 1;
+                        (server.life, server.in_flight) = (self.lives, 0);
+                        (server.answered, server.unqueued) = (None, None);
                         server.breaker.enter(State::Closed, now);
                         server.by_class.iter_mut().for_each(|breaker| breaker.enter(State::Closed, now));
                     }
-                    self.servers[i].entry = entry.clone();
+                    server.entry = entry.clone();
                 }
                 Err(_) if entry.availability == Availability::Gone => {}
                 Err(i) => {
@@ -387,10 +397,13 @@
                     let (entry, breaker, gap) = (entry.clone(), Breaker::new(WINDOW, now), Duration::MAX);
                     let (slot, used, in_flight, limit, sent) = (0, 0, 0, self.limit_start, now);
                     let (answered, unqueued) = (None, None);
+                    self.lives += 1;
+                    let life = self.lives;
                     let by_class =
                         self.settings.classes.iter().map(|_| Breaker::new(CLASS_WINDOW, now)).collect();
                     let fresh = Server {
                         entry,
+                        life,
                         kind,
                         hash,
                         breaker,
@@ -541,6 +554,7 @@
         // miss waits for the origin, say): less work and a breaker for that server help nobody, and its keys
         // would be missed elsewhere.
         let place = self.servers.binary_search_by(|server| server.entry.id.cmp(&outcome.server)).ok();
+        let place = place.filter(|i| self.servers[*i].life == attempt.life);
         let lately = place.is_some_and(|i| self.unqueued(&self.servers[i], now));
         let excused = lately && outcome.status == Status::TimedOut;
         let (cold, sent) = (attempt.cold, attempt.sent);
@@ -699,7 +713,8 @@
         let skew = u32::from(kept && self.origin.state != State::Closed);
         let class_epoch = server.by_class[class].epoch;
         let epochs = (server.breaker.epoch, class_epoch, self.origin.epoch.wrapping_sub(skew));
-        held.attempts.push(Attempt { entry: server.entry.clone(), sent: now, epochs, cold, status: None });
+        let (entry, life) = (server.entry.clone(), server.life);
+        held.attempts.push(Attempt { entry, life, sent: now, epochs, cold, status: None });
         let timeout = held.request.valid_until.since(now);
         let (id, server) = (held.request.id.clone(), server.entry.id.clone());
         actions.push(Action::Send { id, server, timeout });
--- a/crates/decide/tests/properties.rs
+++ b/crates/decide/tests/properties.rs
@@ -559,6 +559,41 @@
     });
 }
 
+#[test]
+fn a_late_outcome_trips_no_breaker_of_a_new_incarnation() {
+    check(SEEDS, CASES, LENGTH, |seed, steps| {
+        let mut incarnations = BTreeMap::<ServerId, (Option<Timestamp>, u32)>::new();
+        let mut sent = BTreeMap::new();
+        let mut last = None;
+        for (_, fact) in World::facts(seed, steps).facts {
+            match fact {
+                Fact::Told(list) => {
+                    // Gone and named again, or started anew.
+                    for (id, (_, life)) in incarnations.iter_mut() {
+                        *life += u32::from(!list.iter().any(|entry| entry.id == *id));
+                    }
+                    for entry in list {
+                        let (started, life) = incarnations.entry(entry.id).or_insert((entry.started, 0));
+                        *life += u32::from(std::mem::replace(started, entry.started) != entry.started);
+                    }
+                }
+                Fact::Sent { id, server } => {
+                    let life = incarnations.get(&server.id).copied();
+                    sent.insert((id, server.id), life);
+                }
+                Fact::Ended { id, server, .. } => last = Some((server.id.clone(), sent[&(id, server.id)])),
+                Fact::Said(text) if text != "breaker of the origin tripped" => {
+                    let host = ServerId::from(text.split(' ').nth(2).unwrap_or_default());
+                    let (server, life) = last.clone().expect("an outcome before a trip");
+                    assert_eq!(server, host);
+                    assert_eq!(life, incarnations.get(&host).copied(), "an old life's outcome trips {host}");
+                }
+                _ => {}
+            }
+        }
+    });
+}
+
 #[test]
 fn equal_events_give_equal_actions() {
     check(0..2, 10, LENGTH, |seed, steps| {
