Open a breaker again when a trial fails, whatever the other servers do

Cause: a half-open breaker whose trial failed while the other servers failed too was neither opened nor given its place back. With one trial of three failed, the other two cannot make three successes: the server is blocked until it starts anew. The same held for the breaker of a class at a server that turns it away like most others do. Ruled out: trials whose end told nothing (they give their place back), and outcomes of an earlier state (epochs). At fault: balance.rs, outcome(): on_outcome() asks for a trip, which is_outlier() and is_classes_own() then refuse; both are meant for closed breakers, where a common cause is no reason to open one more. Change: where the breaker was half-open, the design's rule holds: one failure opens it again.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -111,6 +111,10 @@
         }
     }
 
+    fn is_half_open(&self) -> bool {
+        matches!(self.state, State::HalfOpen { .. })
+    }
+
     fn on_send(&mut self, now: Timestamp) {
         match &mut self.state {
             State::Open { until } if now >= *until => {
@@ -642,15 +646,18 @@
             }
             // Other failures may be the origin's or the whole server's.
             let of_class = (answered || barred).then_some(answered);
+            let trial = server.by_class[class].is_half_open();
             if server.by_class[class].on_outcome(class_epoch, of_class, now)
-                && self.is_classes_own(i, class, now)
+                && (trial || self.is_classes_own(i, class, now))
             {
                 self.servers[i].by_class[class].enter(State::Open { until: now + COOLDOWN }, now);
                 actions.push(Action::Log(format!("breaker of {} tripped for class {class}", outcome.server)));
             }
             let server = &mut self.servers[i];
+            // A failed trial opens it again whatever others do: half-open, it would lack a place for good.
+            let trial = server.breaker.is_half_open();
             if server.breaker.on_outcome(epoch, ok.filter(|_| !barred && !busy), now)
-                && self.is_outlier(i, now)
+                && (trial || self.is_outlier(i, now))
             {
                 self.servers[i].breaker.enter(State::Open { until: now + COOLDOWN }, now);
                 actions.push(Action::Log(format!("breaker of {} tripped", outcome.server)));
@@ -807,9 +814,10 @@
     /// or shortly: the front deals a client that comes again to another node, which may have room.
     fn retry_after(&self, now: Timestamp, request: &Request) -> Duration {
         let origin = self.servers.iter().find(|server| self.is_origin(&server.entry));
+        let shortly = self.class(request).aim.mul_f64(AWAY_STEP);
         let advice = match origin.map_or(self.origin.state, |server| server.breaker.state) {
             State::Open { until } => until.since(now),
-            _ => self.class(request).aim.mul_f64(AWAY_STEP),
+            _ => shortly,
         };
         advice.min(self.settings.max_retry_after)
     }
--- a/crates/decide/tests/properties.rs
+++ b/crates/decide/tests/properties.rs
@@ -559,6 +559,41 @@
     });
 }
 
+#[test]
+fn no_trial_leaks_a_server_that_answers_again_is_used_again() {
+    check(SEEDS, 10, 60, |seed, steps| {
+        let mut world = World::new(seed);
+        for part in steps.chunks(15) {
+            // Some or all servers fail, their breakers open, and their trials meet the same.
+            let lost = part.len() as u64 % 4;
+            let bad = |key: u64| if key % 4 >= lost { Status::Failed } else { Status::Ok };
+            busy(&mut world, 40, |_| None, bad);
+            world.pass(COOLDOWN);
+            busy(&mut world, 20, |_| None, bad);
+            world.play(part);
+        }
+        (0..SERVERS).for_each(|i| world.change(i, Change::Ready));
+        let hit = |_| Some(Note::Hit);
+        // Longer than the longest cooldown, and as long again for its trials.
+        (0..20).for_each(|_| {
+            busy(&mut world, 20, hit, |_| Status::Ok);
+            world.pass(ms(1_000));
+        });
+        let last = world.now;
+        busy(&mut world, 200, hit, |_| Status::Ok);
+        let late = world.facts.iter().filter(|(at, _)| *at >= last);
+        let used: BTreeSet<_> = late
+            .filter_map(|(_, fact)| match fact {
+                Fact::Sent { server, .. } => Some(server.id.clone()),
+                _ => None,
+            })
+            .collect();
+        let missing: Vec<_> =
+            (0..SERVERS).map(|i| World::entry(i).id).filter(|id| !used.contains(id)).collect();
+        assert!(missing.is_empty(), "{missing:?} answer and are not used");
+    });
+}
+
 #[test]
 fn a_late_outcome_trips_no_breaker_of_a_new_incarnation() {
     check(SEEDS, CASES, LENGTH, |seed, steps| {
