Send nothing more on connections to where a server was, or to the process it was

Cause: a server moved (a new dial under its id) or started anew (a new born_ms) while an attempt was out kept that attempt's connection. Seen: cli/node_lists. After a move the answer to the attempt under way came, its connection went back among the idle ones, and all later requests of keys 2, 4, 6 went to the old address for as long as it was used ('old' where 'new' was due). After a new start under the same id and address the idle connections of before stayed open: 2 where a machine that vanished would say nothing on either. Ruled out: idle connections at a move (closed), and a server that was gone and named again (another peer). At fault: upstream.rs, attempt(): a connection is kept if the server takes work, wherever it leads; learn() knew no start. Change: a peer counts its lives, by address and start; a connection of another life is neither used nor kept. Also, want of memory (ENOMEM, ENOBUFS) at a dial is the node's own like want of descriptors, and no failure of the server's.

--- /dev/null
+++ b/crates/cli/tests/node_lists.rs
@@ -0,0 +1,150 @@
+//! The list of cache servers changes while requests are on their way, over loopback sockets.
+
+mod node_common;
+
+use node_common::*;
+use serde_json::{json, Value};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
+
+type Gate = Arc<(Mutex<bool>, Condvar)>;
+
+/// A server that holds requests with odd ids until the gate is open; its answers bear its name.
+fn gated(name: &'static str, gate: &Gate) -> CacheServer {
+    let gate = gate.clone();
+    CacheServer::start(move |asked| {
+        if asked.header("req-id").is_some_and(|id| id.ends_with(['1', '3', '5', '7'])) {
+            let open = gate.0.lock().unwrap();
+            drop(gate.1.wait_timeout_while(open, PATIENCE, |open| !*open).unwrap());
+        }
+        Does::Answer(answer("200 OK", "", name))
+    })
+}
+
+fn open(gate: &Gate) {
+    *gate.0.lock().unwrap() = true;
+    gate.1.notify_all();
+}
+
+fn born(mut entry: Value, at_ms: u64) -> Value {
+    entry["born_ms"] = json!(at_ms);
+    entry
+}
+
+// Guards against a connection of before a move that is kept, and takes later requests to where the server was.
+#[test]
+fn what_comes_back_from_the_old_address_is_answered_and_nothing_more_goes_there() {
+    let gate = Gate::default();
+    let (old, new) = (gated("old", &gate), gated("new", &gate));
+    let discovery = Discovery::start(&[old.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    let mut waiting = node.client();
+    waiting.send(&read("once", 1, 20_000));
+    wait_for("the attempt", || old.count() == 1);
+    discovery.tell(false, &[new.entry("s-1", "ready")]);
+    discovery.wait_until_told(2);
+    open(&gate);
+    assert_eq!(waiting.answer().unwrap().body, b"old", "an attempt under way is finished");
+    for key in [2, 4, 6] {
+        assert_eq!(node.read("read", key).body, b"new", "{key}");
+    }
+    assert_eq!(old.count(), 1);
+}
+
+// Guards against connections to a process that is no more: a machine that vanished says nothing on them.
+#[test]
+fn a_new_start_under_the_same_id_and_address_gets_new_connections() {
+    let gate = Gate::default();
+    let server = gated("value", &gate);
+    let discovery = Discovery::start(&[born(server.entry("s-1", "ready"), 1)]);
+    let node = Node::ready(&config(discovery.address));
+    let mut waiting = node.client();
+    waiting.send(&read("once", 1, 20_000));
+    wait_for("the attempt", || server.count() == 1);
+    assert_eq!(node.read("read", 2).status(), 200);
+    assert_eq!(server.connections.load(Ordering::SeqCst), 2);
+    discovery.tell(false, &[born(server.entry("s-1", "ready"), 2)]);
+    discovery.wait_until_told(2);
+    wait_for("the idle connection's end", || server.closed.load(Ordering::SeqCst) == 1);
+    open(&gate);
+    assert_eq!(waiting.answer().unwrap().status(), 200);
+    wait_for("the other one's end", || server.closed.load(Ordering::SeqCst) == 2);
+    assert_eq!(node.read("read", 4).status(), 200);
+    assert_eq!(server.connections.load(Ordering::SeqCst), 3);
+}
+
+// Guards against an attempt that reaches a server after its drain was told, whenever that comes, and against one that is
+// taken from a request that had it: between pick and dial, dial and first byte, and after the last byte.
+#[test]
+fn a_drain_or_end_at_any_moment_gets_nothing_new_and_loses_no_request() {
+    let gate = Gate::default();
+    let servers = ["s-0", "s-1", "s-2"].map(|name| gated(name, &gate));
+    open(&gate);
+    let names = ["s-0", "s-1", "s-2"];
+    let entries = |state: &[&str; 3]| -> Vec<Value> {
+        let all = servers.iter().zip(names).zip(state);
+        all.filter(|(_, state)| **state != "absent")
+            .map(|((server, name), state)| server.entry(name, state))
+            .collect()
+    };
+    let discovery = Discovery::start(&entries(&["ready"; 3]));
+    let node = Node::ready(&config(discovery.address));
+    let stop = Arc::new(AtomicUsize::new(0));
+    let clients: Vec<_> = (0..8u64)
+        .map(|client| {
+            let (stop, address) = (stop.clone(), node.address);
+            thread::spawn(move || {
+                let stream = std::net::TcpStream::connect(address).unwrap();
+                stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                let (mut connection, mut answers) = (Client::on(stream), 0);
+                while stop.load(Ordering::SeqCst) == 0 {
+                    let key = client << 32 | answers;
+                    let Some(answer) = connection.try_ask(&read("once", key, 20_000)) else { break };
+                    // Some server is ready all the time.
+                    assert_eq!(answer.status(), 200, "{key:x}");
+                    answers += 1;
+                    if answer.header("connection") == Some("close") {
+                        let stream = std::net::TcpStream::connect(address).unwrap();
+                        connection = Client::on(stream);
+                    }
+                }
+                answers
+            })
+        })
+        .collect();
+    for turn in 0..60 {
+        let mut state = ["ready"; 3];
+        let gone = turn % 3;
+        state[gone] = ["draining", "absent"][turn / 3 % 2];
+        discovery.tell(true, &entries(&state));
+        discovery.wait_until_told(turn as u64 + 2);
+        // Told: what was under way may still come to its last byte, and then nothing.
+        thread::sleep(Duration::from_millis(20));
+        let count = servers[gone].count();
+        thread::sleep(Duration::from_millis(10));
+        assert_eq!(servers[gone].count(), count, "turn {turn}");
+    }
+    stop.store(1, Ordering::SeqCst);
+    let answers: u64 = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    let asked: usize = servers.iter().map(CacheServer::count).sum();
+    assert_eq!(answers as usize, asked, "each ran once and was answered once");
+    assert!(asked > 100, "{asked}");
+}
+
+// Guards against an empty list that leaves requests waiting, and one that cannot be undone.
+#[test]
+fn an_empty_list_refuses_at_once_and_a_renamed_one_serves() {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    discovery.tell(true, &[]);
+    discovery.wait_until_told(2);
+    let refused = node.read("once", 1);
+    assert_eq!(refused.status(), 503);
+    assert!(refused.header("retry-after").unwrap().parse::<f64>().unwrap() > 0.0);
+    discovery.tell(true, &[server.entry("s-2", "ready")]);
+    discovery.wait_until_told(3);
+    assert_eq!(node.read("once", 1).status(), 200);
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -227,7 +227,7 @@
         for (host, entry) in listing.hosts.iter().zip(entries.iter()) {
             match entry.availability {
                 Availability::Gone => self.upstream.forget(&entry.id),
-                state => self.upstream.learn(&entry.id, host.dial(), state == Availability::Ready),
+                _ => self.upstream.learn(entry, host.dial()),
             }
         }
         if entries.iter().any(|entry| entry.availability == Availability::Ready) {
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -10,7 +10,7 @@
 use hyper::rt::ReadBufCursor;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use slatelink_decide::{LoadReport, Note, ServerId, Status};
+use slatelink_decide::{Availability, LoadReport, Note, ServerEntry, ServerId, Status, Timestamp};
 use slatelink_front::{Budget, Lease, Short, Side};
 use slatelink_wire::read_load;
 use socket2::SockRef;
@@ -241,6 +241,8 @@
 /// A connection. Dropping it closes the socket at once, also with an answer under way: that is how an
 /// attempt is given up.
 struct Connection {
+    /// Of its server, when it was made.
+    life: u64,
     sender: SendRequest<Full<Bytes>>,
     written: Rc<Written>,
     task: AbortHandle,
@@ -257,6 +259,9 @@
 /// A cache server.
 struct Peer {
     dial: Cell<SocketAddr>,
+    started: Cell<Option<Timestamp>>,
+    /// Counts the times that it moved or started anew: connections of before lead elsewhere, or nowhere.
+    life: Cell<u64>,
     takes_work: Cell<bool>,
     /// The one used last stands last.
     idle: RefCell<Vec<Connection>>,
@@ -285,17 +290,24 @@
     }
 
     /// Takes in what discovery says of a server.
-    pub fn learn(&self, server: &ServerId, dial: Option<SocketAddr>, takes_work: bool) {
+    pub fn learn(&self, entry: &ServerEntry, dial: Option<SocketAddr>) {
+        let takes_work = entry.availability == Availability::Ready;
         let mut peers = self.peers.borrow_mut();
-        if let Some(peer) = peers.get(server) {
+        if let Some(peer) = peers.get(&entry.id) {
             let moved = dial.is_some_and(|dial| peer.dial.replace(dial) != dial);
+            let anew = peer.started.replace(entry.started) != entry.started;
             peer.takes_work.set(takes_work);
-            if moved || !takes_work {
+            if moved || anew {
+                peer.life.set(peer.life.get() + 1);
+            }
+            if moved || anew || !takes_work {
                 peer.idle.borrow_mut().clear();
             }
         } else if let Some(dial) = dial {
-            let (dial, takes_work) = (Cell::new(dial), Cell::new(takes_work));
-            peers.insert(server.clone(), Rc::new(Peer { dial, takes_work, idle: RefCell::default() }));
+            let (dial, takes_work, started) =
+                (Cell::new(dial), Cell::new(takes_work), Cell::new(entry.started));
+            let (life, idle) = (Cell::default(), RefCell::default());
+            peers.insert(entry.id.clone(), Rc::new(Peer { dial, started, life, takes_work, idle }));
         }
     }
 
@@ -349,6 +361,9 @@
             if !peer.takes_work.get() {
                 return Ended::without_answer(Status::ConnectError);
             }
+            if connection.life != peer.life.get() {
+                continue;
+            }
             let Ok(request) = request(&peer, message, until) else {
                 return Ended::without_answer(Status::ConnectError);
             };
@@ -361,7 +376,8 @@
             }
             return match answer {
                 Ok(Ok((ended, reusable))) => {
-                    if reusable && peer.takes_work.get() && !connection.sender.is_closed() {
+                    let kept = peer.takes_work.get() && connection.life == peer.life.get();
+                    if reusable && kept && !connection.sender.is_closed() {
                         reused.set(true);
                         connection.kept = Instant::now();
                         peer.idle.borrow_mut().push(connection);
@@ -386,6 +402,7 @@
             }
         }
         let lease = self.lease().await?;
+        let life = peer.life.get();
         let connecting = async {
             let stream = TcpStream::connect(peer.dial.get()).await?;
             stream.set_nodelay(true)?;
@@ -399,7 +416,7 @@
                 let _ = driving.await;
             });
             let task = task.abort_handle();
-            Ok(Connection { sender, written, task, kept: Instant::now(), _lease: lease })
+            Ok(Connection { life, sender, written, task, kept: Instant::now(), _lease: lease })
         };
         timeout(self.connect_timeout, connecting).await.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
     }
@@ -432,10 +449,9 @@
     }
 }
 
-/// Whether a connection failed for want of this process's descriptors or addresses.
+/// Whether something failed for want of this process's descriptors, memory or addresses.
 fn own_fault(error: &io::Error) -> bool {
-    /// Of Linux: no descriptor left in the system, none in the process, no address left to connect from.
-    const WANTS: [i32; 3] = [23, 24, 99];
+    const WANTS: [i32; 5] = [libc::ENOMEM, libc::ENFILE, libc::EMFILE, libc::EADDRNOTAVAIL, libc::ENOBUFS];
     error.kind() == io::ErrorKind::QuotaExceeded
         || error.raw_os_error().is_some_and(|code| WANTS.contains(&code))
 }
@@ -534,4 +550,13 @@
         }
         assert_eq!(idling.limit(), STATED);
     }
+
+    // Guards against a node's own want of memory that is held against the server it meant to ask.
+    #[test]
+    fn a_want_of_descriptors_memory_or_addresses_is_the_nodes_own() {
+        for code in [libc::ENOMEM, libc::ENFILE, libc::EMFILE, libc::EADDRNOTAVAIL, libc::ENOBUFS] {
+            assert!(own_fault(&io::Error::from_raw_os_error(code)), "{code}");
+        }
+        assert!(!own_fault(&io::Error::from_raw_os_error(libc::ECONNREFUSED)));
+    }
 }
