Take no list older than the one held, and do not spin on a watch that never waits

Cause: whatever discovery answered was taken, and the next call followed at once. Seen: cli/node_lists. A whole list of version 3 after one of version 5 brought a server back that was gone, and requests went there. A discovery that answers a watch at once with nothing new was called 7,138 times a second by one node; it is one service for all nodes. Ruled out: the backoff, which only follows failed calls; the wait in the call's path (20 s), which is discovery's to keep. At fault: discovery.rs, watch_at(): no look at the version, and no pace. Change: a list older than the one held is a line in the log, and the whole list is asked for and taken as it comes, since discovery may have lost its versions. After an answer with nothing newer that came before half of its wait the next call waits 50 ms, well within the 200 ms that keep a watch.

--- a/crates/cli/tests/node_lists.rs
+++ b/crates/cli/tests/node_lists.rs
@@ -4,10 +4,12 @@
 
 use node_common::*;
 use serde_json::{json, Value};
+use std::io::{BufReader, Write};
+use std::net::TcpListener;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 type Gate = Arc<(Mutex<bool>, Condvar)>;
 
@@ -148,3 +150,68 @@
     discovery.wait_until_told(3);
     assert_eq!(node.read("once", 1).status(), 200);
 }
+
+/// Discovery that answers each call with the next of these texts, the last one for good; it counts the calls.
+fn scripted(lists: Vec<String>) -> (std::net::SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let asked: Arc<Mutex<Vec<String>>> = Arc::default();
+    let log = asked.clone();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let (log, lists) = (log.clone(), lists.clone());
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                while let Ok(Some(message)) = Message::read(&mut reader) {
+                    let mut log = log.lock().unwrap();
+                    log.push(message.start.split(' ').nth(1).unwrap().to_owned());
+                    let list = &lists[(log.len() - 1).min(lists.len() - 1)];
+                    drop(log);
+                    if stream.write_all(answer("200 OK", "", list).as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, asked)
+}
+
+fn list(seq: u64, whole: bool, hosts: &[Value]) -> String {
+    json!({"seq": seq, "whole": whole, "hosts": hosts}).to_string()
+}
+
+// Guards against a list of before that brings back what is gone.
+#[test]
+fn a_list_older_than_the_one_held_is_not_taken_and_the_whole_list_is_asked_for() {
+    let server = CacheServer::serving("value");
+    let gone = CacheServer::serving("gone");
+    let (address, asked) = scripted(vec![
+        list(5, true, &[server.entry("s-1", "ready")]),
+        list(3, true, &[gone.entry("s-0", "ready")]),
+        list(6, true, &[server.entry("s-1", "ready")]),
+    ]);
+    let node = Node::ready(&config(address));
+    wait_for("the third call", || asked.lock().unwrap().len() > 3);
+    assert_eq!(asked.lock().unwrap()[2], "/v1/servers");
+    assert!((1..20).all(|key| node.read("read", key).body == b"value"));
+    assert_eq!(gone.count(), 0);
+    wait_for("a line", || {
+        node.log.lock().unwrap().iter().any(|line| line.contains("list 3 is older than 5"))
+    });
+}
+
+// Guards against a node that asks as fast as it can where a watch never waits, as the load of all other nodes' discovery.
+#[test]
+fn a_watch_that_is_answered_at_once_with_nothing_new_is_not_spun_on() {
+    let server = CacheServer::serving("value");
+    let (address, asked) =
+        scripted(vec![list(5, true, &[server.entry("s-1", "ready")]), list(5, false, &[])]);
+    let node = Node::ready(&config(address));
+    let (before, start) = (asked.lock().unwrap().len(), Instant::now());
+    thread::sleep(Duration::from_secs(1));
+    let calls = (asked.lock().unwrap().len() - before) as f64 / start.elapsed().as_secs_f64();
+    // Within 200 ms of each other, or the watch would not last.
+    assert!((4.0..=25.0).contains(&calls), "{calls} calls a second");
+    assert_eq!(node.read("read", 1).status(), 200);
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{watch, Notify};
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// How long a watch asks discovery to wait. Each call costs the one discovery of all nodes as much as dozens
 /// of entries, and a change ends the wait at once, so long waits lose nothing.
@@ -33,6 +33,9 @@
 /// Wait before a call that follows failed ones: the first step, doubled with each failure up to the most.
 const BACKOFF: Duration = Duration::from_millis(200);
 const BACKOFF_MOST: Duration = Duration::from_secs(3);
+/// After an answer with nothing newer that came before its wait was over the next call waits: made at once, calls would
+/// spin. A watch lasts where they are 200 ms apart at most.
+const PACE: Duration = Duration::from_millis(50);
 
 #[derive(Debug, Error)]
 enum CallError {
@@ -109,10 +112,24 @@
             let mut link = None;
             loop {
                 let limit = if self.seq.is_some() { WATCH + OVERDUE } else { LIST };
+                let asked = Instant::now();
                 let called = timeout(limit, self.call(address, &mut link)).await;
                 match called.unwrap_or(Err(CallError::Overdue)) {
+                    // It would bring servers back that are gone. Discovery may have lost its versions all the same:
+                    // the whole list is taken as it comes.
+                    Ok(listing) if self.seq.is_some_and(|held| listing.seq < held) => {
+                        let (held, got) = (self.seq.take().unwrap_or_default(), listing.seq);
+                        let text =
+                            format!("discovery: list {got} is older than {held}: asking for the whole list");
+                        self.log.line(&text);
+                        sleep(PACE).await;
+                    }
                     Ok(listing) => {
                         failures = 0;
+                        let early = self.seq == Some(listing.seq) && asked.elapsed() < WATCH / 2;
+                        if early {
+                            sleep(PACE).await;
+                        }
                         self.seq = Some(listing.seq);
                         if self.events.send(Input::Listing(listing)).is_err() {
                             return;
