Keep the log from stalling, ending or flooding a node

Cause: the node's own log was bounded only where a feature wrote as well, and a line was written for each thing that went wrong. Seen: cli/node_exhaustion, a node without features. Its standard error a pipe that nobody reads: it answers no request any more. Its standard error a file at its limit of size: SIGXFSZ ends it, with all it has taken. And with any features: a node out of descriptors wrote 141 lines 'accept: Too many open files' in 3.0 s, for as long as it lasted. Ruled out: the accept loop's spin (it waits 20 ms; 0.02 s of CPU in 3 s); requests held by clients that are in (refused at once, with a time to come back); figures and audit (through the writer's thread; SIGXFSZ caught there). At fault: log.rs, Sink::Direct; observe/lib.rs, start(): writer and signal only where settings.writes(); server.rs, serve(). Change: the writer's thread and the caught signal are always there; the direct way and the question which of the two are gone. Lines of a topic that may have many (accept, discovery, the module's) go out whole 8 times in 10 s; what is past that is counted, and told once in 10 s and two seconds after the last, with the count, how long it took, and the last line. One descriptor more without features.

--- a/crates/cli/tests/node_common/mod.rs
+++ b/crates/cli/tests/node_common/mod.rs
@@ -319,6 +319,16 @@
         node
     }
 
+    /// Starts a node whose standard error goes there, where its first line is then read, and waits until it is ready.
+    pub fn silent(config: &Value, stderr: Stdio, first: impl FnOnce() -> String) -> Self {
+        let path = write_config(&config.to_string());
+        let child = command().env("LB_CONFIG", &path).stderr(stderr).spawn().unwrap();
+        let address = first().trim_end().rsplit(' ').next().unwrap().parse().unwrap();
+        let node = Self { address, child, log: Arc::default(), config: path, features: None };
+        wait_for("the node's readiness", || node.get("/healthz").status() == 200);
+        node
+    }
+
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.address).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
@@ -395,6 +405,11 @@
         self.0.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Sends what the node takes before it closes.
+    pub fn try_send(&mut self, text: &str) {
+        let _ = self.0.get_mut().write_all(text.as_bytes());
+    }
+
     /// Sends no more: the node sees that the client has gone.
     pub fn leave(&self) {
         self.0.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
--- a/crates/config/src/operators.rs
+++ b/crates/config/src/operators.rs
@@ -41,11 +41,6 @@
 }
 
 impl Settings {
-    /// Whether any feature writes to a file or to standard error.
-    pub fn writes(&self) -> bool {
-        self.figures.is_some() || self.audit.is_some() || self.hot().is_some()
-    }
-
     /// The hot list's settings, where it is on.
     pub fn hot(&self) -> Option<&HotList> {
         self.hotlist.as_ref().filter(|hot| hot.capacity > 0)
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -121,7 +121,7 @@
                         let (held, got) = (self.seq.take().unwrap_or_default(), listing.seq);
                         let text =
                             format!("discovery: list {got} is older than {held}: asking for the whole list");
-                        self.log.line(&text);
+                        self.log.often("discovery", &text);
                         sleep(PACE).await;
                     }
                     Ok(listing) => {
@@ -136,7 +136,7 @@
                         }
                     }
                     Err(error) => {
-                        self.log.line(&format!("discovery: {error}"));
+                        self.log.often("discovery", &format!("discovery: {error}"));
                         failures += 1;
                         if self.events.send(Input::ListingFailed).is_err() {
                             return;
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -131,7 +131,7 @@
             Ok(Some((stream, place))) => drop(tokio::task::spawn_local(connection(stream, place))),
             Ok(None) => {}
             Err(error) => {
-                log.line(&format!("accept: {error}"));
+                log.often("accept", &format!("accept: {error}"));
                 sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/observe/src/figures.rs
+++ b/crates/observe/src/figures.rs
@@ -483,7 +483,7 @@
             &settings,
             &["look up".into(), "put".into()],
             writer,
-            Log::new(None, crate::Format::Text),
+            Log::new(writer, crate::Format::Text),
         )
         .unwrap()
     }
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -82,7 +82,7 @@
 pub struct Observers {
     /// The node's log, which shares standard error with them.
     pub log: Log,
-    writer: Option<Writer>,
+    writer: Writer,
     figures: Option<Rc<Figures>>,
     audit: Option<Audit>,
     hotlist: Option<HotList>,
@@ -92,33 +92,30 @@
 impl Observers {
     /// Begins what the settings name, for these classes of requests. Its tasks run on the present local set.
     pub fn start(settings: &Settings, classes: &[Name], format: Format) -> Result<Rc<Self>, String> {
-        let writer = match settings.writes() {
-            true => Some(Writer::start().map_err(|error| format!("cannot start the writer: {error}"))?),
-            false => None,
-        };
-        let log = Log::new(writer.as_ref(), format);
-        if writer.is_some() {
-            // A file that may grow no further is an error of the write, not the process's end.
-            let caught = signal(SignalKind::from_raw(libc::SIGXFSZ));
-            drop(caught.map_err(|error| format!("cannot catch SIGXFSZ: {error}"))?);
-        }
+        let writer = Writer::start().map_err(|error| format!("cannot start the writer: {error}"))?;
+        let log = Log::new(&writer, format);
+        // A file that may grow no further is an error of the write, not the process's end. Standard error may be one.
+        let caught = signal(SignalKind::from_raw(libc::SIGXFSZ));
+        drop(caught.map_err(|error| format!("cannot catch SIGXFSZ: {error}"))?);
         let source = settings.source.clone();
         let mut observers = Self { log, writer, figures: None, audit: None, hotlist: None, source };
-        if let (Some(settings), Some(writer)) = (&settings.figures, &observers.writer) {
-            let (figures, landed) = Figures::open(settings, classes, writer, observers.log.clone())?;
+        if let Some(settings) = &settings.figures {
+            let (figures, landed) =
+                Figures::open(settings, classes, &observers.writer, observers.log.clone())?;
             let figures = Rc::new(figures);
             tokio::task::spawn_local(figures.clone().run(landed));
             observers.figures = Some(figures);
         }
-        if let (Some(settings), Some(writer)) = (&settings.audit, &observers.writer) {
-            observers.audit = Some(Audit::open(settings.path.as_deref(), writer)?);
+        if let Some(settings) = &settings.audit {
+            observers.audit = Some(Audit::open(settings.path.as_deref(), &observers.writer)?);
         }
         let mut prints = None;
-        if let (Some(settings), Some(writer)) = (settings.hot(), &observers.writer) {
+        if let Some(settings) = settings.hot() {
             // Caught before it is known to be on: uncaught, it ends the process.
             let caught = signal(SignalKind::user_defined1());
             prints = Some(caught.map_err(|error| format!("cannot catch SIGUSR1: {error}"))?);
-            observers.hotlist = Some(HotList::new(settings.capacity, settings.window(), classes, writer)?);
+            let list = HotList::new(settings.capacity, settings.window(), classes, &observers.writer)?;
+            observers.hotlist = Some(list);
         }
         let observers = Rc::new(observers);
         if let Some(prints) = prints {
@@ -138,9 +135,8 @@
 
     /// Descriptors that they hold: they come out of the node's limit.
     pub fn descriptors(settings: &Settings) -> usize {
-        let writer = if settings.writes() { Writer::DESCRIPTORS } else { 0 };
         let figures = settings.figures.as_ref().map_or(0, |_| Figures::DESCRIPTORS);
-        writer + figures + settings.audit.as_ref().map_or(0, |_| Audit::DESCRIPTORS)
+        Writer::DESCRIPTORS + figures + settings.audit.as_ref().map_or(0, |_| Audit::DESCRIPTORS)
     }
 
     /// The signals, beside those that have a use, which end the node: caught where their names are wanted.
@@ -174,9 +170,7 @@
         if let Some(audit) = &self.audit {
             audit.stop(by);
         }
-        if let Some(writer) = &self.writer {
-            writer.settle(SETTLE).await;
-        }
+        self.writer.settle(SETTLE).await;
     }
 }
 
@@ -218,6 +212,7 @@
     }
 
     fn connections(&self, table: &slatelink_front::Figures) {
+        self.log.turn();
         if let Some(figures) = &self.figures {
             figures.connections(table);
         }
@@ -228,6 +223,6 @@
             let host = text.strip_prefix("breaker of ").and_then(|rest| rest.strip_suffix(" tripped"));
             host.into_iter().for_each(|host| figures.tripped(&host.into()));
         }
-        self.log.line(text);
+        self.log.often("module", text);
     }
 }
--- a/crates/observe/src/log.rs
+++ b/crates/observe/src/log.rs
@@ -1,15 +1,26 @@
-//! The node's own log: lines of text, or JSON objects, on standard error. Beside features that write there it goes
-//! through their bounded writer: by itself, a line would stall the node behind theirs.
+//! The node's own log: lines of text, or JSON objects, on standard error. They go through the bounded writer: by itself, a
+//! line would stall the node where nobody reads. What may come often goes by topic, a few lines whole and the rest counted:
+//! under overload the log must not become the load.
 
 use crate::writer::{Lane, Writer};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io::{self, Write};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
 use tracing::{dispatcher, info, Dispatch};
 use tracing_subscriber::fmt::MakeWriter;
 
 /// Lines that may wait for the writer.
 const LINES: usize = 128;
+/// Of a topic, so many lines are written whole in such a span.
+const WHOLE: u64 = 8;
+const SPAN: Duration = Duration::from_secs(10);
+/// A topic with no line for so long is over.
+const QUIET: Duration = Duration::from_secs(2);
 
 /// How lines are written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -23,34 +34,102 @@
 
 /// The log; cheap to clone.
 #[derive(Clone, Debug)]
-pub struct Log(Dispatch);
+pub struct Log {
+    lines: Dispatch,
+    /// By topic; the names are the program's own, and so few.
+    often: Rc<RefCell<BTreeMap<&'static str, Topic>>>,
+}
+
+/// Lines alike, from the first until there was none for a while.
+#[derive(Debug)]
+struct Topic {
+    began: Instant,
+    count: u64,
+    span: Instant,
+    whole: u64,
+    left_out: u64,
+    last: Instant,
+    text: String,
+}
+
+impl Topic {
+    fn new(now: Instant) -> Self {
+        Self { began: now, count: 0, span: now, whole: 0, left_out: 0, last: now, text: String::new() }
+    }
+
+    /// Counts a line; whether it is to be written whole.
+    fn take(&mut self, now: Instant, text: &str) -> bool {
+        (self.count, self.last) = (self.count + 1, now);
+        if now - self.span >= SPAN {
+            (self.span, self.whole) = (now, 0);
+        }
+        let whole = self.whole < WHOLE;
+        if whole {
+            self.whole += 1;
+        } else {
+            self.left_out += 1;
+            text.clone_into(&mut self.text);
+        }
+        whole
+    }
+
+    /// What there is to say of lines that were left out: once a span, and at the end.
+    fn turn(&mut self, now: Instant) -> Option<String> {
+        let due = now - self.span >= SPAN || now - self.last >= QUIET;
+        if !due || self.left_out == 0 {
+            return None;
+        }
+        let left_out = std::mem::take(&mut self.left_out);
+        let (count, took) = (self.count, (self.last - self.began).as_secs_f64());
+        Some(format!("{left_out} more lines left out, {count} in {took:.1} s; the last: {}", self.text))
+    }
+}
 
 impl Log {
-    /// A log that writes through `writer`, or straight to standard error.
-    pub(crate) fn new(writer: Option<&Writer>, format: Format) -> Self {
-        let sink = match writer {
-            Some(writer) => Sink::Queued { lane: Arc::new(writer.lane(LINES)), lost: Arc::default(), format },
-            None => Sink::Direct,
-        };
+    /// A log that writes through `writer`.
+    pub(crate) fn new(writer: &Writer, format: Format) -> Self {
+        let sink = Sink { lane: Arc::new(writer.lane(LINES)), lost: Arc::default(), format };
         let lines = tracing_subscriber::fmt().with_writer(sink).with_ansi(false).with_target(false);
-        Self(match format {
+        let lines = match format {
             Format::Text => Dispatch::new(lines.with_level(false).without_time().finish()),
             Format::Json => Dispatch::new(lines.json().flatten_event(true).finish()),
-        })
+        };
+        Self { lines, often: Rc::default() }
     }
 
     /// Writes a line.
     pub fn line(&self, text: &str) {
         // Its own subscriber, and no global one: a process may hold several nodes.
-        dispatcher::with_default(&self.0, || info!("{text}"));
+        dispatcher::with_default(&self.lines, || info!("{text}"));
+    }
+
+    /// Writes a line of a topic that may have very many: past a few they are counted, and [`Log::turn`] tells of them.
+    pub fn often(&self, topic: &'static str, text: &str) {
+        let now = Instant::now();
+        let whole = self.often.borrow_mut().entry(topic).or_insert_with(|| Topic::new(now)).take(now, text);
+        if whole {
+            self.line(text);
+        }
+    }
+
+    /// Tells what was left out, where that is due; to be called about each second.
+    pub fn turn(&self) {
+        let now = Instant::now();
+        let mut due = Vec::new();
+        self.often.borrow_mut().retain(|name, topic| {
+            due.extend(topic.turn(now).map(|text| format!("{name}: {text}")));
+            now - topic.last < QUIET
+        });
+        due.iter().for_each(|text| self.line(text));
     }
 }
 
 /// Where lines go.
 #[derive(Clone, Debug)]
-enum Sink {
-    Direct,
-    Queued { lane: Arc<Lane>, lost: Arc<AtomicU64>, format: Format },
+struct Sink {
+    lane: Arc<Lane>,
+    lost: Arc<AtomicU64>,
+    format: Format,
 }
 
 impl<'a> MakeWriter<'a> for Sink {
@@ -80,23 +159,44 @@
 impl Drop for Line {
     fn drop(&mut self) {
         let line = std::mem::take(&mut self.bytes);
-        // Where it cannot be written there is nowhere to report that to.
-        match &self.sink {
-            Sink::Direct => drop(io::stderr().lock().write_all(&line)),
-            Sink::Queued { lane, lost, format } => {
-                let missing = lost.load(Ordering::Relaxed);
-                let mut lines = match (missing, format) {
-                    (0, _) => Vec::new(),
-                    (_, Format::Text) => {
-                        format!("{missing} lines of the log are lost: standard error is not read\n")
-                            .into_bytes()
-                    }
-                    (_, Format::Json) => format!("{{\"level\":\"WARN\",\"lost\":{missing}}}\n").into_bytes(),
-                };
-                lines.extend_from_slice(&line);
-                let put = lane.put(move |stderr| drop(stderr.write_all(&lines)));
-                lost.store(if put { 0 } else { missing + 1 }, Ordering::Relaxed);
+        let Sink { lane, lost, format } = &self.sink;
+        let missing = lost.load(Ordering::Relaxed);
+        let mut lines = match (missing, format) {
+            (0, _) => Vec::new(),
+            (_, Format::Text) => {
+                format!("{missing} lines of the log are lost: standard error is not read\n").into_bytes()
             }
+            (_, Format::Json) => format!("{{\"level\":\"WARN\",\"lost\":{missing}}}\n").into_bytes(),
+        };
+        lines.extend_from_slice(&line);
+        // Where it cannot be written there is nowhere to report that to.
+        let put = lane.put(move |stderr| drop(stderr.write_all(&lines)));
+        lost.store(if put { 0 } else { missing + 1 }, Ordering::Relaxed);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against a log that grows with an overload, and against one that no longer tells how long it was.
+    #[test]
+    fn lines_of_a_topic_are_few_and_those_left_out_are_counted_to_the_end() {
+        let start = Instant::now();
+        let mut topic = Topic::new(start);
+        let (mut written, mut told, mut now) = (0, Vec::new(), start);
+        for i in 0..30_000 {
+            now = start + Duration::from_millis(i);
+            written += u64::from(topic.take(now, &format!("no room {i}")));
+            told.extend((i % 1_000 == 0).then(|| topic.turn(now)).flatten());
         }
+        told.extend(topic.turn(now + QUIET));
+        assert_eq!(topic.turn(now + QUIET * 2), None, "nothing more to tell");
+        let left_out: u64 =
+            told.iter().map(|text| text.split(' ').next().unwrap().parse::<u64>().unwrap()).sum();
+        assert_eq!(written + left_out, 30_000, "every line is counted once: {told:?}");
+        assert!(written <= 3 * WHOLE && told.len() <= 3, "{written} lines, {told:?}");
+        let last = told.last().unwrap();
+        assert!(last.ends_with("30000 in 30.0 s; the last: no room 29999"), "{last}");
     }
 }
