Read a configuration again once there are descriptors, after a reload without any

Cause: the platform says once, with SIGHUP, that discovery has moved; the old one ends 1.5 s later. Seen: cli/node_exhaustion: without a descriptor the file cannot be opened, 'configuration not taken: ... Too many open files', and when there are descriptors again the node still asks the old discovery, for good. Ruled out: the watch at the new address (its failed dials are backed off and made again); a malformed file (one line, nothing taken, as before). At fault: node/lib.rs, reload(): one try for each signal. Change: a file that could not be read for want of the node's own descriptors or memory is read again each 100 ms until it can be; the line about it is of a topic, so that few are written. Result: a test that fails before and holds after.

--- a/crates/cli/tests/node_exhaustion.rs
+++ b/crates/cli/tests/node_exhaustion.rs
@@ -83,6 +83,22 @@
     });
 }
 
+// Guards against a reload that is lost for want of a descriptor: its old discovery goes away, and no list comes any more.
+#[test]
+fn a_reload_without_descriptors_is_made_once_there_are_some() {
+    let servers = [CacheServer::serving("0"), CacheServer::serving("1")];
+    let lists = servers.each_ref().map(|server| Discovery::start(&[server.entry("s-1", "ready")]));
+    let node = Node::ready(&config(lists[0].address));
+    lists[0].wait_until_told(1);
+    limit(&node, Resource::Nofile, NO_MORE);
+    node.reload(&config(lists[1].address).to_string());
+    wait_for("a line", || !lines(&node, "configuration not taken: ").is_empty());
+    assert_eq!(lists[1].calls(), 0);
+    limit(&node, Resource::Nofile, None);
+    lists[1].wait_until_told(1);
+    assert_eq!(node.read("read", 1).body, b"1");
+}
+
 // Guards against a file that may grow no further: its signal ends no node, records are counted, and the chain goes on.
 #[test]
 fn files_that_may_grow_no_further_cost_records_that_are_counted_and_nothing_else() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,7 +16,7 @@
 use multiget::MultiGet;
 use server::{serve, Connection, Front, Room, Stage, LARGEST_HEAD};
 use slatelink_config::operators;
-use slatelink_config::platform::{self, Config};
+use slatelink_config::platform::{self, Config, ConfigError};
 use slatelink_decide::{Balancer, Name};
 use slatelink_front::{Budget, Share, Side, Terms};
 use slatelink_observe::audit::Stop;
@@ -32,7 +32,7 @@
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{interval, sleep};
-use upstream::Upstream;
+use upstream::{own_fault, Upstream};
 
 /// New connections keep coming for 0.4 s after SIGTERM: until the front has noticed, the node serves them.
 const LEAVING: Duration = Duration::from_millis(500);
@@ -49,6 +49,8 @@
 const PROGRAM: u64 = 6 << 20;
 /// Of the clients' places, this part is kept free for those that have no connection yet.
 const FREE_PART: usize = 5;
+/// A configuration that could not be read for want of the node's own descriptors or memory is read again after this.
+const RELOAD_AGAIN: Duration = Duration::from_millis(100);
 /// The table is told of so often.
 const TELL: Duration = Duration::from_secs(1);
 
@@ -217,14 +219,26 @@
 async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, observers: Rc<Observers>) {
     let log = &observers.log;
     while hangup.recv().await.is_some() {
-        match platform::load(|name| std::env::var(name).ok().filter(|_| name != platform::DISCOVERY)) {
-            Ok(new) => {
-                log.line(&format!("configuration read again: discovery at {}", new.discovery));
-                observers.loaded(&new.path, &new.text);
-                // One that stays is not asked again: its watch is as good as it was.
-                discovery.send_if_modified(|held| std::mem::replace(held, new.discovery) != new.discovery);
+        loop {
+            let variable = |name: &str| std::env::var(name).ok().filter(|_| name != platform::DISCOVERY);
+            match platform::load(variable) {
+                Ok(new) => {
+                    log.line(&format!("configuration read again: discovery at {}", new.discovery));
+                    observers.loaded(&new.path, &new.text);
+                    // One that stays is not asked again: its watch is as good as it was.
+                    discovery
+                        .send_if_modified(|held| std::mem::replace(held, new.discovery) != new.discovery);
+                    break;
+                }
+                Err(error) => {
+                    log.often("reload", &format!("configuration not taken: {error}"));
+                    // The platform says it once, and the old discovery ends soon.
+                    if !matches!(&error, ConfigError::Unreadable(_, why) if own_fault(why)) {
+                        break;
+                    }
+                    sleep(RELOAD_AGAIN).await;
+                }
             }
-            Err(error) => log.line(&format!("configuration not taken: {error}")),
         }
     }
 }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -450,7 +450,7 @@
 }
 
 /// Whether something failed for want of this process's descriptors, memory or addresses.
-fn own_fault(error: &io::Error) -> bool {
+pub fn own_fault(error: &io::Error) -> bool {
     const WANTS: [i32; 5] = [libc::ENOMEM, libc::ENFILE, libc::EMFILE, libc::EADDRNOTAVAIL, libc::ENOBUFS];
     error.kind() == io::ErrorKind::QuotaExceeded
         || error.raw_os_error().is_some_and(|code| WANTS.contains(&code))
