Merge counters between flushes and bound timers, so that figures do not become the load

Cause: each request was three lines of figures, at any rate. Seen: a node with figures into a file, lab run scenarios/peak.toml: 170 bytes for each request at 2,000 requests a second and at 16,000, 2.7 MB a second there. Behind a sink that is stuck the oldest lines went, and their counts with them. A file that was moved away went on growing without a name, and nothing came under it. Ruled out: memory (256 KiB, tested) and the path of a request (a line is formatted and queued; the writer's thread writes). At fault: figures.rs, answered() and ended(): a line each; Sink::write(): the file opened first, for good. Change: counters of one set of tags are merged until the next flush, and on while more than half of the buffer waits; 500 timers a second are written whole and the others counted in figures.times_left_out. A file that has lost its name is made anew. Two new tests: 100,000 requests over a stuck writer are counted to the last one, and a file that was moved. Two tests of the order of lines now expect counters at the flush.

--- a/crates/observe/src/figures.rs
+++ b/crates/observe/src/figures.rs
@@ -1,7 +1,7 @@
 //! Counters, gauges and timers of requests and attempts, in batches to a file, standard error or UDP.
 
 use crate::log::Log;
-use crate::writer::{Lane, Writer};
+use crate::writer::{has_vanished, Lane, Writer};
 use crate::End;
 use slatelink_config::operators::{Figures as Settings, Format, Target};
 use slatelink_config::{Host, Listing};
@@ -20,7 +20,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
-use tokio::time::{interval, timeout, MissedTickBehavior};
+use tokio::time::{interval, timeout, Instant, MissedTickBehavior};
 
 /// What waits to go out, the batch that is being written included, is never more bytes than this.
 const BUFFER: usize = 256 << 10;
@@ -28,6 +28,10 @@
 const CARRIED: usize = 256;
 /// A longer name of a class or host is cut.
 const LONGEST_TAG: usize = 64;
+/// So many series of counters are merged between two flushes; one more, and they go out before the flush.
+const SERIES: usize = 2048;
+/// So many timers are written whole each second; what is past them is counted.
+const TIMES: u32 = 500;
 /// Stands for the host where none was picked.
 const NO_HOST: &str = "none";
 
@@ -80,6 +84,9 @@
     }
 
     fn write(&mut self, batch: &[u8]) -> io::Result<()> {
+        if self.file.as_ref().is_some_and(|file| has_vanished(file, &self.path).unwrap_or(false)) {
+            (self.file, self.torn) = (None, false);
+        }
         let file = match &mut self.file {
             Some(file) => file,
             none => none.insert(Self::open(&self.path)?),
@@ -112,8 +119,17 @@
     pushed_out: u64,
 }
 
+/// A counter's name, class, host and last tag.
+type Series = (&'static str, usize, ServerId, &'static str);
+
 #[derive(Default)]
 struct State {
+    /// Counted since the last flush. Where what was written before is stuck they are merged on: no count is lost.
+    counts: BTreeMap<Series, u64>,
+    /// The second that timers are counted in, how many went out in it, and how many of all were left out.
+    second: Option<Instant>,
+    timed: u32,
+    times_left_out: u64,
     /// Whole lines, the oldest first.
     lines: VecDeque<u8>,
     /// So many of these bytes have waited for a flush: they go out also where they fill no batch.
@@ -140,6 +156,7 @@
     batch: usize,
     flush: Duration,
     classes: Vec<String>,
+    no_host: ServerId,
     output: Output,
     log: Log,
     state: RefCell<State>,
@@ -190,6 +207,7 @@
             batch: settings.batch(),
             flush: settings.flush(),
             classes: classes.iter().map(|name| tag(format, name.as_str()).into_owned()).collect(),
+            no_host: NO_HOST.into(),
             output,
             log,
             state: RefCell::new(State { open: vec![0; classes.len()], ..State::default() }),
@@ -210,12 +228,41 @@
         if let Some(open) = state.open.get_mut(class.0) {
             *open = open.saturating_sub(1);
         }
-        let kind = self.kind(class);
-        let host = tag(self.format, host.map_or(NO_HOST, ServerId::as_str));
-        let tags = [("kind", kind), ("host", &*host), ("status", end.word())];
-        self.add(state, "req.count", &tags, 1, Measure::Counter);
+        let host = host.unwrap_or(&self.no_host);
+        self.count(state, ("req.count", class.0, host.clone(), end.word()));
+        let now = Instant::now();
+        if state.second.is_none_or(|second| now - second >= Duration::from_secs(1)) {
+            (state.second, state.timed) = (Some(now), 0);
+        }
+        if state.timed == TIMES {
+            state.times_left_out += 1;
+            return;
+        }
+        state.timed += 1;
+        let host = tag(self.format, host.as_str());
         let ms = u64::try_from((took + Duration::from_micros(500)).as_millis()).unwrap_or(u64::MAX);
-        self.add(state, "req.time", &tags[..2], ms, Measure::Timer);
+        self.add(state, "req.time", &[("kind", self.kind(class)), ("host", &host)], ms, Measure::Timer);
+    }
+
+    fn count(&self, state: &mut State, series: Series) {
+        *state.counts.entry(series).or_default() += 1;
+        if state.counts.len() >= SERIES {
+            self.write_counts(state);
+        }
+    }
+
+    /// Turns what was counted into lines.
+    fn write_counts(&self, state: &mut State) {
+        for ((name, class, host, last), count) in std::mem::take(&mut state.counts) {
+            let last = (if name == "req.count" { "status" } else { "outcome" }, last);
+            let host = tag(self.format, host.as_str());
+            let tags = [("kind", self.kind(ClassId(class))), ("host", &*host), last];
+            self.add(state, name, &tags, count, Measure::Counter);
+        }
+        let left_out = std::mem::take(&mut state.times_left_out);
+        if left_out > 0 {
+            self.add(state, "figures.times_left_out", &[], left_out, Measure::Counter);
+        }
     }
 
     /// An attempt begins.
@@ -227,9 +274,8 @@
 
     /// An attempt has ended.
     pub fn ended(&self, class: ClassId, host: &ServerId, status: Status) {
-        let host = tag(self.format, host.as_str());
-        let tags = [("kind", self.kind(class)), ("host", &*host), ("outcome", outcome(status))];
-        self.add(&mut self.state.borrow_mut(), "attempt.count", &tags, 1, Measure::Counter);
+        let series = ("attempt.count", class.0, host.clone(), outcome(status));
+        self.count(&mut self.state.borrow_mut(), series);
     }
 
     /// Discovery's word of hosts.
@@ -294,9 +340,13 @@
     pub async fn stop(&self, limit: Duration) {
         const STEP: Duration = Duration::from_millis(2);
         self.flush();
+        let waits = |state: &State| state.flight.is_some() || !state.lines.is_empty();
         let empty = async {
-            while self.state.borrow().flight.is_some() || !self.state.borrow().lines.is_empty() {
+            while waits(&self.state.borrow()) || !self.state.borrow().counts.is_empty() {
                 tokio::time::sleep(STEP).await;
+                if !waits(&self.state.borrow()) {
+                    self.flush();
+                }
             }
         };
         // What a stuck pipe does not take by then is lost.
@@ -306,6 +356,9 @@
 
     fn flush(&self) {
         let state = &mut *self.state.borrow_mut();
+        if state.lines.len() < BUFFER / 2 {
+            self.write_counts(state);
+        }
         for class in 0..self.classes.len() {
             let open = state.open[class];
             self.add(state, "req.open", &[("kind", self.kind(ClassId(class)))], open, Measure::Gauge);
@@ -524,9 +577,9 @@
         assert_eq!(
             lines("statsd", some_events),
             [
+                "slatelink.req.time:412|ms|#kind:look_up,host:none",
                 "slatelink.attempt.count:1|c|#kind:look_up,host:s_=1_x,outcome:timeout",
                 "slatelink.req.count:1|c|#kind:look_up,host:none,status:503",
-                "slatelink.req.time:412|ms|#kind:look_up,host:none",
                 "slatelink.req.open:1|g|#kind:look_up",
                 "slatelink.req.open:0|g|#kind:put",
             ]
@@ -542,9 +595,9 @@
         assert_eq!(
             texts,
             [
+                "slatelink.req.time,kind=look\\ up,host=none value=412i",
                 "slatelink.attempt.count,kind=look\\ up,host=s\\,\\=1\\ x,outcome=timeout value=1i",
                 "slatelink.req.count,kind=look\\ up,host=none,status=503 value=1i",
-                "slatelink.req.time,kind=look\\ up,host=none value=412i",
                 "slatelink.req.open,kind=look\\ up value=1i",
                 "slatelink.req.open,kind=put value=0i",
             ]
@@ -561,13 +614,12 @@
         let stuck = writer.lane(1);
         let (release, held) = channel::<()>();
         assert!(stuck.put(move |_| held.recv().unwrap_or_default()));
-        let host = ServerId::from("h");
         // The first batch is handed over and stays; what follows must share the rest of the room.
         for i in 0..20_000 {
-            let ms = Duration::from_millis(i);
-            figures.taken(ClassId(1));
-            figures.answered(ClassId(1), Some(&host), ms, End::Served);
-            let state = figures.state.borrow();
+            let state = &mut *figures.state.borrow_mut();
+            for name in ["req.count", "req.time"] {
+                figures.add(state, name, &[("kind", "put"), ("host", "h")], i, Measure::Timer);
+            }
             assert!(state.lines.len() + state.flight.unwrap_or_default().bytes <= BUFFER);
             assert!(state.lines.capacity() <= BUFFER);
         }
@@ -585,6 +637,68 @@
         assert_eq!(landed.blocking_recv(), Some(true));
     }
 
+    // Guards against figures that become the load, and against counts that are lost where lines are merged or stuck.
+    #[test]
+    fn counters_are_exact_and_timers_bounded_however_many_requests_there_are() {
+        let writer = Writer::start().unwrap();
+        let path = std::env::temp_dir().join(format!("slatelink-merged-{}", std::process::id()));
+        let _ = std::fs::remove_file(&path);
+        let (figures, mut landed) = figures(&format!("target = \"file:{}\"", path.display()), &writer);
+        let stuck = writer.lane(1);
+        let (release, held) = channel::<()>();
+        assert!(stuck.put(move |_| held.recv().unwrap_or_default()));
+        let (host, start) = (ServerId::from("h"), std::time::Instant::now());
+        for i in 0..100_000 {
+            figures.taken(ClassId(1));
+            figures.ended(ClassId(1), &host, Status::Ok);
+            figures.answered(ClassId(1), Some(&host), Duration::from_millis(5), End::Served);
+            if i % 1_000 == 0 {
+                figures.flush();
+            }
+        }
+        let seconds = start.elapsed().as_secs() + 1;
+        drop(release);
+        let ended =
+            |state: &State| state.flight.is_none() && state.lines.is_empty() && state.counts.is_empty();
+        while !ended(&figures.state.borrow()) {
+            if figures.state.borrow().flight.is_some() {
+                let well = landed.blocking_recv().unwrap();
+                let state = &mut *figures.state.borrow_mut();
+                figures.landed(state, well);
+                figures.send_on(state);
+            } else {
+                figures.flush();
+            }
+        }
+        let text = std::fs::read_to_string(&path).unwrap();
+        let sum = |name: &str| -> u64 {
+            let values = text.lines().filter_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
+            values.map(|rest| rest.split('|').next().unwrap().parse::<u64>().unwrap()).sum()
+        };
+        assert_eq!(sum("slatelink.req.count"), 100_000);
+        assert_eq!(sum("slatelink.attempt.count"), 100_000);
+        let timers = text.matches("slatelink.req.time:").count() as u64;
+        assert!(timers <= u64::from(TIMES) * seconds, "{timers} timers in {seconds} s");
+        assert_eq!(sum("slatelink.figures.times_left_out") + timers, 100_000);
+        std::fs::remove_file(&path).unwrap();
+    }
+
+    // Guards against figures that go on into a file which has lost its name.
+    #[test]
+    fn a_file_that_was_moved_away_is_made_anew() {
+        let path = std::env::temp_dir().join(format!("slatelink-moved-{}", std::process::id()));
+        let mut sink = Sink { path: path.clone(), file: None, torn: false };
+        sink.write(b"one\n").unwrap();
+        let moved = path.with_extension("1");
+        std::fs::rename(&path, &moved).unwrap();
+        sink.write(b"two\n").unwrap();
+        assert_eq!(
+            (std::fs::read(&moved).unwrap(), std::fs::read(&path).unwrap()),
+            (b"one\n".to_vec(), b"two\n".to_vec())
+        );
+        [path, moved].iter().for_each(|path| std::fs::remove_file(path).unwrap());
+    }
+
     // Guards against a count of lost batches that is lost with the next batch.
     #[test]
     fn what_was_dropped_is_told_by_the_first_batch_that_gets_out() {
--- a/crates/observe/src/writer.rs
+++ b/crates/observe/src/writer.rs
@@ -4,6 +4,8 @@
 use std::fs::File;
 use std::io;
 use std::os::fd::AsFd;
+use std::os::unix::fs::MetadataExt;
+use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{sync_channel, SyncSender};
 use std::sync::Arc;
@@ -56,6 +58,14 @@
     }
 }
 
+/// Whether a regular file has lost its name, by a move or removal: what is written there is read by nobody. Others
+/// have none to lose.
+pub fn has_vanished(file: &File, path: &Path) -> io::Result<bool> {
+    let held = file.metadata()?;
+    let named = std::fs::metadata(path).map(|named| (named.dev(), named.ino()));
+    Ok(held.is_file() && named.ok() != Some((held.dev(), held.ino())))
+}
+
 /// See [`Writer::lane`].
 #[derive(Debug)]
 pub struct Lane {
