Keep the audit trail's chain over a full FIFO, and go on where its file has lost its name

Cause: two ways for a trail to fork or end without a word. Seen: a FIFO takes a part of a record and is full; the rest was dropped and the next record glued to the half: 'broken' for good, though nobody edited it. A file that was moved or removed while the node ran took all further records under no name. Ruled out: regular files, where what a failed write left is cut off (tested, also with a limit of file size on a running node). At fault: audit.rs, append(): cut() does nothing for what is no regular file; take(): the file is opened once. Change: a record that a FIFO has begun is in the trail, and its rest goes out before the next one. A file without its name is opened anew there, and the trail in it begins with a record 'vanished': how many records there were, and the hash of the last.

--- a/crates/observe/src/audit.rs
+++ b/crates/observe/src/audit.rs
@@ -1,7 +1,7 @@
 //! The audit trail: who started, stopped and reconfigured the node, and what discovery said of hosts. Each record is
 //! a line that names the hash of the one before it, so that no line can be changed or taken out unseen.
 
-use crate::writer::{Lane, Writer};
+use crate::writer::{has_vanished, Lane, Writer};
 use serde::{Deserialize, Serialize};
 use slatelink_config::{digest, Listing};
 use slatelink_decide::ServerId;
@@ -11,7 +11,7 @@
 use std::fs::{File, TryLockError};
 use std::io::{self, BufRead, Read, Seek, SeekFrom, Write};
 use std::os::unix::fs::OpenOptionsExt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::signal::unix::{signal, SignalKind};
@@ -60,6 +60,12 @@
     Lost {
         records: u64,
     },
+    /// The file that the trail was in has lost its name, by a move or removal, after so many records, the last of this
+    /// hash. The trail begins anew here.
+    Vanished {
+        records: u64,
+        last: String,
+    },
 }
 
 #[derive(Serialize)]
@@ -212,12 +218,15 @@
 struct Trail {
     /// `None` for standard error.
     file: Option<File>,
+    path: PathBuf,
     /// Whether the file can be cut and synced: a device or a FIFO cannot.
     regular: bool,
     /// Bytes of whole records.
     len: u64,
     /// A write broke off: what it left must go before the next one.
     spoiled: bool,
+    /// What a FIFO or device did not take of a record that it has begun: this goes first.
+    rest: Vec<u8>,
     /// Records that the trail lacks and does not tell of yet.
     lost: u64,
     seq: u64,
@@ -227,7 +236,8 @@
 impl Default for Trail {
     fn default() -> Self {
         let prev = NONE_BEFORE.to_owned();
-        Self { file: None, regular: false, len: 0, spoiled: false, lost: 0, seq: 0, prev }
+        let (path, rest) = (PathBuf::new(), Vec::new());
+        Self { file: None, path, regular: false, len: 0, spoiled: false, rest, lost: 0, seq: 0, prev }
     }
 }
 
@@ -264,7 +274,8 @@
         }
         let whole = end.iter().rposition(|&byte| byte == b'\n').map_or(0, |last| last + 1);
         let (lines, tail) = end.split_at(whole);
-        let mut trail = Self { file: Some(file), regular, len: from + whole as u64, ..Self::default() };
+        let (file, path) = (Some(file), path.to_owned());
+        let mut trail = Self { file, path, regular, len: from + whole as u64, ..Self::default() };
         if let Some(lines) = lines.strip_suffix(b"\n") {
             let last = lines.rsplit(|&byte| byte == b'\n').next().unwrap_or_default();
             let found = check(last).and_then(|record| Some((record.seq?, record.hash)));
@@ -293,6 +304,15 @@
 
     /// Writes a record, and before it one of those that are missing there.
     fn take(&mut self, stderr: &mut File, at_ms: u64, event: &Event) -> io::Result<()> {
+        if self.file.as_ref().is_some_and(|file| has_vanished(file, &self.path).unwrap_or(false)) {
+            let (mut new, torn) = Self::open(&self.path).map_err(io::Error::other)?;
+            new.lost = self.lost;
+            let vanished = Event::Vanished { records: self.seq, last: self.prev.clone() };
+            *self = new;
+            for event in torn.iter().chain([&vanished]) {
+                self.append(stderr, at_ms, event)?;
+            }
+        }
         if self.lost > 0 {
             self.append(stderr, at_ms, &Event::Lost { records: self.lost })?;
             self.lost = 0;
@@ -312,10 +332,20 @@
         line.push_str(&format!(",\"hash\":\"{hash}\"}}\n"));
         let written = match &mut self.file {
             None => stderr.write_all(line.as_bytes()),
-            Some(file) => match file.write_all(line.as_bytes()) {
-                Ok(()) if self.regular => file.sync_all(),
-                written => written,
-            },
+            Some(file) if self.regular => file.write_all(line.as_bytes()).and_then(|()| file.sync_all()),
+            Some(file) => {
+                write_part(file, &mut self.rest)?;
+                self.rest.extend_from_slice(line.as_bytes());
+                // Once begun it is a record of the trail: the reader gets what is left of it with the next one.
+                write_part(file, &mut self.rest).or_else(|error| {
+                    let begun = self.rest.len() < line.len();
+                    if begun {
+                        return Ok(());
+                    }
+                    self.rest.clear();
+                    Err(error)
+                })
+            }
         };
         if let Err(error) = written {
             self.spoiled = true;
@@ -329,6 +359,19 @@
     }
 }
 
+/// Writes what can be and leaves the rest.
+fn write_part(file: &mut File, rest: &mut Vec<u8>) -> io::Result<()> {
+    while !rest.is_empty() {
+        match file.write(rest) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(n) => drop(rest.drain(..n)),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
 /// How the first record of a trail begins.
 const BEGIN: &[u8] = b"{\"seq\":1,";
 
@@ -545,6 +588,54 @@
         std::fs::remove_file(path).unwrap();
     }
 
+    // Guards against a trail that goes on in a file which nobody can find, without a word.
+    #[test]
+    fn a_trail_whose_file_lost_its_name_begins_anew_and_says_where_it_was() {
+        let (path, _) = trail("vanished", 2);
+        let (mut trail, _) = Trail::open(&path).unwrap();
+        let moved = path.with_extension("1");
+        std::fs::rename(&path, &moved).unwrap();
+        trail.take(&mut stderr(), 1, &health("s-1")).unwrap();
+        let [old, new] = [&moved, &path].map(|path| std::fs::read_to_string(path).unwrap());
+        assert_eq!(verify(old.as_bytes()).unwrap(), Verdict::Ok(2));
+        assert_eq!(verify(new.as_bytes()).unwrap(), Verdict::Ok(2));
+        let record = |text: &str, i: usize| -> serde_json::Value {
+            serde_json::from_str(text.lines().nth(i).unwrap()).unwrap()
+        };
+        assert_eq!((&record(&new, 0)["event"], &record(&new, 0)["records"]), (&"vanished".into(), &2.into()));
+        assert_eq!(record(&new, 0)["last"], record(&old, 1)["hash"]);
+        [path, moved].iter().for_each(|path| std::fs::remove_file(path).unwrap());
+    }
+
+    // Guards against a record glued to half of one that a FIFO's full buffer has cut.
+    #[test]
+    fn a_fifo_that_was_full_gets_the_rest_of_the_record_that_it_has_begun() {
+        let path = file("fifo");
+        assert!(std::process::Command::new("mkfifo").arg(&path).status().unwrap().success());
+        let mut reader = File::options().read(true).write(true).open(&path).unwrap();
+        let (mut trail, _) = Trail::open(&path).unwrap();
+        // Longer than what a pipe takes whole or not at all: it is cut in the middle.
+        let long = health(&"h".repeat(5_000));
+        let mut lost = 0;
+        while lost < 3 {
+            if trail.take(&mut stderr(), 1, &long).is_err() {
+                trail.lost += 1;
+                lost += 1;
+            }
+        }
+        let (mut text, mut bytes) = (Vec::new(), [0; 1 << 16]);
+        let n = reader.read(&mut bytes).unwrap();
+        text.extend_from_slice(&bytes[..n]);
+        trail.take(&mut stderr(), 1, &health("after")).unwrap();
+        while !text.ends_with(b"\n") || !String::from_utf8_lossy(&text).contains("after") {
+            let n = reader.read(&mut bytes).unwrap();
+            text.extend_from_slice(&bytes[..n]);
+        }
+        assert!(matches!(verify(&text[..]).unwrap(), Verdict::Ok(_)), "{}", verify(&text[..]).unwrap());
+        assert!(String::from_utf8_lossy(&text).contains("\"event\":\"lost\",\"records\":3,"));
+        std::fs::remove_file(path).unwrap();
+    }
+
     // Guards against records that are lost behind a stuck disk without a word, or break the chain.
     #[test]
     fn records_past_those_that_may_wait_are_counted_in_the_trail() {
