--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -1,5 +1,9 @@
 //! Random interleavings against simple models of what is kept.
 
+#[path = "../../decide/tests/common/events.rs"]
+mod events;
+
+use events::{check, Step};
 use slatelink_front::{Budget, Cause, Door, Lease, Phase, Share, Short, Side, Terms, Told, Wheel};
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, Ipv4Addr};
@@ -313,3 +317,85 @@
     assert_eq!(door.told(half), Told::Drop);
     assert_eq!(door.told(new), Told::Finish);
 }
+
+// A rule as a property, over the sequences that the module and the node are played with: each request that is open is
+// counted until its one end, nothing is held over the budget, and all of it is whole again when everyone has gone.
+#[test]
+fn every_request_ends_once_and_the_budget_is_whole_again() {
+    const PLACES: usize = 12;
+    const BYTES: usize = 40_000;
+    check(0..6, 60, 300, |_, steps| {
+        let share = |floor| Share { floor, most: PLACES };
+        let budget = Budget::new(PLACES, [share(4), share(2), share(0)], BYTES).expect("fits");
+        let per_class = vec![Some(3); 4];
+        let mut door = Door::new(Terms {
+            crowd: 8,
+            idle: ms(500),
+            busy: 4_000,
+            parked: 100,
+            per_class,
+            ..Terms::default()
+        });
+        let (mut now, mut open) = (Duration::ZERO, Vec::<(u32, usize)>::new());
+        for step in steps {
+            match step {
+                Step::Ask { class, patience_ms, .. } => {
+                    let Ok(lease) = budget.lease(Side::Clients) else { continue };
+                    let id = door.enter(now, address(1), lease);
+                    if door.speaks(now, id).is_err() {
+                        door.leave(id);
+                        continue;
+                    }
+                    door.heard(now, id);
+                    door.asked(now, id);
+                    door.holds(id, *patience_ms as usize * 20);
+                    let before = open.iter().filter(|(_, of)| of == class).count();
+                    assert_eq!(
+                        door.opened(now, id, *class),
+                        before >= 3,
+                        "the class's open requests are {before}"
+                    );
+                    open.push((id, *class));
+                }
+                Step::End { which, .. } if !open.is_empty() => {
+                    let (id, _) = open.remove(which % open.len());
+                    door.answered(now, id);
+                    door.flushed(now, id);
+                }
+                Step::Leave { which } if !open.is_empty() => {
+                    let (id, _) = open.remove(which % open.len());
+                    door.leave(id);
+                    door.leave(id);
+                }
+                Step::Pass { ms: time } => {
+                    now += ms(*time);
+                    let mut woken = Vec::new();
+                    while !door.advance(now, 3, &mut woken) {}
+                    for id in woken {
+                        match door.told(id) {
+                            Told::Park => door.parked(id),
+                            Told::Finish | Told::Drop => {
+                                assert!(
+                                    open.iter().all(|(of, _)| *of != id),
+                                    "{id} is open, and told to end"
+                                );
+                                door.leave(id);
+                            }
+                            Told::Stay => {}
+                        }
+                    }
+                }
+                _ => {}
+            }
+            let held = budget.held();
+            assert!(
+                held.bytes <= BYTES && held.places[0] == door.len(),
+                "{held:?} of {} connections",
+                door.len()
+            );
+            assert_eq!(door.figures().phases[Phase::Open as usize], open.len());
+        }
+        door.ids().collect::<Vec<_>>().into_iter().for_each(|id| door.leave(id));
+        assert_eq!(budget.held(), Default::default());
+    });
+}
