Forget kinds of servers that are gone

Seen: 3,000 servers that come and go, each of a kind of its own: the module's state is 251,326 characters long when printed, 54,910 after 600. Ruled out: servers, keys and marks (bounded or gone with their spans). At fault: balance.rs, learn(): kinds only ever pushed. Change: kinds are looked up by name; past 256 those that no listed server is of are dropped. One whose server changes its kind is now counted under the new one.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -48,6 +48,8 @@
 /// Answers over which the pace of a kind of server is averaged, and how many at par it starts with.
 const PACE_SPAN: f64 = 200.0;
 const PACE_PRIOR: f64 = 10.0;
+/// Kinds of servers that are remembered, but for those that are listed.
+const KINDS_KNOWN: usize = 256;
 /// Servers of a key's order that may take it; for want of room at the first, up to this share of their bound.
 const SPREAD: usize = 3;
 const SPILL: f64 = 0.5;
@@ -161,7 +163,6 @@
     /// Of all that were ever started or named anew, the how-manieth: what was sent to the one before it tells
     /// nothing of this one, and holds no place at it.
     life: u64,
-    kind: usize,
     hash: u64,
     breaker: Breaker,
     /// By class: a server may turn one class away and serve the others (a release that does not know it, a
@@ -185,7 +186,6 @@
 /// What answers of a kind of server take against their forecast work: a logarithm, so that no few decide.
 #[derive(Debug)]
 struct Kind {
-    name: Option<Name>,
     pace: f64,
     answers: f64,
 }
@@ -269,7 +269,8 @@
     /// By class: what its answers take of late, in seconds.
     usual: Vec<f64>,
     usual_work: f64,
-    kinds: Vec<Kind>,
+    /// By name, never walked in order. One that no server is of is dropped once there are very many.
+    kinds: HashMap<Option<Name>, Kind>,
     /// The breaker of what servers fetch misses from, where they tell of misses.
     origin: Breaker,
     /// By key: whether the last answer to it here was held by its server. Never walked.
@@ -303,7 +304,7 @@
             drawn: 0,
             usual,
             usual_work: 0.0,
-            kinds: Vec::new(),
+            kinds: HashMap::new(),
             origin: Breaker::new(WINDOW, Timestamp::default()),
             kept: HashMap::new(),
             warm: Warm::default(),
@@ -369,6 +370,10 @@
     }
 
     fn learn(&mut self, now: Timestamp, entries: &[ServerEntry], full: bool) {
+        if self.kinds.len() > KINDS_KNOWN {
+            let servers = &self.servers;
+            self.kinds.retain(|name, _| servers.iter().any(|server| server.entry.kind == *name));
+        }
         if full {
             self.servers.retain(|server| entries.iter().any(|entry| entry.id == server.entry.id));
         }
@@ -392,11 +397,6 @@
                 Err(_) if entry.availability == Availability::Gone => {}
                 Err(i) => {
                     let hash = mix(hash_text(entry.id.as_str()));
-                    let kind = self.kinds.iter().position(|kind| kind.name == entry.kind);
-                    let kind = kind.unwrap_or_else(|| {
-                        self.kinds.push(Kind { name: entry.kind.clone(), pace: 0.0, answers: PACE_PRIOR });
-                        self.kinds.len() - 1
-                    });
                     let (entry, breaker, gap) = (entry.clone(), Breaker::new(WINDOW, now), Duration::MAX);
                     // What it was sent before it was dropped is forgotten: cold, it waits for the next slot.
                     let (slot, used) = (self.slot(now), u32::MAX);
@@ -409,7 +409,6 @@
                     let fresh = Server {
                         entry,
                         life,
-                        kind,
                         hash,
                         breaker,
                         by_class,
@@ -450,7 +449,8 @@
     }
 
     fn capacity(&self, server: &Server, now: Timestamp) -> f64 {
-        let speed = if self.settings.sized { 1.0 } else { (-self.kinds[server.kind].pace).exp() };
+        let pace = || self.kinds.get(&server.entry.kind).map_or(0.0, |kind| kind.pace);
+        let speed = if self.settings.sized { 1.0 } else { (-pace()).exp() };
         (server.entry.weight * speed * self.warmth(&server.entry, now)).max(1e-9)
     }
 
@@ -609,7 +609,8 @@
         if let Some(i) = place {
             let told = matches!(outcome.status, Status::Ok | Status::TimedOut) && !fetched;
             if told && self.warmth(&self.servers[i].entry, now) >= 1.0 {
-                let kind = &mut self.kinds[self.servers[i].kind];
+                let kind = self.kinds.entry(self.servers[i].entry.kind.clone());
+                let kind = kind.or_insert(Kind { pace: 0.0, answers: PACE_PRIOR });
                 kind.answers = (kind.answers + 1.0).min(PACE_SPAN);
                 kind.pace += ((outcome.took.as_secs_f64() / par).max(1e-3).ln() - kind.pace) / kind.answers;
             }
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -111,3 +111,21 @@
     assert!((0.45..0.55).contains(&share(true)), "{}", share(true));
     assert!((0.2..0.3).contains(&share(false)), "{}", share(false));
 }
+
+/// Memory may not grow with what discovery says over time: servers come and go, each of a kind of its own.
+#[test]
+fn kinds_of_servers_that_are_gone_are_forgotten() {
+    let mut node = Node::new(settings(), 1);
+    let mut held = |round: u32| {
+        let kind = Some(Name::from(format!("kind-{round}").as_str()));
+        node.full_list(vec![ServerEntry { kind, ..ServerEntry::new(&format!("s{round}")) }]);
+        node.call(7, Status::Ok);
+        node.requests.clear();
+        // What else is remembered of servers fades within seconds.
+        node.pass(ms(50));
+        format!("{:?}", node.balancer).len()
+    };
+    let early = (0..600).map(&mut held).max().expect("some");
+    let late = (600..3_000).map(&mut held).max().expect("some");
+    assert!(late < early * 11 / 10, "{late} characters after 3,000 kinds, {early} after 600");
+}
