Test that a drain told while a connection comes up keeps the request from it

Change: a listener whose queue is full lets no connection come up until the drain is told; then it does, about a second later.

--- a/crates/cli/tests/node_lists.rs
+++ b/crates/cli/tests/node_lists.rs
@@ -4,8 +4,9 @@
 
 use node_common::*;
 use serde_json::{json, Value};
-use std::io::{BufReader, Write};
-use std::net::TcpListener;
+use socket2::{Domain, Socket, Type};
+use std::io::{BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -135,6 +136,49 @@
     assert!(asked > 100, "{asked}");
 }
 
+// Guards against a request that goes out on a connection which came up only after the drain was told.
+#[test]
+fn a_drain_told_while_a_connection_is_being_made_keeps_the_request_from_it() {
+    // With its queue full a listener lets no connection come up; with room, the next try does, about a second later.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    let slow = TcpListener::from(socket);
+    let address = slow.local_addr().unwrap();
+    let mut filling = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
+        filling.push(stream);
+    }
+    let other = CacheServer::serving("value");
+    let entries = |health: &str| [host("s-1", address, health), other.entry("s-2", "ready")];
+    let discovery = Discovery::start(&entries("ready"));
+    let node = Node::ready(&config(discovery.address));
+    let mut clients: Vec<_> = (1..16).map(|key| (key, node.client())).collect();
+    clients.iter_mut().for_each(|(key, client)| client.send(&read("once", *key, 20_000)));
+    wait_for("those of the other server", || other.count() > 0);
+    thread::sleep(Duration::from_millis(200));
+    assert!(other.count() < clients.len(), "some are on their way to the slow one");
+    discovery.tell(true, &entries("draining"));
+    discovery.wait_until_told(2);
+    // What comes up now is read to its end.
+    let (sender, bytes) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        for mut stream in slow.incoming().map_while(Result::ok) {
+            let sender = sender.clone();
+            thread::spawn(move || {
+                let mut buffer = [0; 1024];
+                let read = stream.read(&mut buffer).unwrap_or(0);
+                sender.send(String::from_utf8_lossy(&buffer[..read]).into_owned()).unwrap_or_default();
+            });
+        }
+    });
+    filling.clear();
+    for (key, client) in &mut clients {
+        assert_eq!(client.answer().unwrap().status(), 200, "{key}");
+    }
+    assert_eq!(bytes.try_iter().collect::<String>(), "", "after the drain was told");
+}
+
 // Guards against an empty list that leaves requests waiting, and one that cannot be undone.
 #[test]
 fn an_empty_list_refuses_at_once_and_a_renamed_one_serves() {
