--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -222,3 +222,15 @@
     let (sent, _) = sent_at(4.0);
     assert!(sent < 800, "{sent} of 900 were sent past a queue");
 }
+
+/// A key that everybody wants must not turn the whole fleet's hits into misses: its first few servers take it or none.
+#[test]
+fn for_want_of_room_a_key_goes_to_three_servers_at_most() {
+    let mut node = Node::with_servers(settings(), 8);
+    let mut servers = std::collections::BTreeSet::new();
+    for _ in 0..200 {
+        let id = node.request(0, 7, ms(400));
+        servers.extend(node.out(&id).map(|(_, server)| server));
+    }
+    assert_eq!(servers.len(), 3, "{servers:?}");
+}
