--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -608,7 +608,7 @@
         let par = held.request.expected_work.unwrap_or(self.class(&held.request).aim).as_secs_f64().max(1e-6);
         if let Some(i) = place {
             let told = matches!(outcome.status, Status::Ok | Status::TimedOut) && !fetched;
-            if told && self.warmth(&self.servers[i].entry, now) >= 1.0 {
+            if !self.settings.sized && told && self.warmth(&self.servers[i].entry, now) >= 1.0 {
                 let kind = self.kinds.entry(self.servers[i].entry.kind.clone());
                 let kind = kind.or_insert(Kind { pace: 0.0, answers: PACE_PRIOR });
                 kind.answers = (kind.answers + 1.0).min(PACE_SPAN);
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -127,13 +127,13 @@
                     Ok(listing) => {
                         failures = 0;
                         let early = self.seq == Some(listing.seq) && asked.elapsed() < WATCH / 2;
-                        if early {
-                            sleep(PACE).await;
-                        }
                         self.seq = Some(listing.seq);
                         if self.events.send(Input::Listing(listing)).is_err() {
                             return;
                         }
+                        if early {
+                            sleep(PACE).await;
+                        }
                     }
                     Err(error) => {
                         self.log.often("discovery", &format!("discovery: {error}"));
--- a/crates/observe/src/figures.rs
+++ b/crates/observe/src/figures.rs
@@ -1,7 +1,7 @@
 //! Counters, gauges and timers of requests and attempts, in batches to a file, standard error or UDP.
 
 use crate::log::Log;
-use crate::writer::{has_vanished, Lane, Writer};
+use crate::writer::{has_vanished, write_part, Lane, Writer};
 use crate::End;
 use slatelink_config::operators::{Figures as Settings, Format, Target};
 use slatelink_config::{Host, Listing};
@@ -95,19 +95,9 @@
             file.write_all(b"\n")?;
             self.torn = false;
         }
-        let mut rest = batch;
-        while !rest.is_empty() {
-            match file.write(rest) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => rest = &rest[n..],
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => {
-                    self.torn = rest.len() < batch.len();
-                    return Err(error);
-                }
-            }
-        }
-        Ok(())
+        let (taken, written) = write_part(file, batch);
+        self.torn = taken > 0 && taken < batch.len();
+        written
     }
 }
 
--- a/crates/observe/src/writer.rs
+++ b/crates/observe/src/writer.rs
@@ -2,7 +2,7 @@
 //! nobody reads, a slow disk or a FIFO must stall this one and never that.
 
 use std::fs::File;
-use std::io;
+use std::io::{self, Write};
 use std::os::fd::AsFd;
 use std::os::unix::fs::MetadataExt;
 use std::path::Path;
@@ -58,6 +58,20 @@
     }
 }
 
+/// Writes what the file takes; how many bytes that was, and what kept it from the rest.
+pub fn write_part(file: &mut File, bytes: &[u8]) -> (usize, io::Result<()>) {
+    let mut taken = 0;
+    while taken < bytes.len() {
+        match file.write(&bytes[taken..]) {
+            Ok(0) => return (taken, Err(io::ErrorKind::WriteZero.into())),
+            Ok(n) => taken += n,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return (taken, Err(error)),
+        }
+    }
+    (taken, Ok(()))
+}
+
 /// Whether a regular file has lost its name, by a move or removal: what is written there is read by nobody. Others
 /// have none to lose.
 pub fn has_vanished(file: &File, path: &Path) -> io::Result<bool> {
