--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -24,8 +24,8 @@
 const COMMON_RATE: f64 = TRIP_RATE / 2.0;
 /// Share of a cold server's stated multiple that is used: a span can touch three half-span slots.
 const COLD_PART: f64 = 0.7;
-/// A node keeps a connection for its next send if that comes within its part of this time: 13 s for one of 300.
-/// A handshake is work for the server and has its price, a connection that stands takes a place in its table.
+/// A node keeps a connection for its next send if that comes within its part of this time: 13 s for one of
+/// 300. A handshake is work for the server and has a price, a connection that stands takes a place there.
 const KEPT_OPEN: Duration = Duration::from_secs(4_000);
 /// Retry budget: each request pays in this much, and no more than so many are saved up.
 const RETRY_SHARE: f64 = 0.2;
