Count no jam where a full server's request is served by the next one

The request is served by the next server, and the node refuses a sixth of what comes after it all the same. Change: one of very many nodes counts a full answer as a jam only where the request ends with it.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -632,7 +632,10 @@
             } else if answered && !in_time && !spare && unqueued {
                 server.limit = (server.limit - LIMIT_EASE).max(self.limit_least);
             } else if answered && !in_time && !spare || jammed {
-                self.bad += f64::from(u8::from(!excused));
+                // One of very many nodes cannot keep servers from being full for a moment: while the request
+                // goes on to another one nothing is lost.
+                let goes_on = self.limit_start <= 1.0 && outcome.status == Status::QueueFull;
+                self.bad += f64::from(u8::from(!excused && !goes_on));
                 server.limit = (server.limit - LIMIT_DOWN).max(self.limit_least);
             }
             server.in_flight = server.in_flight.saturating_sub(1);
@@ -838,6 +841,8 @@
     }
 
     fn end(&mut self, now: Timestamp, held: Held, actions: &mut Vec<Action>) {
+        let turned_away = held.attempts.last().is_some_and(|a| a.status == Some(Status::QueueFull));
+        self.bad += f64::from(u8::from(turned_away && self.limit_start <= 1.0));
         let effect = self.class(&held.request).effect;
         let safe_again = matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. })
             || held.may_have_run().next().is_none();
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -100,6 +100,49 @@
     assert!(out <= 3, "{out} out at once at three servers");
 }
 
+/// Of very many nodes none can keep servers from being full for a moment. Where every second attempt is turned away and
+/// every request is served all the same, at the next server, nothing is jammed and nothing may be refused for it.
+#[test]
+fn one_of_many_nodes_refuses_nothing_while_the_next_server_takes_what_a_full_one_did_not() {
+    let node = |seed| {
+        let mut node = Node::new(Settings { nodes: 300, ..settings() }, seed);
+        node.full_list((0..100).map(|i| ServerEntry::new(&format!("s{i}"))).collect());
+        node
+    };
+    let mut rng = fastrand::Rng::with_seed(2);
+    let (mut served, mut untried, mut jammed) = (0, 0, 0);
+    // Each burst is within what the retry budget has saved up.
+    for mut node in (0..60).map(node) {
+        for step in 0..30 {
+            let id = node.request(0, rng.u64(..), ms(400));
+            untried += usize::from(node.requests[&id].ended);
+            if node.out(&id).is_some() && step % 2 == 0 {
+                node.answer(&id, Status::QueueFull);
+            }
+            node.pass(ms(20));
+            if node.out(&id).is_some() {
+                node.answer(&id, Status::Ok);
+                served += 1;
+            }
+            node.pass(ms(20));
+            node.requests.clear();
+        }
+    }
+    assert!(served >= 1_780 && untried <= 15, "{served} of 1,800 served, {untried} refused untried");
+    let mut node = node(4);
+    // Where most are turned away wherever they go, most of the excess is refused before it is sent.
+    for _ in 0..600 {
+        let id = node.request(0, rng.u64(..), ms(400));
+        jammed += usize::from(node.out(&id).is_none() && node.requests[&id].ended);
+        while node.out(&id).is_some() {
+            node.answer(&id, Status::QueueFull);
+        }
+        node.pass(ms(80));
+        node.requests.clear();
+    }
+    assert!(jammed >= 150, "{jammed} of 600 refused untried in a jam");
+}
+
 /// Left open, the connections of many nodes fill a server's table: a node that meets a server now and then closes
 /// behind itself, a busy one or one of few keeps its connections.
 #[test]
