Let one of very many nodes go on from a full server at a quarter of a retry

Change: a retry after a full answer takes 0.25 of the budget at one of very many nodes. Such an attempt never ran; what may have run costs a whole retry as before.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -33,6 +33,9 @@
 /// Retry budget: each request pays in this much, and no more than so many are saved up.
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SAVED: f64 = 10.0;
+/// What a retry takes of it where one of very many nodes was turned away unseen: none of them can keep a
+/// queue of a few places from being full, and a server says so at little cost.
+const RETRY_UNSEEN: f64 = 0.25;
 /// An answer is late past this share of its aim, from a server at least this busy.
 const AIM_SHARE: f64 = 0.7;
 const BUSY: f64 = 0.8;
@@ -722,7 +725,9 @@
         }
         // Asking the origin after a miss is the ordinary way on, any other attempt a retry on a budget.
         let retry = held.attempts.last().is_some_and(|a| a.status != Some(Status::Miss));
-        let barred = retry && self.retry_budget < 1.0;
+        let unseen = held.attempts.last().is_some_and(|a| a.status == Some(Status::QueueFull));
+        let price = if unseen && self.limit_start <= 1.0 { RETRY_UNSEEN } else { 1.0 };
+        let barred = retry && self.retry_budget < price;
         // A fleet that is jammed as a whole drains only if most is refused before it is sent.
         let good = self.good + f64::from(MIN_CALLS);
         let excess = held.attempts.is_empty() && held.luck * (good + self.bad) > good * ADMIT;
@@ -750,7 +755,7 @@
             }
             return self.end(now, held, actions);
         };
-        self.retry_budget = (self.retry_budget + if retry { -1.0 } else { RETRY_SHARE }).min(RETRY_SAVED);
+        self.retry_budget = (self.retry_budget + if retry { -price } else { RETRY_SHARE }).min(RETRY_SAVED);
         let (slot, class) = (self.slot(now), self.class_slot(&held.request));
         let cold = self.likely_miss(&held.request, &self.servers[i]);
         self.fetching += u32::from(cold);
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -143,6 +143,39 @@
     assert!(jammed >= 150, "{jammed} of 600 refused untried in a jam");
 }
 
+/// Two of five requests meet a full server first, for as long as a busy day lasts: on a budget of one retry for five
+/// requests half of them would be refused, although the next server takes them.
+#[test]
+fn one_of_many_nodes_can_go_on_from_a_full_server_all_day() {
+    let mut node = Node::new(Settings { nodes: 300, ..settings() }, 6);
+    node.full_list((0..100).map(|i| ServerEntry::new(&format!("s{i}"))).collect());
+    let mut rng = fastrand::Rng::with_seed(8);
+    let mut play = |first, sends: &mut usize| {
+        let mut served = 0;
+        for step in 0..500 {
+            let id = node.request(0, rng.u64(..), ms(400));
+            if node.out(&id).is_some() && step % 5 < 2 {
+                node.answer(&id, first);
+            }
+            node.pass(ms(40));
+            if node.out(&id).is_some() {
+                node.answer(&id, Status::Ok);
+            }
+            served += usize::from(node.requests[&id].sent.iter().any(|sent| sent.status == Some(Status::Ok)));
+            *sends += node.requests[&id].sent.len();
+            node.pass(ms(40));
+            node.requests.clear();
+        }
+        served
+    };
+    let served = play(Status::QueueFull, &mut 0);
+    assert!(served >= 480, "{served} of 500 served");
+    // What may have run costs its server work: that budget stays as it was.
+    let mut sends = 0;
+    play(Status::Failed, &mut sends);
+    assert!(sends <= 500 + 500 / 5 + 10, "{sends} sends for 500 requests");
+}
+
 /// One of many nodes meets a server every few seconds: of a zone that is lost or cut off, none of the servers' breakers
 /// would learn in time, and a quarter of what each node is asked would wait there for the end of its time.
 #[test]
