Ask in one place whether a node is one of very many, and whether a server was full

Five places compared limit_start with one, two others the other way round; the same look at the last attempt stood in decide() and end(). heard() walked the zones at every outcome, also where its breaker had not tripped. A send looked up its zone between two borrows of the server. Three tests built the same node each by itself.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -229,6 +229,11 @@
         self.attempts.last().is_some_and(|a| a.cold && a.status == Some(Status::Failed))
     }
 
+    /// Whether its last attempt met a full server.
+    fn turned_away(&self) -> bool {
+        self.attempts.last().is_some_and(|a| a.status == Some(Status::QueueFull))
+    }
+
     fn may_have_run(&self) -> impl Iterator<Item = &Attempt> {
         self.attempts.iter().filter(|a| !a.status.is_some_and(Status::never_ran))
     }
@@ -391,7 +396,7 @@
         let servers = &self.servers;
         self.zones.retain(|(zone, _)| servers.iter().any(|server| server.entry.zone == *zone));
         for entry in entries {
-            if self.limit_start <= 1.0 && self.zone(&entry.zone).is_none() {
+            if self.one_of_many() && self.zone(&entry.zone).is_none() {
                 self.zones.push((entry.zone.clone(), Breaker::new(WINDOW, now)));
             }
             let place = self.servers.binary_search_by(|server| server.entry.id.cmp(&entry.id));
@@ -443,6 +448,12 @@
         }
     }
 
+    /// Whether this is one of so many nodes that a server's limit has no whole place for each. Such a node
+    /// meets a server now and then only: what it learns of one comes late, and it fills no queue by itself.
+    fn one_of_many(&self) -> bool {
+        self.limit_start <= 1.0
+    }
+
     fn zone(&self, name: &Option<Name>) -> Option<usize> {
         self.zones.iter().position(|(zone, _)| zone == name)
     }
@@ -456,12 +467,13 @@
         };
         let place = self.zone(zone)?;
         let trial = self.zones[place].1.is_half_open();
-        let trips = self.zones[place].1.on_outcome(epoch, heard, now);
+        if !self.zones[place].1.on_outcome(epoch, heard, now) {
+            return None;
+        }
         let answers = |(_, other): &(Option<Name>, Breaker)| {
             now < other.window_ends && f64::from(other.failures) < COMMON_RATE * f64::from(other.calls)
         };
-        let others = self.zones.iter().enumerate().any(|(i, other)| i != place && answers(other));
-        if !trips || !trial && !others {
+        if !trial && !self.zones.iter().enumerate().any(|(i, other)| i != place && answers(other)) {
             return None;
         }
         self.drawn += 1;
@@ -537,7 +549,7 @@
     /// Whether it told of no queue of late. Only a node that has a real part of a server's work can tell: for
     /// one of more the report is older than the bursts of the others.
     fn unqueued(&self, server: &Server, now: Timestamp) -> bool {
-        self.limit_start > 1.0 && server.unqueued.is_some_and(|at| now.since(at) < REPORT_FRESH)
+        !self.one_of_many() && server.unqueued.is_some_and(|at| now.since(at) < REPORT_FRESH)
     }
 
     fn mark(key: u64, server: &Server) -> u64 {
@@ -574,7 +586,7 @@
         self.fetching -= 1;
         let failed = matches!(status, Status::Failed | Status::TimedOut);
         // One of many nodes sees too few of them to judge by.
-        let strained = self.limit_start > 1.0 && self.strained();
+        let strained = !self.one_of_many() && self.strained();
         if status == Status::Ok && f64::from(self.fetching + 1) * 4.0 >= self.fetch_limit {
             self.fetch_limit += FETCH_UP;
         } else if failed && strained && sent >= self.fetch_cut {
@@ -659,6 +671,9 @@
                 kind.answers = (kind.answers + 1.0).min(PACE_SPAN);
                 kind.pace += ((outcome.took.as_secs_f64() / par).max(1e-3).ln() - kind.pace) / kind.answers;
             }
+            // One of very many nodes cannot keep servers from being full for a moment: while the request
+            // goes on to another one nothing is lost.
+            let goes_on = self.one_of_many() && outcome.status == Status::QueueFull;
             let server = &mut self.servers[i];
             if let Some(unqueued) = reported {
                 server.unqueued = unqueued.then_some(now);
@@ -676,9 +691,6 @@
             } else if answered && !in_time && !spare && unqueued {
                 server.limit = (server.limit - LIMIT_EASE).max(self.limit_least);
             } else if answered && !in_time && !spare || jammed {
-                // One of very many nodes cannot keep servers from being full for a moment: while the request
-                // goes on to another one nothing is lost.
-                let goes_on = self.limit_start <= 1.0 && outcome.status == Status::QueueFull;
                 self.bad += f64::from(u8::from(!excused && !goes_on));
                 server.limit = (server.limit - LIMIT_DOWN).max(self.limit_least);
             }
@@ -725,8 +737,7 @@
         }
         // Asking the origin after a miss is the ordinary way on, any other attempt a retry on a budget.
         let retry = held.attempts.last().is_some_and(|a| a.status != Some(Status::Miss));
-        let unseen = held.attempts.last().is_some_and(|a| a.status == Some(Status::QueueFull));
-        let price = if unseen && self.limit_start <= 1.0 { RETRY_UNSEEN } else { 1.0 };
+        let price = if self.one_of_many() && held.turned_away() { RETRY_UNSEEN } else { 1.0 };
         let barred = retry && self.retry_budget < price;
         // A fleet that is jammed as a whole drains only if most is refused before it is sent.
         let good = self.good + f64::from(MIN_CALLS);
@@ -759,6 +770,10 @@
         let (slot, class) = (self.slot(now), self.class_slot(&held.request));
         let cold = self.likely_miss(&held.request, &self.servers[i]);
         self.fetching += u32::from(cold);
+        let zone_epoch = self.zone(&self.servers[i].entry.zone).map_or(0, |zone| {
+            self.zones[zone].1.on_send(now);
+            self.zones[zone].1.epoch
+        });
         let server = &mut self.servers[i];
         (server.used, server.slot) =
             (if server.slot == slot { server.used.saturating_add(1) } else { 1 }, slot);
@@ -769,12 +784,6 @@
         if !kept {
             self.origin.on_send(now);
         }
-        let zone = server.entry.zone.clone();
-        let zone_epoch = self.zone(&zone).map_or(0, |zone| {
-            self.zones[zone].1.on_send(now);
-            self.zones[zone].1.epoch
-        });
-        let server = &mut self.servers[i];
         let skew = u32::from(kept && self.origin.state != State::Closed);
         let class_epoch = server.by_class[class].epoch;
         let epochs = (server.breaker.epoch, class_epoch, self.origin.epoch.wrapping_sub(skew), zone_epoch);
@@ -862,7 +871,7 @@
         let limit = server.limit * share;
         let usual = self.usual[self.class_slot(&held.request)];
         f64::from(server.in_flight) + held.luck < limit
-            || self.limit_start <= 1.0
+            || self.one_of_many()
                 && server.in_flight == 0
                 && now.since(server.sent).as_secs_f64() * limit >= usual
     }
@@ -894,8 +903,8 @@
     }
 
     fn end(&mut self, now: Timestamp, held: Held, actions: &mut Vec<Action>) {
-        let turned_away = held.attempts.last().is_some_and(|a| a.status == Some(Status::QueueFull));
-        self.bad += f64::from(u8::from(turned_away && self.limit_start <= 1.0));
+        // It went on from a full server, to none: what was not counted then counts now.
+        self.bad += f64::from(u8::from(self.one_of_many() && held.turned_away()));
         let effect = self.class(&held.request).effect;
         let safe_again = matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. })
             || held.may_have_run().next().is_none();
--- a/crates/decide/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -15,6 +15,16 @@
     (0..nodes).map(node).collect()
 }
 
+/// One of 300 nodes, which knows 100 servers in four zones.
+fn one_of_many(seed: u64) -> Node {
+    let mut node = Node::new(Settings { nodes: 300, ..settings() }, seed);
+    let zones = ["n", "e", "s", "w"];
+    let entry =
+        |i: usize| ServerEntry { zone: Some(zones[i % 4].into()), ..ServerEntry::new(&format!("s{i}")) };
+    node.full_list((0..100).map(entry).collect());
+    node
+}
+
 /// A server that starts while half of the traffic asks for one of its keys: with one send in hand for each node,
 /// a large fleet pushes it over at once.
 #[test]
@@ -104,15 +114,10 @@
 /// every request is served all the same, at the next server, nothing is jammed and nothing may be refused for it.
 #[test]
 fn one_of_many_nodes_refuses_nothing_while_the_next_server_takes_what_a_full_one_did_not() {
-    let node = |seed| {
-        let mut node = Node::new(Settings { nodes: 300, ..settings() }, seed);
-        node.full_list((0..100).map(|i| ServerEntry::new(&format!("s{i}"))).collect());
-        node
-    };
     let mut rng = fastrand::Rng::with_seed(2);
     let (mut served, mut untried, mut jammed) = (0, 0, 0);
     // Each burst is within what the retry budget has saved up.
-    for mut node in (0..60).map(node) {
+    for mut node in (0..60).map(one_of_many) {
         for step in 0..30 {
             let id = node.request(0, rng.u64(..), ms(400));
             untried += usize::from(node.requests[&id].ended);
@@ -129,7 +134,7 @@
         }
     }
     assert!(served >= 1_780 && untried <= 15, "{served} of 1,800 served, {untried} refused untried");
-    let mut node = node(4);
+    let mut node = one_of_many(4);
     // Where most are turned away wherever they go, most of the excess is refused before it is sent.
     for _ in 0..600 {
         let id = node.request(0, rng.u64(..), ms(400));
@@ -147,8 +152,7 @@
 /// requests half of them would be refused, although the next server takes them.
 #[test]
 fn one_of_many_nodes_can_go_on_from_a_full_server_all_day() {
-    let mut node = Node::new(Settings { nodes: 300, ..settings() }, 6);
-    node.full_list((0..100).map(|i| ServerEntry::new(&format!("s{i}"))).collect());
+    let mut node = one_of_many(6);
     let mut rng = fastrand::Rng::with_seed(8);
     let mut play = |first, sends: &mut usize| {
         let mut served = 0;
@@ -183,11 +187,7 @@
     // Twelve requests a second at one of 300 nodes, of which servers of the silent zones answer none; returns for each
     // half second how many went there.
     let play = |seed, silent: &dyn Fn(u64) -> &'static [&'static str]| {
-        let mut node = Node::new(Settings { nodes: 300, ..settings() }, seed);
-        let zones = ["n", "e", "s", "w"];
-        let entry =
-            |i: usize| ServerEntry { zone: Some(zones[i % 4].into()), ..ServerEntry::new(&format!("s{i}")) };
-        node.full_list((0..100).map(entry).collect());
+        let mut node = one_of_many(seed);
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut there = [0; 40];
         for step in 0..240 {
@@ -206,11 +206,10 @@
         (there, node)
     };
     // Each that waits there is seen about five times before it times out.
-    let (there, node) = play(1, &|step| if (36..180).contains(&step) { &["w"] } else { &[] });
+    let (there, mut node) = play(1, &|step| if (36..180).contains(&step) { &["w"] } else { &[] });
     let (early, later): (u32, u32) = (there[6..10].iter().sum(), there[12..30].iter().sum());
     assert!(early >= 8, "{there:?}");
     assert!(later <= 60, "18 half seconds of trials: {there:?}");
-    let mut node = node;
     let again = (0..200).filter(|key| {
         let id = node.request(0, *key, ms(400));
         let zone = node.out(&id).map(|_| node.requests[&id].sent[0].server.zone.clone());
