Renew a watch beside the open one, long before what it misses counts as told

0.000 n1 call after=0, asks to wait 20 s; discovery hands the call in and falls silent on it 3.6 the list changes: s- draining 21.501 n1 overdue after 21.501 s: the module is told, which waits FOLLOW_AGAIN, 1 s; then backoff, 0.1 to 0.3 s 22.0 counts as told: 2 s after the wait. The rule ends at 22.25 s 22.746 n1 calls again; the five nodes that fell silent together stand in discovery's queue, 0.35 s a call 23.794 n1 has the list (the last of the five at 24.544): 1.5 s of sends to s- broke the rule

At 300 nodes the queue is 13.6 ms a call and 2 s long: 146 fell silent, the last had its list at 24.9 s.

Ruled out: the module and the connections (lists that came were heeded at once; nothing went to a draining server after its list), the answers themselves (a new call brings what was missed), backoff alone (0.3 s of 2.8 s).

At fault: discovery.rs, WATCH and OVERDUE (1.5 s of the 2.25 s are gone before anything is done), the failure path of watch_at (one lost watch waits for the module like a discovery that is down), and waits of one length, which keep nodes together that once asked together.

A watch now asks to wait for 60 s, the most that discovery takes, and is renewed after 12 to 18 s, drawn anew each time, on a connection of its own. The old one stays open for 3 s, or until the new one brings word: what is written to it counts as told. A renewal that is refused leaves it as it was and is tried again after 1 to 3 s.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -17,17 +17,26 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{watch, Notify};
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout, Instant};
-
-/// How long a watch asks discovery to wait. Each call costs the one discovery of all nodes as much as dozens
-/// of entries, and a change ends the wait at once, so long waits lose nothing.
-const WATCH: Duration = Duration::from_secs(20);
-/// A watch that says nothing for this long after its wait is over is dead: the network swallowed it.
-/// At 2 s past the wait what it would have told counts as told.
-const OVERDUE: Duration = Duration::from_millis(1500);
-/// The same for a call that has nothing to wait for but its turn.
-const LIST: Duration = Duration::from_millis(3500);
-const CONNECT: Duration = Duration::from_secs(2);
+use tokio::time::{sleep, timeout, timeout_at, Instant};
+
+/// How long a watch asks discovery to wait: the most that it takes. What a watch that has fallen silent misses counts
+/// as told 2 s after this wait, so the wait is what a node has for noticing that.
+const WAIT: Duration = Duration::from_secs(60);
+/// A watch is renewed after this, give or take a part of it: it looks alike whether it is silent or there is no news. A
+/// call costs the one discovery of all nodes as much as dozens of entries, so it is not done more often; and it is drawn
+/// anew each time, since nodes whose watches fell silent together would stand in discovery's queue together.
+const RENEW: Duration = Duration::from_secs(15);
+const RENEW_SPREAD: f64 = 0.2;
+/// For so long the old watch stays beside the new one: a call has its turn at discovery by then, or has failed, and what
+/// is written to the old one meanwhile counts as told.
+const OVERLAP: Duration = Duration::from_secs(3);
+/// The wait before a renewal that discovery refused is tried again.
+const RENEW_AGAIN: Duration = Duration::from_secs(2);
+/// A watch that could not be renewed and says nothing for this long after its wait is over is dead.
+const OVERDUE: Duration = Duration::from_millis(500);
+/// A call that has nothing to wait for but its turn is given up after this.
+const LIST: Duration = Duration::from_millis(2500);
+const CONNECT: Duration = Duration::from_secs(1);
 /// A list longer than this is no list.
 const LARGEST: usize = 8 << 20;
 /// Wait before a call that follows failed ones: the first step, doubled with each failure up to the most.
@@ -36,6 +45,7 @@
 /// After an answer with nothing newer that came before its wait was over the next call waits: made at once, calls would
 /// spin. A watch lasts where they are 200 ms apart at most.
 const PACE: Duration = Duration::from_millis(50);
+const EARLY: Duration = Duration::from_secs(10);
 
 #[derive(Debug, Error)]
 enum CallError {
@@ -55,6 +65,9 @@
     Overdue,
 }
 
+/// How a call ended, and its connection where that may carry another.
+type Called = (Result<Listing, CallError>, Option<Link>);
+
 /// An open connection; its driving task ends with it.
 struct Link {
     sender: SendRequest<Empty<Bytes>>,
@@ -111,10 +124,10 @@
             }
             let mut link = None;
             loop {
-                let limit = if self.seq.is_some() { WATCH + OVERDUE } else { LIST };
                 let asked = Instant::now();
-                let called = timeout(limit, self.call(address, &mut link)).await;
-                match called.unwrap_or(Err(CallError::Overdue)) {
+                let (called, kept) = self.ask(address, link.take()).await;
+                link = kept;
+                match called {
                     // It would bring servers back that are gone. Discovery may have lost its versions all the same:
                     // the whole list is taken as it comes.
                     Ok(listing) if self.seq.is_some_and(|held| listing.seq < held) => {
@@ -126,7 +139,7 @@
                     }
                     Ok(listing) => {
                         failures = 0;
-                        let early = self.seq == Some(listing.seq) && asked.elapsed() < WATCH / 2;
+                        let early = self.seq == Some(listing.seq) && asked.elapsed() < EARLY;
                         self.seq = Some(listing.seq);
                         if self.events.send(Input::Listing(listing)).is_err() {
                             return;
@@ -148,33 +161,94 @@
         }
     }
 
-    async fn call(&self, address: SocketAddr, link: &mut Option<Link>) -> Result<Listing, CallError> {
-        // A kept connection that discovery has closed meanwhile is no failure of the call.
-        let usable = match link {
-            Some(link) => link.sender.ready().await.is_ok(),
-            None => false,
-        };
-        if !usable {
-            *link = None;
-        }
-        let link = match link {
-            Some(link) => link,
-            None => link.insert(connect(address).await?),
+    /// Discovery's next word: the whole list where none is held, or what a watch brings.
+    async fn ask(&mut self, address: SocketAddr, link: Option<Link>) -> Called {
+        let Some(seq) = self.seq else {
+            return timeout(LIST, call(address, None, link)).await.unwrap_or((Err(CallError::Overdue), None));
         };
-        let path = match self.seq {
-            Some(seq) => format!("/v1/servers?after={seq}&wait_ms={}", WATCH.as_millis()),
-            None => "/v1/servers".to_owned(),
-        };
-        let request = Request::get(path).header(HOST, address.to_string()).body(Empty::new())?;
-        let response = link.sender.send_request(request).await?;
-        if response.status() != StatusCode::OK {
-            return Err(CallError::Status(response.status()));
+        let mut opened = Instant::now();
+        let mut held = Box::pin(call(address, Some(seq), link));
+        let mut renew = self.renewal();
+        loop {
+            let now = Instant::now();
+            let (due, over) = (now + renew, opened + WAIT + OVERDUE);
+            if let Ok(ended) = timeout_at(due.min(over), &mut held).await {
+                return ended;
+            }
+            if over <= due {
+                return (Err(CallError::Overdue), None);
+            }
+            let mut fresh = Box::pin(call(address, Some(seq), None));
+            tokio::select! {
+                biased;
+                // What is left of a watch that broke just now is the new one.
+                ended = &mut held => match ended {
+                    (Err(_), _) => {}
+                    word => return word,
+                },
+                ended = &mut fresh => match ended {
+                    (Err(error), _) => {
+                        self.log.often("discovery", &format!("discovery: watch not renewed: {error}"));
+                        renew = RENEW_AGAIN.mul_f64(0.5 + self.random.f64());
+                        // The one that is open is as good as it was.
+                        continue;
+                    }
+                    (Ok(listing), link) => {
+                        if listing.seq > seq {
+                            let news = listing.seq;
+                            let text = format!("discovery: list {news} came by a new watch, not by the old one");
+                            self.log.often("discovery", &text);
+                        }
+                        return (Ok(listing), link);
+                    }
+                },
+                () = sleep(OVERLAP) => {}
+            }
+            (held, opened, renew) = (fresh, due, self.renewal());
         }
-        let body = Limited::new(response.into_body(), LARGEST).collect().await?.to_bytes();
-        Ok(serde_json::from_slice(&body)?)
+    }
+
+    fn renewal(&mut self) -> Duration {
+        RENEW.mul_f64(1.0 + RENEW_SPREAD * (2.0 * self.random.f64() - 1.0))
     }
 }
 
+/// One call: for the whole list, or for what came after a version of it, once there is something.
+async fn call(address: SocketAddr, after: Option<u64>, mut link: Option<Link>) -> Called {
+    let called = call_on(address, after, &mut link).await;
+    (called, link)
+}
+
+async fn call_on(
+    address: SocketAddr,
+    after: Option<u64>,
+    link: &mut Option<Link>,
+) -> Result<Listing, CallError> {
+    // A kept connection that discovery has closed meanwhile is no failure of the call.
+    let usable = match link {
+        Some(link) => link.sender.ready().await.is_ok(),
+        None => false,
+    };
+    if !usable {
+        *link = None;
+    }
+    let link = match link {
+        Some(link) => link,
+        None => link.insert(connect(address).await?),
+    };
+    let path = match after {
+        Some(seq) => format!("/v1/servers?after={seq}&wait_ms={}", WAIT.as_millis()),
+        None => "/v1/servers".to_owned(),
+    };
+    let request = Request::get(path).header(HOST, address.to_string()).body(Empty::new())?;
+    let response = link.sender.send_request(request).await?;
+    if response.status() != StatusCode::OK {
+        return Err(CallError::Status(response.status()));
+    }
+    let body = Limited::new(response.into_body(), LARGEST).collect().await?.to_bytes();
+    Ok(serde_json::from_slice(&body)?)
+}
+
 async fn connect(address: SocketAddr) -> Result<Link, CallError> {
     let stream = timeout(CONNECT, TcpStream::connect(address)).await;
     let stream = stream.unwrap_or(Err(std::io::ErrorKind::TimedOut.into()))?;
@@ -186,3 +260,219 @@
     });
     Ok(Link { sender, task: task.abort_handle() })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use slatelink_observe::{Format, Observers};
+    use std::cell::RefCell;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+    use tokio::task::{spawn_local, yield_now, LocalSet};
+
+    /// What a change that a silent watch misses has, past the watch's wait, until it counts as told.
+    const TOLD: Duration = Duration::from_secs(2);
+    /// The module follows again so long after it was told of a failure.
+    const FOLLOW_AGAIN: Duration = Duration::from_secs(1);
+
+    /// What the stand-in does with a call.
+    enum Reply {
+        List(u64),
+        /// The list of this version, so long after the call of this number has come.
+        After(usize, Duration, u64),
+        Refused,
+        Reset,
+        Nothing,
+    }
+
+    /// Calls as they came: when, and for what.
+    type Calls = Rc<RefCell<Vec<(Instant, String)>>>;
+
+    /// A discovery that answers the calls, numbered from 0 as they come, as `reply` says.
+    async fn stand_in(reply: impl Fn(usize, &str) -> Reply + 'static) -> (SocketAddr, Calls) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (calls, reply) = (Calls::default(), Rc::new(reply));
+        let all = calls.clone();
+        spawn_local(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let (calls, reply) = (calls.clone(), reply.clone());
+                spawn_local(async move {
+                    let mut head = Vec::new();
+                    while matches!(stream.read_buf(&mut head).await, Ok(n) if n > 0) {
+                        if !head.ends_with(b"\r\n\r\n") {
+                            continue;
+                        }
+                        let path = String::from_utf8_lossy(&head).split(' ').nth(1).unwrap().to_owned();
+                        head.clear();
+                        let number = calls.borrow().len();
+                        let said = reply(number, &path);
+                        calls.borrow_mut().push((Instant::now(), path));
+                        let seq = match said {
+                            Reply::List(seq) => seq,
+                            Reply::After(other, pause, seq) => {
+                                while calls.borrow().len() <= other {
+                                    sleep(Duration::from_millis(10)).await;
+                                }
+                                sleep(pause).await;
+                                seq
+                            }
+                            Reply::Refused => {
+                                let text = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+                                stream.write_all(text.as_bytes()).await.unwrap();
+                                continue;
+                            }
+                            Reply::Reset => return,
+                            // Until the client gives it up.
+                            Reply::Nothing => continue,
+                        };
+                        let body = format!("{{\"seq\":{seq},\"whole\":true}}");
+                        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                        if stream.write_all(text.as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        (address, all)
+    }
+
+    /// Sets a client to work that holds the list of version 1, with a module that says when to follow.
+    fn client(address: SocketAddr, seed: u64, log: &Log) -> UnboundedReceiver<(Instant, Input)> {
+        let (events, mut inputs) = unbounded_channel();
+        let (told, heard) = unbounded_channel();
+        let (addresses, address) = watch::channel(address);
+        let random = fastrand::Rng::with_seed(seed);
+        let watching = Discovery { address, seq: Some(1), random, events, log: log.clone() };
+        let follow = Rc::new(Notify::new());
+        follow.notify_one();
+        spawn_local(watching.run(follow.clone()));
+        spawn_local(async move {
+            while let Some(input) = inputs.recv().await {
+                let failed = matches!(input, Input::ListingFailed);
+                if told.send((Instant::now(), input)).is_err() {
+                    return;
+                }
+                if failed {
+                    sleep(FOLLOW_AGAIN).await;
+                    follow.notify_one();
+                }
+            }
+            drop(addresses);
+        });
+        heard
+    }
+
+    /// Plays in virtual time. It moves on in small steps between which the sockets have their turns: left to itself a
+    /// paused clock jumps to the next timer whenever no task is ready, also over bytes that are on their way.
+    fn play<T>(day: impl AsyncFnOnce(Log) -> T) -> T {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+        LocalSet::new().block_on(&runtime.unwrap(), async {
+            spawn_local(async {
+                loop {
+                    for _ in 0..200 {
+                        yield_now().await;
+                    }
+                    std::thread::sleep(Duration::from_micros(50));
+                    tokio::time::advance(Duration::from_millis(10)).await;
+                }
+            });
+            let observers = Observers::start(&Default::default(), &[], Format::Text).unwrap();
+            day(observers.log.clone()).await
+        })
+    }
+
+    /// When the list of this version came.
+    async fn list(heard: &mut UnboundedReceiver<(Instant, Input)>, version: u64) -> Instant {
+        loop {
+            let (at, input) = heard.recv().await.expect("a client that runs");
+            if matches!(input, Input::Listing(listing) if listing.seq == version) {
+                return at;
+            }
+        }
+    }
+
+    fn wait_of(path: &str) -> Duration {
+        Duration::from_millis(path.split_once("wait_ms=").unwrap().1.parse().unwrap())
+    }
+
+    // Guards against a watch that falls silent and is noticed only once what it misses counts as told: the node then
+    // sends to servers that leave.
+    #[test]
+    fn what_a_silent_watch_misses_is_brought_well_before_it_counts_as_told() {
+        for seed in 0..4 {
+            play(async |log| {
+                let reply = |call, _: &str| if call == 0 { Reply::Nothing } else { Reply::List(2) };
+                let (address, calls) = stand_in(reply).await;
+                let came = list(&mut client(address, seed, &log), 2).await;
+                let (asked, path) = calls.borrow()[0].clone();
+                let told = asked + wait_of(&path) + TOLD;
+                // Discovery's queue is 2 s long at times, and its connection may fail: there must be time for more tries.
+                let most = told - Duration::from_secs(10);
+                assert!(came <= most, "{:?} after the call, told at {:?}", came - asked, told - asked);
+                assert!(came - asked < Duration::from_secs(20), "{:?}", came - asked);
+            });
+        }
+    }
+
+    // Guards against a watch given up for its renewal with a word on its way: written, it counts as told.
+    #[test]
+    fn a_word_on_the_old_watch_while_the_new_one_waits_for_its_turn_is_taken_at_once() {
+        play(async |log| {
+            let pause = Duration::from_millis(1500);
+            let reply = move |call, _: &str| match call {
+                0 => Reply::After(1, pause, 2),
+                _ => Reply::Nothing,
+            };
+            let (address, calls) = stand_in(reply).await;
+            let came = list(&mut client(address, 1, &log), 2).await;
+            let late = came - (calls.borrow()[1].0 + pause);
+            assert!(late < Duration::from_millis(200), "{late:?}");
+        });
+    }
+
+    // Guards against a healthy watch that is lost, and a module told that there is none, because discovery had no
+    // time for another.
+    #[test]
+    fn a_renewal_that_is_refused_or_reset_leaves_the_watch_as_it_was() {
+        play(async |log| {
+            let pause = Duration::from_millis(500);
+            let reply = move |call, _: &str| match call {
+                0 => Reply::After(4, pause, 2),
+                1 | 3 => Reply::Refused,
+                2 => Reply::Reset,
+                _ => Reply::Nothing,
+            };
+            let (address, calls) = stand_in(reply).await;
+            let mut heard = client(address, 1, &log);
+            let (came, first) = heard.recv().await.unwrap();
+            assert!(matches!(first, Input::Listing(listing) if listing.seq == 2), "no failure before");
+            let late = came - (calls.borrow()[4].0 + pause);
+            assert!(late < Duration::from_millis(200), "{late:?}");
+            let calls = calls.borrow();
+            assert!(calls[1..5].windows(2).all(|two| two[1].0 - two[0].0 >= RENEW_AGAIN / 2), "{calls:?}");
+        });
+    }
+
+    // Guards against nodes that ask discovery together for ever after they have asked together once: its queue is
+    // short, and who is refused there learns late of what its watch has missed.
+    #[test]
+    fn watches_opened_together_are_renewed_apart() {
+        play(async |log| {
+            const NODES: usize = 64;
+            let (address, calls) = stand_in(|_, _| Reply::Nothing).await;
+            let _heard: Vec<_> = (0..NODES as u64).map(|seed| client(address, seed, &log)).collect();
+            while calls.borrow().len() < 2 * NODES {
+                sleep(Duration::from_millis(100)).await;
+            }
+            let calls = calls.borrow();
+            let again: Vec<_> = calls[NODES..2 * NODES].iter().map(|(at, _)| *at).collect();
+            let most = (again.iter())
+                .map(|from| again.iter().filter(|at| **at >= *from && **at - *from < TOLD).count());
+            let most = most.max().unwrap();
+            assert!(most <= NODES / 2, "{most} of {NODES} within discovery's queue");
+        });
+    }
+}
