Keep a watch open where lists are pushed, and be ready there only with its first list

Ruled out: lists that come and are not heeded (none came), the agent (it answers the first call that is made).

Now a watch is kept without the module's word. Since what the agent has counts as told with or without a watch, one that is lost is opened again at once, and after further failures every 50 to 150 ms: the agent is the node's own. Since it counts from a process's first moment too, a new process asks for the whole list first and answers /healthz with 200 when it has that, or after 2 s of an agent that says nothing.

Nothing changes where lists are asked for.

--- a/crates/cli/tests/node_lists.rs
+++ b/crates/cli/tests/node_lists.rs
@@ -259,3 +259,53 @@
     assert!((4.0..=25.0).contains(&calls), "{calls} calls a second");
     assert_eq!(node.read("read", 1).status(), 200);
 }
+
+/// The configuration of a node whose lists are pushed, which knows this one.
+fn pushed(discovery: std::net::SocketAddr, known: &[Value]) -> Value {
+    let mut config = config(discovery);
+    config["settings"]["membership_mode"] = json!("automatic");
+    config["known"] = json!({"seq": 1, "whole": true, "hosts": known});
+    config
+}
+
+// Guards against a node that has no watch where lists are pushed: nothing asks it to, and what the agent has counts as
+// told.
+#[test]
+fn pushed_lists_are_watched_and_a_drain_is_heeded() {
+    let (leaving, staying) = (CacheServer::serving("leaving"), CacheServer::serving("staying"));
+    let entries = |health: &str| [leaving.entry("s-1", health), staying.entry("s-2", "ready")];
+    let discovery = Discovery::start(&entries("ready"));
+    let node = Node::ready(&pushed(discovery.address, &entries("ready")));
+    wait_for("both", || {
+        (1..20).for_each(|key| drop(node.read("read", key)));
+        leaving.count() > 0 && staying.count() > 0
+    });
+    discovery.tell(false, &entries("draining")[..1]);
+    discovery.wait_until_told(2);
+    let before = leaving.count();
+    assert!((20..40).all(|key| node.read("read", key).body == b"staying"));
+    assert_eq!(leaving.count(), before);
+}
+
+// Guards against a new process that serves from an old list where lists are pushed: what the agent has counts as told
+// from its first moment. An agent that has nothing to say keeps it from service for a moment only.
+#[test]
+fn a_new_process_with_pushed_lists_is_ready_when_it_has_its_first_one() {
+    let (gone, staying) = (CacheServer::serving("gone"), CacheServer::serving("staying"));
+    let known = [gone.entry("s-1", "ready"), staying.entry("s-2", "ready")];
+    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Node::start(&pushed(agent.local_addr().unwrap(), &known));
+    assert_eq!(node.get("/healthz").status(), 503, "it knows old servers only");
+    let (mut stream, _) = agent.accept().unwrap();
+    let asked = Message::read(&mut BufReader::new(stream.try_clone().unwrap())).unwrap().unwrap();
+    assert!(asked.start.starts_with("GET /v1/servers "), "{}", asked.start);
+    let list = list(7, true, &[staying.entry("s-2", "ready")]);
+    stream.write_all(answer("200 OK", "", &list).as_bytes()).unwrap();
+    wait_for("the node's readiness", || node.get("/healthz").status() == 200);
+    assert!((1..20).all(|key| node.read("read", key).body == b"staying"));
+    assert_eq!(gone.count(), 0);
+
+    let refusing = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let alone = Node::ready(&pushed(refusing, &known));
+    assert_eq!(alone.read("read", 1).status(), 200);
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -46,6 +46,10 @@
 /// spin. A watch lasts where they are 200 ms apart at most.
 const PACE: Duration = Duration::from_millis(50);
 const EARLY: Duration = Duration::from_secs(10);
+/// Where lists are pushed, what the agent has counts as told at once, watch or no watch: a lost watch is opened again
+/// without delay, and after a call that failed too the next one follows within the time that the rule on drains leaves.
+/// The agent is the node's own, so that nobody else waits for that.
+const PUSHED_AGAIN: Duration = Duration::from_millis(100);
 
 #[derive(Debug, Error)]
 enum CallError {
@@ -86,6 +90,8 @@
     pub address: watch::Receiver<SocketAddr>,
     /// Version of the list held; `None` where none is.
     pub seq: Option<u64>,
+    /// Whether changes come unprompted: a watch is open all the time then, and the module says nothing of it.
+    pub pushed: bool,
     pub random: fastrand::Rng,
     pub events: UnboundedSender<Input>,
     pub log: Log,
@@ -112,14 +118,18 @@
 
     /// Watches at one address, until the driver has gone. `told`: the module's word to watch holds already.
     async fn watch_at(&mut self, address: SocketAddr, follow: &Notify, mut told: bool) {
-        let mut failures = 0;
+        let mut failures = 0u32;
         loop {
-            if !std::mem::take(&mut told) {
+            if !self.pushed && !std::mem::take(&mut told) {
                 follow.notified().await;
             }
-            if failures > 0 {
-                // Nodes that lost the same discovery together must not come back together.
-                let step = BACKOFF.saturating_mul(1 << (failures - 1).min(8)).min(BACKOFF_MOST);
+            if let Some(before) = failures.checked_sub(1) {
+                let step = if self.pushed {
+                    PUSHED_AGAIN * u32::from(before > 0)
+                } else {
+                    // Nodes that lost the same discovery together must not come back together.
+                    BACKOFF.saturating_mul(1 << before.min(8)).min(BACKOFF_MOST)
+                };
                 sleep(step.mul_f64(0.5 + self.random.f64())).await;
             }
             let mut link = None;
@@ -341,13 +351,25 @@
 
     /// Sets a client to work that holds the list of version 1, with a module that says when to follow.
     fn client(address: SocketAddr, seed: u64, log: &Log) -> UnboundedReceiver<(Instant, Input)> {
+        client_of(address, seed, false, log)
+    }
+
+    /// The same where lists are pushed or not: then nobody says anything to it.
+    fn client_of(
+        address: SocketAddr,
+        seed: u64,
+        pushed: bool,
+        log: &Log,
+    ) -> UnboundedReceiver<(Instant, Input)> {
         let (events, mut inputs) = unbounded_channel();
         let (told, heard) = unbounded_channel();
         let (addresses, address) = watch::channel(address);
         let random = fastrand::Rng::with_seed(seed);
-        let watching = Discovery { address, seq: Some(1), random, events, log: log.clone() };
+        let watching = Discovery { address, seq: Some(1), pushed, random, events, log: log.clone() };
         let follow = Rc::new(Notify::new());
-        follow.notify_one();
+        if !pushed {
+            follow.notify_one();
+        }
         spawn_local(watching.run(follow.clone()));
         spawn_local(async move {
             while let Some(input) = inputs.recv().await {
@@ -355,7 +377,7 @@
                 if told.send((Instant::now(), input)).is_err() {
                     return;
                 }
-                if failed {
+                if failed && !pushed {
                     sleep(FOLLOW_AGAIN).await;
                     follow.notify_one();
                 }
@@ -456,6 +478,33 @@
         });
     }
 
+    // Guards against a node with no watch where lists are pushed: what its agent has counts as told all the same.
+    #[test]
+    fn where_lists_are_pushed_a_lost_watch_is_open_again_within_the_rules_time() {
+        play(async |log| {
+            let reply = |call, _: &str| match call {
+                0 => Reply::List(2),
+                1 | 3 | 4 => Reply::Reset,
+                5 => Reply::Refused,
+                2 => Reply::List(3),
+                6 => Reply::List(4),
+                _ => Reply::Nothing,
+            };
+            let (address, calls) = stand_in(reply).await;
+            let mut heard = client_of(address, 1, true, &log);
+            list(&mut heard, 2).await;
+            list(&mut heard, 4).await;
+            let calls = calls.borrow();
+            assert!(calls.iter().all(|(_, path)| path.contains("after=")), "{calls:?}");
+            let pauses: Vec<_> = calls.windows(2).map(|two| two[1].0 - two[0].0).collect();
+            assert!(pauses.iter().all(|pause| *pause < Duration::from_millis(250)), "{pauses:?}");
+            assert!(
+                pauses[4] >= PUSHED_AGAIN / 2,
+                "an agent that fails is not asked without end: {pauses:?}"
+            );
+        });
+    }
+
     // Guards against nodes that ask discovery together for ever after they have asked together once: its queue is
     // short, and who is refused there learns late of what its watch has missed.
     #[test]
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -21,6 +21,8 @@
 
 /// Taken off a client's time: it counts from when the client sent, and the answer has its way back to go.
 const MARGIN: Duration = Duration::from_millis(5);
+/// Where lists are pushed a new process waits for its first one, but no longer than this for an agent that is silent.
+const AGENT: Duration = Duration::from_secs(2);
 /// How long past a request's time, less the margin, the module has for its own answer.
 const GUARD: Duration = Duration::from_millis(4);
 
@@ -135,6 +137,9 @@
     upstream: Rc<Upstream>,
     follow: Rc<Notify>,
     ready: Rc<Cell<bool>>,
+    /// Until when clients are kept waiting for the first list; `None` once they are not.
+    awaits: Option<Instant>,
+    some_ready: bool,
     events: UnboundedSender<Input>,
     observer: Rc<dyn Observer>,
     open: HashMap<RequestId, Open>,
@@ -149,6 +154,7 @@
         upstream: Rc<Upstream>,
         follow: Rc<Notify>,
         ready: Rc<Cell<bool>>,
+        pushed: bool,
         events: UnboundedSender<Input>,
         observer: Rc<dyn Observer>,
     ) -> Self {
@@ -158,6 +164,8 @@
             upstream,
             follow,
             ready,
+            awaits: pushed.then(|| Instant::now() + AGENT),
+            some_ready: false,
             events,
             observer,
             open: HashMap::new(),
@@ -204,12 +212,17 @@
             }
             Input::Ended { id, attempt, ended } => self.ended(id, attempt, ended),
             Input::Listing(listing) => {
+                self.awaits = None;
                 let entries = self.learn(&listing);
                 let list =
                     if listing.whole { ServerList::Full(entries) } else { ServerList::Changes(entries) };
                 self.due.push_back(Event::Servers(list));
             }
-            Input::ListingFailed => self.due.push_back(Event::Servers(ServerList::Unavailable)),
+            Input::ListingFailed => {
+                self.awaits = self.awaits.filter(|until| Instant::now() < *until);
+                self.be_ready();
+                self.due.push_back(Event::Servers(ServerList::Unavailable));
+            }
         }
     }
 
@@ -227,10 +240,16 @@
                 _ => self.upstream.learn(entry, host.dial()),
             }
         }
-        if entries.iter().any(|entry| entry.availability == Availability::Ready) {
+        self.some_ready |= entries.iter().any(|entry| entry.availability == Availability::Ready);
+        self.be_ready();
+        entries
+    }
+
+    /// Lets clients come, for good, once there is a server to send to and no first list to wait for.
+    fn be_ready(&self) {
+        if self.some_ready && self.awaits.is_none() {
             self.ready.set(true);
         }
-        entries
     }
 
     fn request(&mut self, taken: Taken) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -96,10 +96,13 @@
     let upstream = Rc::new(Upstream::new(budget.clone(), table.clone(), connect, keepalive));
     let room = Room { table: table.clone(), servers: upstream.clone() };
     let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone(), log.clone(), room));
-    let seq = (!known.hosts.is_empty()).then_some(known.seq);
+    // Where lists are pushed, what the agent has counts as told from a process's first moment: it is asked for at
+    // once, and the node is ready when it has that. Elsewhere a whole list has a price, and the node holds its own.
+    let pushed = !settings.must_follow;
+    let seq = (!known.hosts.is_empty() && !pushed).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let (addresses, address) = watch::channel(discovery);
-    let watching = Discovery { address, seq, random, events: events.clone(), log: log.clone() };
+    let watching = Discovery { address, seq, pushed, random, events: events.clone(), log: log.clone() };
 
     spawn_local(upstream.clone().sweep());
     spawn_local(table.clone().sweep());
@@ -107,7 +110,7 @@
     spawn_local(watching.run(follow.clone()));
     spawn_local(reload(hangup, addresses, observers.clone()));
     let balancer = Balancer::new(settings, seed);
-    let driver = Driver::new(balancer, upstream.clone(), follow, ready, events, observers.clone());
+    let driver = Driver::new(balancer, upstream.clone(), follow, ready, pushed, events, observers.clone());
     spawn_local(driver.run(known, inputs));
     let beside = match side {
         Some(listener) => {
