Call again in time after a move, and bound backoff to the time for asking

A first call that is swallowed was given up after 3.5 s, and the next came 1.1 to 1.3 s after that: its answer is past the time. Calls that are refused for want of a place in discovery's queue (2 s long) were made again after 1.2, 1.4 and 1.8 s on average: after two refusals the third stands in the queue past the 4 s.

What a discovery can't give in that time it still does not give.

Also: the longest backoff is at most a quarter of safety.ask_within_us, which the node did not read: who has no watch and does not ask for that long counts as told.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -145,6 +145,8 @@
     pub sized: bool,
     /// Whether the list must be asked for (`Follow`) rather than pushed.
     pub must_follow: bool,
+    /// Without a subscription, a node that has not asked for so long counts as told.
+    pub ask_within: Duration,
     /// Attempts a request may have.
     pub max_attempts: u32,
     /// Longest stay-away advice a client honours.
@@ -172,6 +174,7 @@
             mode: CacheMode::Through,
             sized: true,
             must_follow: false,
+            ask_within: Duration::from_secs(10),
             max_attempts: 3,
             max_retry_after: Duration::ZERO,
             connect_timeout: Duration::from_millis(250),
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -39,9 +39,16 @@
 const CONNECT: Duration = Duration::from_secs(1);
 /// A list longer than this is no list.
 const LARGEST: usize = 8 << 20;
-/// Wait before a call that follows failed ones: the first step, doubled with each failure up to the most.
+/// Wait before a call that follows failed ones: the first step, doubled with each failure up to the most. The most is
+/// also bound to the time for asking: who has no watch and does not ask for that long counts as told.
 const BACKOFF: Duration = Duration::from_millis(200);
 const BACKOFF_MOST: Duration = Duration::from_secs(3);
+const ASKING_PART: u32 = 4;
+/// For so long after it was told to move, a node counts as told nothing that it has not heard at the new address.
+const MOVED: Duration = Duration::from_secs(4);
+/// Until it has a list there, a call that is refused is made again after about this, and one without an answer at
+/// once: a call may stand in discovery's queue for 2 s, so what gets its place there later comes too late.
+const MOVED_AGAIN: Duration = Duration::from_millis(500);
 /// After an answer with nothing newer that came before its wait was over the next call waits: made at once, calls would
 /// spin. A watch lasts where they are 200 ms apart at most.
 const PACE: Duration = Duration::from_millis(50);
@@ -92,6 +99,8 @@
     pub seq: Option<u64>,
     /// Whether changes come unprompted: a watch is open all the time then, and the module says nothing of it.
     pub pushed: bool,
+    /// The time that the settings give for asking.
+    pub ask_within: Duration,
     pub random: fastrand::Rng,
     pub events: UnboundedSender<Input>,
     pub log: Log,
@@ -103,34 +112,32 @@
     /// the node serves from the list it holds until that has come.
     pub async fn run(mut self, follow: Rc<Notify>) {
         let mut address = self.address.clone();
-        let mut told = false;
+        let mut moved = None;
         loop {
             let at = *address.borrow_and_update();
             tokio::select! {
                 // All that belongs to the old address goes with this future: its link, watch and backoff.
-                () = self.watch_at(at, &follow, told) => return,
-                moved = address.changed() => if moved.is_err() { return },
+                () = self.watch_at(at, &follow, moved) => return,
+                changed = address.changed() => if changed.is_err() { return },
             }
             self.seq = None;
-            told = true;
+            moved = Some(Instant::now());
         }
     }
 
-    /// Watches at one address, until the driver has gone. `told`: the module's word to watch holds already.
-    async fn watch_at(&mut self, address: SocketAddr, follow: &Notify, mut told: bool) {
-        let mut failures = 0u32;
+    /// Watches at one address, until the driver has gone. Where it moved there, the module's word to watch holds.
+    async fn watch_at(&mut self, address: SocketAddr, follow: &Notify, moved: Option<Instant>) {
+        let mut failures = 0;
+        let mut told = moved.is_some();
         loop {
             if !self.pushed && !std::mem::take(&mut told) {
                 follow.notified().await;
-            }
-            if let Some(before) = failures.checked_sub(1) {
-                let step = if self.pushed {
-                    PUSHED_AGAIN * u32::from(before > 0)
-                } else {
+                if failures > 0 {
                     // Nodes that lost the same discovery together must not come back together.
-                    BACKOFF.saturating_mul(1 << before.min(8)).min(BACKOFF_MOST)
-                };
-                sleep(step.mul_f64(0.5 + self.random.f64())).await;
+                    let most = BACKOFF_MOST.min(self.ask_within / ASKING_PART);
+                    let step = BACKOFF.saturating_mul(1 << (failures - 1).min(8)).min(most);
+                    sleep(step.mul_f64(0.5 + self.random.f64())).await;
+                }
             }
             let mut link = None;
             loop {
@@ -161,9 +168,17 @@
                     Err(error) => {
                         self.log.often("discovery", &format!("discovery: {error}"));
                         failures += 1;
-                        if self.events.send(Input::ListingFailed).is_err() {
+                        told = self.seq.is_none() && moved.is_some_and(|at| at.elapsed() < MOVED);
+                        // The module's word is waited for but where it has no say.
+                        if (self.pushed || !told) && self.events.send(Input::ListingFailed).is_err() {
                             return;
                         }
+                        let pause = match error {
+                            _ if self.pushed => PUSHED_AGAIN * u32::from(failures > 1),
+                            CallError::Overdue => Duration::ZERO,
+                            _ => MOVED_AGAIN * u32::from(told),
+                        };
+                        sleep(pause.mul_f64(0.5 + self.random.f64())).await;
                         break;
                     }
                 }
@@ -361,11 +376,25 @@
         pushed: bool,
         log: &Log,
     ) -> UnboundedReceiver<(Instant, Input)> {
+        client_at(address, seed, pushed, log).0
+    }
+
+    /// The same, with where it is told of another address.
+    fn client_at(
+        address: SocketAddr,
+        seed: u64,
+        pushed: bool,
+        log: &Log,
+    ) -> (UnboundedReceiver<(Instant, Input)>, Rc<watch::Sender<SocketAddr>>) {
         let (events, mut inputs) = unbounded_channel();
         let (told, heard) = unbounded_channel();
         let (addresses, address) = watch::channel(address);
+        let addresses = Rc::new(addresses);
+        let kept = addresses.clone();
         let random = fastrand::Rng::with_seed(seed);
-        let watching = Discovery { address, seq: Some(1), pushed, random, events, log: log.clone() };
+        let ask_within = Duration::from_secs(10);
+        let watching =
+            Discovery { address, seq: Some(1), pushed, ask_within, random, events, log: log.clone() };
         let follow = Rc::new(Notify::new());
         if !pushed {
             follow.notify_one();
@@ -382,9 +411,9 @@
                     follow.notify_one();
                 }
             }
-            drop(addresses);
+            drop(kept);
         });
-        heard
+        (heard, addresses)
     }
 
     /// Plays in virtual time. It moves on in small steps between which the sockets have their turns: left to itself a
@@ -505,6 +534,34 @@
         });
     }
 
+    // Guards against a node that moves to a discovery whose first call is swallowed, or refused for want of a place in
+    // its queue, and has no list from there when all of it counts as told.
+    #[test]
+    fn after_a_move_calls_that_fail_are_made_again_while_their_answer_would_be_in_time() {
+        let swallowed: fn(usize, &str) -> Reply =
+            |call, _| if call == 0 { Reply::Nothing } else { Reply::List(7) };
+        let queue = Duration::from_secs(2);
+        let refused: fn(usize, &str) -> Reply = |call, _| match call {
+            0..=1 => Reply::Refused,
+            call => Reply::After(call, Duration::from_secs(2), 7),
+        };
+        for (reply, least) in [(swallowed, Duration::ZERO), (refused, queue)] {
+            for seed in 0..4 {
+                play(async |log| {
+                    let (old, _) = stand_in(|_, _| Reply::Nothing).await;
+                    let (new, calls) = stand_in(reply).await;
+                    let (mut heard, addresses) = client_at(old, seed, false, &log);
+                    sleep(Duration::from_secs(1)).await;
+                    let moved = Instant::now();
+                    addresses.send_replace(new);
+                    let took = list(&mut heard, 7).await - moved;
+                    assert!(took >= least && took < MOVED, "{took:?}, {:?}", calls.borrow());
+                    assert!(calls.borrow().iter().all(|(_, path)| path == "/v1/servers"));
+                });
+            }
+        }
+    }
+
     // Guards against nodes that ask discovery together for ever after they have asked together once: its queue is
     // short, and who is refused there learns late of what its watch has missed.
     #[test]
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -102,7 +102,9 @@
     let seq = (!known.hosts.is_empty() && !pushed).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let (addresses, address) = watch::channel(discovery);
-    let watching = Discovery { address, seq, pushed, random, events: events.clone(), log: log.clone() };
+    let ask_within = settings.ask_within;
+    let watching =
+        Discovery { address, seq, pushed, ask_within, random, events: events.clone(), log: log.clone() };
 
     spawn_local(upstream.clone().sweep());
     spawn_local(table.clone().sweep());
