Heed a list that is too old where it tells of servers that leave

Seen in the code and by a test: a list with a version under the one held is not taken, and the whole list is asked for after 50 ms. What was written counts as told, though, and the new call may stand in discovery's queue for 2 s: a server that drains in the list that came got requests meanwhile. Now that list's draining and gone servers are left at once; it brings back none. A server wrongly left is named again by the whole list that follows.

--- a/crates/cli/tests/node_lists.rs
+++ b/crates/cli/tests/node_lists.rs
@@ -309,3 +309,37 @@
     let alone = Node::ready(&pushed(refusing, &known));
     assert_eq!(alone.read("read", 1).status(), 200);
 }
+
+// Guards against a server that drains in a list that is not taken for its age, and that gets requests until the whole
+// list has come: what was written was told.
+#[test]
+fn a_list_that_is_too_old_is_heeded_where_it_tells_of_servers_that_leave() {
+    let (leaving, staying) = (CacheServer::serving("leaving"), CacheServer::serving("staying"));
+    let entries = |health: &str| [leaving.entry("s-1", health), staying.entry("s-2", "ready")];
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = silent.local_addr().unwrap();
+    let (say, heard) = std::sync::mpsc::channel::<String>();
+    let asked: Arc<Mutex<Vec<String>>> = Arc::default();
+    let calls = asked.clone();
+    thread::spawn(move || {
+        let (mut stream, _) = silent.accept().unwrap();
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Ok(Some(message)) = Message::read(&mut reader) {
+            calls.lock().unwrap().push(message.start);
+            let Ok(text) = heard.recv() else { return };
+            stream.write_all(answer("200 OK", "", &text).as_bytes()).unwrap();
+        }
+    });
+    say.send(list(5, true, &entries("ready"))).unwrap();
+    let node = Node::ready(&config(address));
+    wait_for("both", || {
+        (1..20).for_each(|key| drop(node.read("read", key)));
+        leaving.count() > 0 && staying.count() > 0
+    });
+    say.send(list(3, true, &entries("draining"))).unwrap();
+    // The whole list is asked for, and does not come.
+    wait_for("the third call", || asked.lock().unwrap().len() == 3);
+    let before = leaving.count();
+    assert!((20..40).all(|key| node.read("read", key).body == b"staying"));
+    assert_eq!(leaving.count(), before);
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -8,6 +8,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use slatelink_config::Listing;
+use slatelink_decide::Availability;
 use slatelink_observe::Log;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -146,9 +147,14 @@
                 link = kept;
                 match called {
                     // It would bring servers back that are gone. Discovery may have lost its versions all the same:
-                    // the whole list is taken as it comes.
-                    Ok(listing) if self.seq.is_some_and(|held| listing.seq < held) => {
+                    // the whole list is taken as it comes, and until then what this one says of servers that leave.
+                    Ok(mut listing) if self.seq.is_some_and(|held| listing.seq < held) => {
                         let (held, got) = (self.seq.take().unwrap_or_default(), listing.seq);
+                        listing.whole = false;
+                        listing.hosts.retain(|host| host.entry().availability != Availability::Ready);
+                        if self.events.send(Input::Listing(listing)).is_err() {
+                            return;
+                        }
                         let text =
                             format!("discovery: list {got} is older than {held}: asking for the whole list");
                         self.log.often("discovery", &text);
