Test a list of 1,024 servers at one of 1,024 nodes from list to sends

An indented list of 1,024 is taken whole, requests reach over nine in ten of them, nothing goes to the half that drains in one delta, and a whole list of 256 leaves just those. No bound on the way was found: lists are read up to 8 MB (about 40,000 entries), the module and the connections hold what is listed, figures merge 2,048 series and write early past that, the gauges of 1,024 hosts are a fifth of their buffer.

--- a/crates/cli/tests/node_lists.rs
+++ b/crates/cli/tests/node_lists.rs
@@ -343,3 +343,49 @@
     assert!((20..40).all(|key| node.read("read", key).body == b"staying"));
     assert_eq!(leaving.count(), before);
 }
+
+// Guards against a bound anywhere between list, decision and sends that a fleet of this size meets: a list that is cut,
+// servers that are never picked, drains that are heeded in part.
+#[test]
+fn a_thousand_servers_at_one_of_a_thousand_nodes_are_listed_asked_and_left() {
+    const SERVERS: usize = 1024;
+    let servers: Vec<_> = (0..SERVERS).map(|_| CacheServer::serving("value")).collect();
+    let entry = |i: usize, health: &str| servers[i].entry(&format!("s-{i:04}"), health);
+    let discovery = Discovery::start(&[]);
+    let mut config = config(discovery.address);
+    config["settings"]["balancers"] = json!(SERVERS);
+    config["limits"]["sockets"] = json!(4096);
+    let node = Node::start(&config);
+    // Some tell their lists in many lines.
+    let all: Vec<_> = (0..SERVERS).map(|i| entry(i, "ready")).collect();
+    let whole = json!({"seq": 2, "whole": true, "hosts": all});
+    discovery.tell_text(serde_json::to_string_pretty(&whole).unwrap());
+    wait_for("the node's readiness", || node.get("/healthz").status() == 200);
+    let mut keys = 1..;
+    let mut ask = |requests: usize| {
+        let before: Vec<_> = servers.iter().map(CacheServer::count).collect();
+        let mut client = node.client();
+        for key in keys.by_ref().take(requests) {
+            let answer = client.ask(&read("read", key, 20_000));
+            assert_eq!(answer.status(), 200, "{key}");
+            if answer.header("connection") == Some("close") {
+                client = node.client();
+            }
+        }
+        servers.iter().zip(before).map(|(server, before)| server.count() - before).collect::<Vec<_>>()
+    };
+    // Of so many draws with replacement 982 are expected to be met.
+    let met = ask(3 * SERVERS + 100).iter().filter(|asked| **asked > 0).count();
+    assert!(met > SERVERS * 9 / 10, "{met} of {SERVERS} were asked");
+    let leaving: Vec<_> = (0..SERVERS).step_by(2).map(|i| entry(i, "draining")).collect();
+    discovery.tell(false, &leaving);
+    discovery.wait_until_told(3);
+    let asked = ask(SERVERS);
+    assert!(asked.iter().step_by(2).all(|asked| *asked == 0), "to servers that drain");
+    // Every fourth is left; what a whole list lacks is gone.
+    let left: Vec<_> = (1..SERVERS).step_by(4).map(|i| entry(i, "ready")).collect();
+    discovery.tell(true, &left);
+    discovery.wait_until_told(4);
+    let asked = ask(SERVERS);
+    assert_eq!(asked.iter().skip(1).step_by(4).sum::<usize>(), SERVERS, "none but those left");
+}
