Test that no draining server is picked where every other one is blocked

The last resort, the key's own server though it is blocked, picks among the ready ones: it holds today, and nothing but a property over drawn events said so.

--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -64,6 +64,37 @@
     assert_eq!(node.call(7, Status::Ok), Some(own), "an id that returns is used again");
 }
 
+// Guards against the last resort, the key's own server though it is blocked, that picks one told to leave.
+#[test]
+fn with_every_server_blocked_none_that_drains_is_picked() {
+    let mut node = Node::with_servers(settings(), 3);
+    let leaving: ServerId = "b".into();
+    let own: Vec<u64> = (0..60).filter(|key| node.call(*key, Status::Ok) == Some(leaving.clone())).collect();
+    assert!(own.len() > 5, "keys of the one that will leave");
+    node.changes(vec![ServerEntry { availability: Availability::Draining, ..ServerEntry::new("b") }]);
+    // One after the other: while most fail, none is blocked.
+    let tripped = |node: &Node, server: &str| {
+        let text = format!("breaker of {server} tripped");
+        node.trace.contains(&Action::Log(text))
+    };
+    for bad in ["a", "c"] {
+        for key in 0..4_000 {
+            if tripped(&node, bad) {
+                break;
+            }
+            let id = node.request(0, key, ms(400));
+            while let Some((attempt, server)) = node.out(&id) {
+                let status = if server.as_str() == bad { Status::Failed } else { Status::Ok };
+                node.end_attempt(&id, attempt, status);
+            }
+            node.pass(ms(1));
+        }
+        assert!(tripped(&node, bad), "{bad}");
+    }
+    let sent: Vec<_> = own.iter().filter_map(|key| node.call(*key, Status::Failed)).collect();
+    assert!(!sent.is_empty() && !sent.contains(&leaving), "{sent:?}");
+}
+
 #[test]
 fn no_server_at_all_is_answered_at_once() {
     let mut node = Node::new(settings(), 1);
