Hear the old discovery out while a node moves, until the new one has answered

At fault: run() in discovery.rs drops watch_at, and with it the open call.

The open watch is now kept beside the calls to the new address, and what it tells of draining and gone servers is left at once. Of the others it says nothing any more: versions of two discoveries can't be compared. It goes with the first list from the new address, or when the old one closes it.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -10,7 +10,9 @@
 use slatelink_config::Listing;
 use slatelink_decide::Availability;
 use slatelink_observe::Log;
+use std::future::{pending, Future};
 use std::net::SocketAddr;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
@@ -60,7 +62,7 @@
 const PUSHED_AGAIN: Duration = Duration::from_millis(100);
 
 #[derive(Debug, Error)]
-enum CallError {
+pub enum CallError {
     #[error("{0}")]
     Connect(#[from] std::io::Error),
     #[error("{0}")]
@@ -78,10 +80,12 @@
 }
 
 /// How a call ended, and its connection where that may carry another.
-type Called = (Result<Listing, CallError>, Option<Link>);
+pub type Called = (Result<Listing, CallError>, Option<Link>);
+/// A call that is out.
+pub type Call = Pin<Box<dyn Future<Output = Called>>>;
 
 /// An open connection; its driving task ends with it.
-struct Link {
+pub struct Link {
     sender: SendRequest<Empty<Bytes>>,
     task: AbortHandle,
 }
@@ -102,6 +106,8 @@
     pub pushed: bool,
     /// The time that the settings give for asking.
     pub ask_within: Duration,
+    /// The watch that is open.
+    pub open: Option<Call>,
     pub random: fastrand::Rng,
     pub events: UnboundedSender<Input>,
     pub log: Log,
@@ -121,6 +127,7 @@
                 () = self.watch_at(at, &follow, moved) => return,
                 changed = address.changed() => if changed.is_err() { return },
             }
+            // Its watch is kept meanwhile: the old one says what it has to say for a while, and what it writes is told.
             self.seq = None;
             moved = Some(Instant::now());
         }
@@ -148,13 +155,9 @@
                 match called {
                     // It would bring servers back that are gone. Discovery may have lost its versions all the same:
                     // the whole list is taken as it comes, and until then what this one says of servers that leave.
-                    Ok(mut listing) if self.seq.is_some_and(|held| listing.seq < held) => {
+                    Ok(listing) if self.seq.is_some_and(|held| listing.seq < held) => {
                         let (held, got) = (self.seq.take().unwrap_or_default(), listing.seq);
-                        listing.whole = false;
-                        listing.hosts.retain(|host| host.entry().availability != Availability::Ready);
-                        if self.events.send(Input::Listing(listing)).is_err() {
-                            return;
-                        }
+                        self.tell_leaving(listing);
                         let text =
                             format!("discovery: list {got} is older than {held}: asking for the whole list");
                         self.log.often("discovery", &text);
@@ -184,7 +187,8 @@
                             CallError::Overdue => Duration::ZERO,
                             _ => MOVED_AGAIN * u32::from(told),
                         };
-                        sleep(pause.mul_f64(0.5 + self.random.f64())).await;
+                        let pause = pause.mul_f64(0.5 + self.random.f64());
+                        self.beside_old(sleep(pause)).await;
                         break;
                     }
                 }
@@ -195,25 +199,28 @@
     /// Discovery's next word: the whole list where none is held, or what a watch brings.
     async fn ask(&mut self, address: SocketAddr, link: Option<Link>) -> Called {
         let Some(seq) = self.seq else {
-            return timeout(LIST, call(address, None, link)).await.unwrap_or((Err(CallError::Overdue), None));
+            let called = self.beside_old(timeout(LIST, call(address, None, link))).await;
+            self.open = self.open.take().filter(|_| !matches!(called, Ok((Ok(_), _))));
+            return called.unwrap_or((Err(CallError::Overdue), None));
         };
         let mut opened = Instant::now();
-        let mut held = Box::pin(call(address, Some(seq), link));
         let mut renew = self.renewal();
+        self.open = Some(Box::pin(call(address, Some(seq), link)));
         loop {
             let now = Instant::now();
             let (due, over) = (now + renew, opened + WAIT + OVERDUE);
-            if let Ok(ended) = timeout_at(due.min(over), &mut held).await {
+            if let Ok(ended) = timeout_at(due.min(over), ended(&mut self.open)).await {
                 return ended;
             }
             if over <= due {
+                self.open = None;
                 return (Err(CallError::Overdue), None);
             }
-            let mut fresh = Box::pin(call(address, Some(seq), None));
+            let mut fresh: Call = Box::pin(call(address, Some(seq), None));
             tokio::select! {
                 biased;
                 // What is left of a watch that broke just now is the new one.
-                ended = &mut held => match ended {
+                ended = ended(&mut self.open) => match ended {
                     (Err(_), _) => {}
                     word => return word,
                 },
@@ -230,20 +237,52 @@
                             let text = format!("discovery: list {news} came by a new watch, not by the old one");
                             self.log.often("discovery", &text);
                         }
+                        self.open = None;
                         return (Ok(listing), link);
                     }
                 },
                 () = sleep(OVERLAP) => {}
             }
-            (held, opened, renew) = (fresh, due, self.renewal());
+            self.open = Some(fresh);
+            (opened, renew) = (due, self.renewal());
         }
     }
 
+    /// Does something while a watch of before may still be open, and hands on what that tells of servers that leave.
+    async fn beside_old<T>(&mut self, work: impl Future<Output = T>) -> T {
+        let mut work = pin!(work);
+        loop {
+            tokio::select! {
+                biased;
+                done = &mut work => return done,
+                (word, _) = ended(&mut self.open) => if let Ok(listing) = word {
+                    self.tell_leaving(listing);
+                },
+            }
+        }
+    }
+
+    /// Hands on what a list that is not taken tells of servers that leave: written, it counts as told. Whether the
+    /// driver is there shows at the next list.
+    fn tell_leaving(&self, mut listing: Listing) {
+        listing.whole = false;
+        listing.hosts.retain(|host| host.entry().availability != Availability::Ready);
+        let _ = self.events.send(Input::Listing(listing));
+    }
+
     fn renewal(&mut self) -> Duration {
         RENEW.mul_f64(1.0 + RENEW_SPREAD * (2.0 * self.random.f64() - 1.0))
     }
 }
 
+/// How the call in this place ended; the place is empty then. Without one it never does.
+async fn ended(open: &mut Option<Call>) -> Called {
+    let Some(call) = open else { return pending().await };
+    let called = call.await;
+    *open = None;
+    called
+}
+
 /// One call: for the whole list, or for what came after a version of it, once there is something.
 async fn call(address: SocketAddr, after: Option<u64>, mut link: Option<Link>) -> Called {
     let called = call_on(address, after, &mut link).await;
@@ -358,7 +397,11 @@
                             // Until the client gives it up.
                             Reply::Nothing => continue,
                         };
-                        let body = format!("{{\"seq\":{seq},\"whole\":true}}");
+                        let host = |name: &str, health: &str| {
+                            format!("{{\"host\":\"{name}\",\"health\":\"{health}\"}}")
+                        };
+                        let hosts = [host("s-leaving", "draining"), host("s-staying", "ready")].join(",");
+                        let body = format!("{{\"seq\":{seq},\"whole\":true,\"hosts\":[{hosts}]}}");
                         let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
                         if stream.write_all(text.as_bytes()).await.is_err() {
                             return;
@@ -399,8 +442,16 @@
         let kept = addresses.clone();
         let random = fastrand::Rng::with_seed(seed);
         let ask_within = Duration::from_secs(10);
-        let watching =
-            Discovery { address, seq: Some(1), pushed, ask_within, random, events, log: log.clone() };
+        let watching = Discovery {
+            address,
+            seq: Some(1),
+            pushed,
+            ask_within,
+            open: None,
+            random,
+            events,
+            log: log.clone(),
+        };
         let follow = Rc::new(Notify::new());
         if !pushed {
             follow.notify_one();
@@ -568,6 +619,39 @@
         }
     }
 
+    // Guards against a word that the old discovery writes while a node moves, and that nobody reads: it counts as told,
+    // and the new one's list may be a queue away.
+    #[test]
+    fn what_the_old_discovery_tells_of_servers_that_leave_is_heeded_until_the_new_one_has_answered() {
+        play(async |log| {
+            let (old, _) = stand_in(|call, _| match call {
+                0 => Reply::After(0, Duration::from_millis(1300), 2),
+                _ => Reply::Nothing,
+            })
+            .await;
+            let (new, calls) = stand_in(|call, _| match call {
+                0 => Reply::After(0, Duration::from_millis(1900), 7),
+                _ => Reply::Nothing,
+            })
+            .await;
+            let (mut heard, addresses) = client_at(old, 1, false, &log);
+            sleep(Duration::from_secs(1)).await;
+            addresses.send_replace(new);
+            let moved = Instant::now();
+            let (told, word) = heard.recv().await.unwrap();
+            let Input::Listing(word) = word else { panic!("a list: {word:?}") };
+            let names: Vec<_> = word.hosts.iter().map(|host| (host.entry().id, host.health())).collect();
+            assert_eq!(names, [("s-leaving".into(), "draining")], "and nothing of those that stay");
+            assert!(!word.whole && told - moved < Duration::from_secs(1), "{:?}", told - moved);
+            let came = list(&mut heard, 7).await;
+            assert!(came - moved < MOVED, "{:?}", came - moved);
+            while calls.borrow().len() < 2 {
+                sleep(Duration::from_millis(10)).await;
+            }
+            assert!(calls.borrow()[1].1.contains("after=7&"), "{:?}", calls.borrow());
+        });
+    }
+
     // Guards against nodes that ask discovery together for ever after they have asked together once: its queue is
     // short, and who is refused there learns late of what its watch has missed.
     #[test]
