Test the look at a kept connection, and warmth in the order of keys

Each test was seen to fail without its own: with Watched::check() passing always, and with capacity() leaving warmth out (498 of 2000 keys for the cold server, not 150 to 300).

--- a/crates/decide/tests/hashing.rs
+++ b/crates/decide/tests/hashing.rs
@@ -58,3 +58,25 @@
     two.full_list(["e", "c", "a", "b", "d"].map(ServerEntry::new).to_vec());
     assert_eq!(owners(&mut one), owners(&mut two));
 }
+
+// Guards against a cold server that gets as many keys as a warm one: what it may be sent is bounded elsewhere, but the
+// keys past that bound would miss at the servers that they spill to.
+#[test]
+fn a_cold_server_is_the_first_choice_for_its_present_part_of_the_keys() {
+    // So much may be sent to a cold server that nothing but the order keeps keys from it.
+    let mut node = Node::with_servers(Settings { fall_multiple: 1e6, ..settings() }, 4);
+    (0..500).for_each(|key| drop(node.call(key, Status::Ok)));
+    let first = |node: &mut Node| {
+        let to_cold = |key: &u64| node.call(*key, Status::Ok) == Some("a".into());
+        (1_000..3_000).filter(to_cold).count()
+    };
+    let warm = first(&mut node);
+    let started = Some(node.now);
+    node.changes(vec![ServerEntry { started, ..ServerEntry::new("a") }]);
+    // What it got in the present slot of time is spent.
+    node.pass(ms(1_000));
+    let cold = first(&mut node);
+    // Warm, a quarter; a second after its start at 0.37 of itself, 0.37 of 3.37 parts.
+    assert!((400..600).contains(&warm), "{warm} of 2000 while it is warm");
+    assert!((150..300).contains(&cold), "{cold} of 2000 while it is cold");
+}
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -550,6 +550,39 @@
         assert_eq!(idling.limit(), STATED);
     }
 
+    // Guards against what lies in a kept connection's socket, a second copy of an answer or noise, taken for the answer to
+    // the request that is written next. hyper sees it only where the runtime has polled in between.
+    #[tokio::test]
+    async fn a_kept_connection_with_something_to_read_takes_no_request() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let mut server = listener.accept().unwrap().0;
+        let written = Rc::new(Written::default());
+        let mut watched = Watched { stream: TokioIo::new(stream), written: written.clone() };
+        let write = |watched: &mut Watched| {
+            let mut cx = Context::from_waker(std::task::Waker::noop());
+            hyper::rt::Write::poll_write(Pin::new(watched), &mut cx, b"GET")
+        };
+        written.reused.set(true);
+        assert!(matches!(write(&mut watched), Poll::Ready(Ok(3))), "nothing lies there");
+        io::Write::write_all(&mut server, b"HTTP/1.1 200 OK\r\n").unwrap();
+        while SockRef::from(watched.stream.inner()).peek(&mut [MaybeUninit::uninit()]).is_err() {
+            std::thread::yield_now();
+        }
+        // An answer may come while a request is still being written.
+        assert!(matches!(write(&mut watched), Poll::Ready(Ok(3))), "the request's own answer");
+        written.reset();
+        let refused = write(&mut watched);
+        assert!(
+            matches!(&refused, Poll::Ready(Err(error)) if error.kind() == io::ErrorKind::ConnectionAborted),
+            "{refused:?}"
+        );
+        assert!(!written.begun.get(), "not a byte went out: another connection serves");
+        // On a new one there can be nothing of a request before.
+        written.reused.set(false);
+        assert!(matches!(write(&mut watched), Poll::Ready(Ok(3))));
+    }
+
     // Guards against a node's own want of memory that is held against the server it meant to ask.
     #[test]
     fn a_want_of_descriptors_memory_or_addresses_is_the_nodes_own() {
