--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -98,7 +98,7 @@
 
 /// The client of discovery.
 pub struct Discovery {
-    /// Where it answers. A new address ends what was going on at the old one.
+    /// Where it answers. A new address ends what was going on at the old one, but for the open watch.
     pub address: watch::Receiver<SocketAddr>,
     /// Version of the list held; `None` where none is.
     pub seq: Option<u64>,
@@ -123,11 +123,11 @@
         loop {
             let at = *address.borrow_and_update();
             tokio::select! {
-                // All that belongs to the old address goes with this future: its link, watch and backoff.
+                // What belongs to the old address goes with this future: link, calls and backoff.
                 () = self.watch_at(at, &follow, moved) => return,
                 changed = address.changed() => if changed.is_err() { return },
             }
-            // Its watch is kept meanwhile: the old one says what it has to say for a while, and what it writes is told.
+            // The open watch stays until the new one has answered: what the old one still writes counts as told.
             self.seq = None;
             moved = Some(Instant::now());
         }
