--- a/crates/cli/tests/node_lists.rs
+++ b/crates/cli/tests/node_lists.rs
@@ -260,6 +260,21 @@
     assert_eq!(node.read("read", 1).status(), 200);
 }
 
+/// Waits until requests have reached both of two servers.
+fn wait_for_both(node: &Node, leaving: &CacheServer, staying: &CacheServer) {
+    wait_for("both", || {
+        (1..20).for_each(|key| drop(node.read("read", key)));
+        leaving.count() > 0 && staying.count() > 0
+    });
+}
+
+/// All requests go to the server that answers "staying", and none to this one.
+fn assert_left_alone(node: &Node, leaving: &CacheServer) {
+    let before = leaving.count();
+    assert!((20..40).all(|key| node.read("read", key).body == b"staying"));
+    assert_eq!(leaving.count(), before);
+}
+
 /// The configuration of a node whose lists are pushed, which knows this one.
 fn pushed(discovery: std::net::SocketAddr, known: &[Value]) -> Value {
     let mut config = config(discovery);
@@ -276,15 +291,10 @@
     let entries = |health: &str| [leaving.entry("s-1", health), staying.entry("s-2", "ready")];
     let discovery = Discovery::start(&entries("ready"));
     let node = Node::ready(&pushed(discovery.address, &entries("ready")));
-    wait_for("both", || {
-        (1..20).for_each(|key| drop(node.read("read", key)));
-        leaving.count() > 0 && staying.count() > 0
-    });
+    wait_for_both(&node, &leaving, &staying);
     discovery.tell(false, &entries("draining")[..1]);
     discovery.wait_until_told(2);
-    let before = leaving.count();
-    assert!((20..40).all(|key| node.read("read", key).body == b"staying"));
-    assert_eq!(leaving.count(), before);
+    assert_left_alone(&node, &leaving);
 }
 
 // Guards against a new process that serves from an old list where lists are pushed: what the agent has counts as told
@@ -332,16 +342,11 @@
     });
     say.send(list(5, true, &entries("ready"))).unwrap();
     let node = Node::ready(&config(address));
-    wait_for("both", || {
-        (1..20).for_each(|key| drop(node.read("read", key)));
-        leaving.count() > 0 && staying.count() > 0
-    });
+    wait_for_both(&node, &leaving, &staying);
     say.send(list(3, true, &entries("draining"))).unwrap();
     // The whole list is asked for, and does not come.
     wait_for("the third call", || asked.lock().unwrap().len() == 3);
-    let before = leaving.count();
-    assert!((20..40).all(|key| node.read("read", key).body == b"staying"));
-    assert_eq!(leaving.count(), before);
+    assert_left_alone(&node, &leaving);
 }
 
 // Guards against a bound anywhere between list, decision and sends that a fleet of this size meets: a list that is cut,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -62,7 +62,7 @@
 const PUSHED_AGAIN: Duration = Duration::from_millis(100);
 
 #[derive(Debug, Error)]
-pub enum CallError {
+enum CallError {
     #[error("{0}")]
     Connect(#[from] std::io::Error),
     #[error("{0}")]
@@ -80,12 +80,12 @@
 }
 
 /// How a call ended, and its connection where that may carry another.
-pub type Called = (Result<Listing, CallError>, Option<Link>);
+type Called = (Result<Listing, CallError>, Option<Link>);
 /// A call that is out.
-pub type Call = Pin<Box<dyn Future<Output = Called>>>;
+type Call = Pin<Box<dyn Future<Output = Called>>>;
 
 /// An open connection; its driving task ends with it.
-pub struct Link {
+struct Link {
     sender: SendRequest<Empty<Bytes>>,
     task: AbortHandle,
 }
@@ -106,8 +106,6 @@
     pub pushed: bool,
     /// The time that the settings give for asking.
     pub ask_within: Duration,
-    /// The watch that is open.
-    pub open: Option<Call>,
     pub random: fastrand::Rng,
     pub events: UnboundedSender<Input>,
     pub log: Log,
@@ -120,11 +118,13 @@
     pub async fn run(mut self, follow: Rc<Notify>) {
         let mut address = self.address.clone();
         let mut moved = None;
+        // The watch that is open.
+        let mut open = None;
         loop {
             let at = *address.borrow_and_update();
             tokio::select! {
                 // What belongs to the old address goes with this future: link, calls and backoff.
-                () = self.watch_at(at, &follow, moved) => return,
+                () = self.watch_at(at, &follow, moved, &mut open) => return,
                 changed = address.changed() => if changed.is_err() { return },
             }
             // The open watch stays until the new one has answered: what the old one still writes counts as told.
@@ -134,7 +134,13 @@
     }
 
     /// Watches at one address, until the driver has gone. Where it moved there, the module's word to watch holds.
-    async fn watch_at(&mut self, address: SocketAddr, follow: &Notify, moved: Option<Instant>) {
+    async fn watch_at(
+        &mut self,
+        address: SocketAddr,
+        follow: &Notify,
+        moved: Option<Instant>,
+        open: &mut Option<Call>,
+    ) {
         let mut failures = 0;
         let mut told = moved.is_some();
         loop {
@@ -150,7 +156,7 @@
             let mut link = None;
             loop {
                 let asked = Instant::now();
-                let (called, kept) = self.ask(address, link.take()).await;
+                let (called, kept) = self.ask(address, link.take(), open).await;
                 link = kept;
                 match called {
                     // It would bring servers back that are gone. Discovery may have lost its versions all the same:
@@ -188,7 +194,7 @@
                             _ => MOVED_AGAIN * u32::from(told),
                         };
                         let pause = pause.mul_f64(0.5 + self.random.f64());
-                        self.beside_old(sleep(pause)).await;
+                        self.beside_old(open, sleep(pause)).await;
                         break;
                     }
                 }
@@ -197,30 +203,30 @@
     }
 
     /// Discovery's next word: the whole list where none is held, or what a watch brings.
-    async fn ask(&mut self, address: SocketAddr, link: Option<Link>) -> Called {
+    async fn ask(&mut self, address: SocketAddr, link: Option<Link>, open: &mut Option<Call>) -> Called {
         let Some(seq) = self.seq else {
-            let called = self.beside_old(timeout(LIST, call(address, None, link))).await;
-            self.open = self.open.take().filter(|_| !matches!(called, Ok((Ok(_), _))));
+            // With a list, the next call takes the old watch's place at once.
+            let called = self.beside_old(open, timeout(LIST, call(address, None, link))).await;
             return called.unwrap_or((Err(CallError::Overdue), None));
         };
         let mut opened = Instant::now();
         let mut renew = self.renewal();
-        self.open = Some(Box::pin(call(address, Some(seq), link)));
+        *open = Some(Box::pin(call(address, Some(seq), link)));
         loop {
             let now = Instant::now();
             let (due, over) = (now + renew, opened + WAIT + OVERDUE);
-            if let Ok(ended) = timeout_at(due.min(over), ended(&mut self.open)).await {
+            if let Ok(ended) = timeout_at(due.min(over), ended(open)).await {
                 return ended;
             }
             if over <= due {
-                self.open = None;
+                *open = None;
                 return (Err(CallError::Overdue), None);
             }
             let mut fresh: Call = Box::pin(call(address, Some(seq), None));
             tokio::select! {
                 biased;
                 // What is left of a watch that broke just now is the new one.
-                ended = ended(&mut self.open) => match ended {
+                ended = ended(open) => match ended {
                     (Err(_), _) => {}
                     word => return word,
                 },
@@ -237,25 +243,25 @@
                             let text = format!("discovery: list {news} came by a new watch, not by the old one");
                             self.log.often("discovery", &text);
                         }
-                        self.open = None;
+                        *open = None;
                         return (Ok(listing), link);
                     }
                 },
                 () = sleep(OVERLAP) => {}
             }
-            self.open = Some(fresh);
+            *open = Some(fresh);
             (opened, renew) = (due, self.renewal());
         }
     }
 
     /// Does something while a watch of before may still be open, and hands on what that tells of servers that leave.
-    async fn beside_old<T>(&mut self, work: impl Future<Output = T>) -> T {
+    async fn beside_old<T>(&self, open: &mut Option<Call>, work: impl Future<Output = T>) -> T {
         let mut work = pin!(work);
         loop {
             tokio::select! {
                 biased;
                 done = &mut work => return done,
-                (word, _) = ended(&mut self.open) => if let Ok(listing) = word {
+                (word, _) = ended(open) => if let Ok(listing) = word {
                     self.tell_leaving(listing);
                 },
             }
@@ -415,20 +421,10 @@
 
     /// Sets a client to work that holds the list of version 1, with a module that says when to follow.
     fn client(address: SocketAddr, seed: u64, log: &Log) -> UnboundedReceiver<(Instant, Input)> {
-        client_of(address, seed, false, log)
-    }
-
-    /// The same where lists are pushed or not: then nobody says anything to it.
-    fn client_of(
-        address: SocketAddr,
-        seed: u64,
-        pushed: bool,
-        log: &Log,
-    ) -> UnboundedReceiver<(Instant, Input)> {
-        client_at(address, seed, pushed, log).0
+        client_at(address, seed, false, log).0
     }
 
-    /// The same, with where it is told of another address.
+    /// The same, with where it is told of another address. Where lists are pushed nobody says when to follow.
     fn client_at(
         address: SocketAddr,
         seed: u64,
@@ -442,16 +438,8 @@
         let kept = addresses.clone();
         let random = fastrand::Rng::with_seed(seed);
         let ask_within = Duration::from_secs(10);
-        let watching = Discovery {
-            address,
-            seq: Some(1),
-            pushed,
-            ask_within,
-            open: None,
-            random,
-            events,
-            log: log.clone(),
-        };
+        let watching =
+            Discovery { address, seq: Some(1), pushed, ask_within, random, events, log: log.clone() };
         let follow = Rc::new(Notify::new());
         if !pushed {
             follow.notify_one();
@@ -577,7 +565,7 @@
                 _ => Reply::Nothing,
             };
             let (address, calls) = stand_in(reply).await;
-            let mut heard = client_of(address, 1, true, &log);
+            let mut heard = client_at(address, 1, true, &log).0;
             list(&mut heard, 2).await;
             list(&mut heard, 4).await;
             let calls = calls.borrow();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -103,16 +103,8 @@
     let random = fastrand::Rng::with_seed(seed);
     let (addresses, address) = watch::channel(discovery);
     let ask_within = settings.ask_within;
-    let watching = Discovery {
-        address,
-        seq,
-        pushed,
-        ask_within,
-        open: None,
-        random,
-        events: events.clone(),
-        log: log.clone(),
-    };
+    let watching =
+        Discovery { address, seq, pushed, ask_within, random, events: events.clone(), log: log.clone() };
 
     spawn_local(upstream.clone().sweep());
     spawn_local(table.clone().sweep());
