Begin no attempt for a client that left, nor a repeat after its window

Seen by reading, then forced on sockets: driver.rs send() asked whether a request was over when its task was spawned, upstream.rs attempt() never again: an attempt whose connection came up after its client had closed was written to it, and so was a keyed repeat that had been decided within its window. With a server whose queue lets no connection come up until told, the request of the client that left arrived: ["GET /api/..02 ... req-id: 2", "GET /api/..01 ... req-id: 1"] (1 had left) A request's attempts now share a word that it is over, and the module says with each send how long it may begin; both are looked at once the connection is up, right before the request is handed to it. What was shaken hands for is kept for the next request. Ruled out: the module's own waits (an abandoned request is done, decide() drops it). The unit rig checks that begin_within ends in the window.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -376,6 +376,9 @@
         server: ServerId,
         /// Time-out of the attempt; the client's own end of patience cuts it short.
         timeout: Duration,
+        /// A repeat's window may close while its connection is still being made: nothing of it may be written once this
+        /// time is over.
+        begin_within: Duration,
     },
     /// Final answer: not done, and safe to try again.
     Refuse {
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -768,6 +768,8 @@
         };
         self.retry_budget = (self.retry_budget + if retry { -price } else { RETRY_SHARE }).min(RETRY_SAVED);
         let (slot, class) = (self.slot(now), self.class_slot(&held.request));
+        let timeout = held.request.valid_until.since(now);
+        let begin_within = self.window_left(now, &held).min(timeout);
         let cold = self.likely_miss(&held.request, &self.servers[i]);
         self.fetching += u32::from(cold);
         let zone_epoch = self.zone(&self.servers[i].entry.zone).map_or(0, |zone| {
@@ -789,9 +791,8 @@
         let epochs = (server.breaker.epoch, class_epoch, self.origin.epoch.wrapping_sub(skew), zone_epoch);
         let (entry, life) = (server.entry.clone(), server.life);
         held.attempts.push(Attempt { entry, life, sent: now, epochs, cold, status: None });
-        let timeout = held.request.valid_until.since(now);
         let (id, server) = (held.request.id.clone(), server.entry.id.clone());
-        actions.push(Action::Send { id, server, timeout });
+        actions.push(Action::Send { id, server, timeout, begin_within });
         self.keep(held);
     }
 
@@ -816,6 +817,13 @@
         })
     }
 
+    /// For how long servers still drop a repeat of the request.
+    fn window_left(&self, now: Timestamp, held: &Held) -> Duration {
+        let Effect::Keyed { window, .. } = self.class(&held.request).effect else { return Duration::MAX };
+        let left = held.may_have_run().map(|earlier| (earlier.sent + window).since(now));
+        left.min().unwrap_or(Duration::MAX)
+    }
+
     fn pick(&self, now: Timestamp, held: &Held, no_fetch: bool) -> Option<usize> {
         if held.attempts.len() >= self.settings.max_attempts as usize {
             return None;
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -83,7 +83,7 @@
 
     fn carry_out(&mut self, action: &Action) {
         match action {
-            Action::Send { id, server, timeout } => {
+            Action::Send { id, server, timeout, begin_within } => {
                 let class = self.class_of(&self.requests[id].request);
                 let entry = self.list.get(server).expect("a send to a server no list has named").clone();
                 assert_eq!(entry.availability, Availability::Ready, "rule 3: a send to a leaving server");
@@ -105,6 +105,8 @@
                                 Scope::Cell => earlier.server.cell == entry.cell,
                             };
                             assert!(near, "rule 2: sent again outside its scope");
+                            let last = now + *begin_within;
+                            assert!(last <= earlier.at + window, "rule 2: may begin after its window");
                         }
                     }
                 }
--- a/crates/decide/tests/properties.rs
+++ b/crates/decide/tests/properties.rs
@@ -147,7 +147,7 @@
         self.balancer.handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Send { id, server, timeout } => {
+                Action::Send { id, server, timeout, .. } => {
                     let server = self.list.get(&server).cloned().unwrap_or_else(|| ServerEntry {
                         availability: Availability::Gone,
                         ..ServerEntry::new(server.as_str())
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,13 +1,13 @@
 //! Drives the module: the only owner of the `Balancer` and of what is open. Events come in by channel and the
 //! module's actions are carried out in order; nothing is picked, repeated or refused here.
 
-use crate::upstream::{Ended, Message, Upstream};
+use crate::upstream::{Bounds, Ended, Message, Upstream};
 use bytes::Bytes;
 use hyper::StatusCode;
 use slatelink_config::Listing;
 use slatelink_decide::{
     Action, Availability, Balancer, ClassId, Event, Outcome, Request, RequestId, ServerEntry, ServerId,
-    ServerList, Status, Timestamp,
+    ServerList, Timestamp,
 };
 use slatelink_observe::{End, Observer};
 use std::cell::Cell;
@@ -102,8 +102,10 @@
 
 struct Open {
     message: Rc<Message>,
-    /// `None` once the final answer is given.
+    /// `None` once the final answer is given, or its client has gone.
     answer: Option<oneshot::Sender<Answer>>,
+    /// Tells its attempts of that: those which have not begun then never do.
+    over: Rc<Cell<bool>>,
     class: ClassId,
     at: Instant,
     until: Instant,
@@ -115,6 +117,12 @@
     fn last(&self) -> Option<&ServerId> {
         self.attempts.last().map(|sent| &sent.server)
     }
+
+    /// Nothing more is begun for it. Who waits for its answer, if nobody has had one.
+    fn close(&mut self) -> Option<oneshot::Sender<Answer>> {
+        self.over.set(true);
+        self.answer.take()
+    }
 }
 
 struct Sent {
@@ -204,7 +212,7 @@
             Input::Left(ticket) => {
                 let id = request_id(ticket);
                 if let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) {
-                    open.answer = None;
+                    drop(open.close());
                     self.observer.answered(open.class, open.last(), open.at.elapsed(), End::Left);
                     self.due.push_back(Event::Abandoned(id.clone()));
                     self.tidy(&id);
@@ -259,6 +267,7 @@
         let open = Open {
             message: Rc::new(taken.message),
             answer: Some(taken.answer),
+            over: Rc::default(),
             class: taken.class,
             at: taken.at,
             until,
@@ -344,7 +353,9 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Send { id, server, timeout, begin_within } => {
+                self.send(id, server, timeout, begin_within);
+            }
             Action::Refuse { id, retry_after } => self.finish(&id, Answer::Refused { retry_after }),
             Action::Fail { id } => self.finish(&id, Answer::Failed),
             Action::Wake { after } => {
@@ -356,20 +367,16 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId, timeout: Duration) {
+    fn send(&mut self, id: RequestId, server: ServerId, timeout: Duration, begin_within: Duration) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let (at, attempt) = (Instant::now(), open.attempts.len() as u32);
-        let until = open.until.min(at + timeout);
+        let (until, over) = (open.until.min(at + timeout), open.over.clone());
+        let bounds = Bounds { begin_by: until.min(at + begin_within), until, over };
         self.observer.sent(&server);
         let (upstream, events) = (self.upstream.clone(), self.events.clone());
-        let (message, over) = (open.message.clone(), open.answer.is_none());
-        let target = server.clone();
+        let (message, target) = (open.message.clone(), server.clone());
         tokio::task::spawn_local(async move {
-            // The request was over when the module sent it: nothing more goes out for it.
-            let ended = match over {
-                true => Ended::without_answer(Status::Ignored),
-                false => upstream.attempt(&target, &message, until).await,
-            };
+            let ended = upstream.attempt(&target, &message, bounds).await;
             // The driver only goes when the node does.
             let _ = events.send(Input::Ended { id, attempt, ended });
         });
@@ -386,7 +393,7 @@
 }
 
 fn reply(observer: &dyn Observer, open: &mut Open, host: Option<&ServerId>, answer: Answer) {
-    if let Some(sender) = open.answer.take() {
+    if let Some(sender) = open.close() {
         let end = match &answer {
             Answer::Served(_) => End::Served,
             Answer::Refused { .. } => End::Refused,
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -105,6 +105,17 @@
     }
 }
 
+/// Until when an attempt is worth beginning, and worth waiting for.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// Its first byte is written by then, or none is.
+    pub begin_by: Instant,
+    /// Its answer is waited for until then.
+    pub until: Instant,
+    /// Set once its request has its final answer, or its client has gone.
+    pub over: Rc<Cell<bool>>,
+}
+
 /// Whether a request has left this machine's hands whole.
 #[derive(Debug, Default)]
 struct Written {
@@ -346,12 +357,17 @@
         !connection.sender.is_closed() && connection.kept.elapsed() < self.idling.borrow().limit()
     }
 
-    /// One attempt, until its answer is whole, its connection breaks or `until` comes.
-    pub async fn attempt(&self, server: &ServerId, message: &Message, until: Instant) -> Ended {
+    /// One attempt, until its answer is whole, its connection breaks or its time is up.
+    pub async fn attempt(&self, server: &ServerId, message: &Message, bounds: Bounds) -> Ended {
+        let Bounds { begin_by, until, over } = bounds;
         let peer = self.peers.borrow().get(server).cloned();
         let Some(peer) = peer else { return Ended::without_answer(Status::ConnectError) };
         loop {
-            let mut connection = match timeout_at(until, self.connection(&peer)).await {
+            // A request may be over before its attempt has its first turn.
+            if over.get() {
+                return Ended::without_answer(Status::Ignored);
+            }
+            let mut connection = match timeout_at(begin_by.min(until), self.connection(&peer)).await {
                 Ok(Ok(connection)) => connection,
                 // The node's own want says nothing of the server.
                 Ok(Err(error)) if own_fault(&error) => return Ended::without_answer(Status::Ignored),
@@ -364,6 +380,14 @@
             if connection.life != peer.life.get() {
                 continue;
             }
+            // So may the client's end have: who has gone is served by nothing that begins now. Nor may a repeat begin
+            // once servers no longer know it for one; time may have passed since the connection came up.
+            if over.get() || Instant::now() >= begin_by.min(until) {
+                let status = if over.get() { Status::Ignored } else { Status::ConnectError };
+                connection.kept = Instant::now();
+                peer.idle.borrow_mut().push(connection);
+                return Ended::without_answer(status);
+            }
             let Ok(request) = request(&peer, message, until) else {
                 return Ended::without_answer(Status::ConnectError);
             };
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -340,8 +340,8 @@
 /// Appends an action of instance `who` to a reply.
 pub fn write_action(out: &mut String, who: u32, action: &Action) {
     let written = match action {
-        Action::Send { id, server, timeout } => {
-            // 0 would mean no time-out at all.
+        Action::Send { id, server, timeout, begin_within: _ } => {
+            // 0 would mean no time-out at all. There, an attempt begins in the moment it is sent.
             let allow = timeout.as_micros().max(1);
             writeln!(out, "send who={who} request_id={id} server={server} allow_for_us={allow}")
         }
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -138,11 +138,21 @@
     let time = Duration::from_micros(250);
     for (action, line) in [
         (
-            Action::Send { id: id.clone(), server: server.clone(), timeout: time },
+            Action::Send {
+                id: id.clone(),
+                server: server.clone(),
+                timeout: time,
+                begin_within: Duration::ZERO,
+            },
             "send who=3 request_id=c:x server=s:1 allow_for_us=250\n",
         ),
         (
-            Action::Send { id: id.clone(), server: server.clone(), timeout: Duration::ZERO },
+            Action::Send {
+                id: id.clone(),
+                server: server.clone(),
+                timeout: Duration::ZERO,
+                begin_within: Duration::ZERO,
+            },
             "send who=3 request_id=c:x server=s:1 allow_for_us=1\n",
         ),
         (Action::Refuse { id: id.clone(), retry_after: time }, "busy who=3 request_id=c:x hold_off_us=250\n"),
