See a client's end also behind bytes that nobody has asked for

hyper looks for a client's end while a request is open only as long as it has read nothing further of it (mid_message_detect_eof returns where its buffer is not empty), and a read through the runtime stops at a short one, with the end left for another event. So a request whose client had closed behind it was sent on, and one whose client had sent two bytes more and left got its second attempt: "the node has seen it leave: left: Some(502), right: None". The socket now lies with its place in the table. It is read until it is empty; while a request is with the driver what comes is read ahead, 16 KiB at most (a client that sends more gets its answer and its connection closes); and whether the client is still there is asked before its request is handed over. Ruled out: the driver, which takes a client's leave in the order in which it comes.

--- a/crates/cli/tests/node_crossings.rs
+++ b/crates/cli/tests/node_crossings.rs
@@ -6,6 +6,33 @@
 use serde_json::json;
 use std::sync::atomic::Ordering;
 
+/// What a client sends that has gone before the node reads it.
+fn read_and_leave(node: &Node, key: u64) {
+    let mut client = node.client();
+    client.send(&read("read", key, 20_000));
+    client.leave();
+}
+
+// Guards against work for nobody: a request that lies in the socket, or waits unaccepted, with its client's end behind it.
+#[test]
+fn a_request_that_is_read_after_its_client_left_reaches_no_server() {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    let mut open = node.client();
+    assert_eq!(open.ask(&read("read", 1, 20_000)).status(), 200);
+    // A node that does not run: what comes meanwhile waits for it.
+    node.signal("-STOP");
+    open.send(&read("read", 2, 20_000));
+    open.leave();
+    (3..20).for_each(|key| read_and_leave(&node, key));
+    node.signal("-CONT");
+    assert_eq!(open.answer(), None);
+    // It has accepted this one behind all of them.
+    assert_eq!(node.read("read", 20).status(), 200);
+    assert_eq!(server.count(), 2, "{:?}", server.asked.lock().unwrap());
+}
+
 // Guards against an attempt that was begun for a client, whose connection comes up once that has gone.
 #[test]
 fn a_connection_that_comes_up_after_its_client_left_carries_nothing() {
@@ -26,6 +53,36 @@
     assert!(asked[0].contains("req-id: 2\r\n"), "{asked:?}");
 }
 
+// Guards against a client's end that stands behind bytes which nobody has asked for yet, few or many, and is not seen.
+#[test]
+fn a_client_that_leaves_behind_further_bytes_gets_no_second_attempt() {
+    for further in [read("read", 2, 20_000), "\r\n".into(), "x".repeat(300_000)] {
+        let gate = Gate::default();
+        let server = || {
+            let held = gate.clone();
+            CacheServer::start(move |asked| {
+                if asked.header("req-id") != Some("1") {
+                    return Does::Answer(answer("200 OK", "", "value"));
+                }
+                held.pass();
+                Does::Close(String::new())
+            })
+        };
+        let (one, two) = (server(), server());
+        let discovery = Discovery::start(&[one.entry("s-1", "ready"), two.entry("s-2", "ready")]);
+        let node = Node::ready(&config(discovery.address));
+        let mut client = node.client();
+        client.send(&read("read", 1, 60_000));
+        wait_for("the attempt", || one.count() + two.count() == 1);
+        client.send(&further);
+        client.leave();
+        assert_eq!(client.answer(), None, "the node has seen it leave");
+        gate.open();
+        assert!((10..20).all(|key| node.read("read", key).status() == 200));
+        assert_eq!(one.count() + two.count(), 11, "{} bytes behind", further.len());
+    }
+}
+
 // Guards against a repeat that was decided within its window and begins after it: servers know it for one no more.
 #[test]
 fn a_repeat_whose_connection_comes_up_after_its_window_is_not_begun() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -126,7 +126,7 @@
         None => None,
     };
     let (room, stage) = (front.room.clone(), front.stage.clone());
-    let connection = move |stream, place| Connection::new(stream, place, front.clone());
+    let connection = move |place| Connection::new(place, front.clone());
     let serving = spawn_local(serve(listener, room, stage, log.clone(), connection));
 
     let drained = async {
--- a/crates/node/src/multiget.rs
+++ b/crates/node/src/multiget.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc::{channel, Receiver, Sender};
 use tokio::task::JoinSet;
 use tokio::time::{timeout, timeout_at, Instant};
@@ -129,13 +129,13 @@
         let sweep = tokio::task::spawn_local(self.room.table.clone().sweep());
         let (room, front) = (self.room.clone(), self.front.clone());
         let (stage, log) = (front.stage.clone(), front.log.clone());
-        let connection = move |stream, place| connection(stream, place, self.clone());
+        let connection = move |place| connection(place, self.clone());
         server::serve(listener, room, stage, log, connection).await;
         sweep.abort();
     }
 }
 
-async fn connection(stream: TcpStream, place: Place, side: Rc<MultiGet>) {
+async fn connection(place: Place, side: Rc<MultiGet>) {
     let place = Rc::new(place);
     let service = service_fn(async |request| {
         place.asked();
@@ -149,7 +149,7 @@
     // One call a connection: so its time has a bound, whatever its client takes of the answer.
     http.max_buf_size(server::LARGEST_HEAD).keep_alive(false);
     let longest = side.front.classes.iter().map(|(_, deadline)| *deadline).max().unwrap_or_default();
-    let mut serving = http.serve_connection(Heard::new(stream, place.clone()), service);
+    let mut serving = http.serve_connection(Heard(place.clone()), service);
     // With one call a connection it is never idle for long, and parked is as good as over.
     let driven = place.drive(&mut serving, |serving| serving.graceful_shutdown());
     // Cut off, it is as if its client had left.
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -110,7 +110,7 @@
     room: Rc<Room>,
     mut stage: watch::Receiver<Stage>,
     log: Log,
-    connection: impl Fn(TcpStream, Place) -> F,
+    connection: impl Fn(Place) -> F,
 ) {
     let mut closing = pin!(stage.wait_for(|stage| *stage == Stage::Closing));
     loop {
@@ -127,7 +127,7 @@
         };
         match admitted {
             // In the table at once: room that is made before it is first polled must see it.
-            Ok(Some((stream, place))) => drop(tokio::task::spawn_local(connection(stream, place))),
+            Ok(Some(place)) => drop(tokio::task::spawn_local(connection(place))),
             Ok(None) => {}
             Err(error) => {
                 log.often("accept", &format!("accept: {error}"));
@@ -139,10 +139,9 @@
     room.table.close().await;
 }
 
-async fn admit(room: &Room, stream: TcpStream, from: IpAddr) -> std::io::Result<Option<(TcpStream, Place)>> {
+async fn admit(room: &Room, stream: TcpStream, from: IpAddr) -> std::io::Result<Option<Place>> {
     stream.set_nodelay(true)?;
-    let place = room.table.admit(from, |side| room.others(side)).await;
-    Ok(place.map(|place| (stream, place)))
+    Ok(room.table.admit(stream, from, |side| room.others(side)).await)
 }
 
 /// A client's connection, to its end. Between requests it holds nothing but its socket: hyper's part, with buffers and
@@ -154,16 +153,14 @@
 }
 
 enum State {
-    Parked(Heard),
-    Busy(Pin<Box<dyn Future<Output = Option<Heard>>>>),
+    Parked,
+    Busy(Pin<Box<dyn Future<Output = Driven>>>),
     Over,
 }
 
 impl Connection {
-    pub fn new(stream: TcpStream, place: Place, front: Rc<Front>) -> Self {
-        let place = Rc::new(place);
-        let state = State::Parked(Heard::new(stream, place.clone()));
-        Self { place, front, state }
+    pub fn new(place: Place, front: Rc<Front>) -> Self {
+        Self { place: Rc::new(place), front, state: State::Parked }
     }
 }
 
@@ -173,16 +170,17 @@
         let this = &mut *self;
         loop {
             match &mut this.state {
-                State::Parked(heard) => {
-                    if !ready!(this.place.poll_spoken(heard, cx)) {
-                        this.state = State::Over;
-                    } else if let State::Parked(heard) = std::mem::replace(&mut this.state, State::Over) {
-                        this.state =
-                            State::Busy(Box::pin(busy(heard, this.place.clone(), this.front.clone())));
-                    }
+                State::Parked => {
+                    this.state = match ready!(this.place.poll_spoken(cx)) {
+                        true => State::Busy(Box::pin(busy(this.place.clone(), this.front.clone()))),
+                        false => State::Over,
+                    };
                 }
                 State::Busy(busy) => {
-                    this.state = ready!(busy.as_mut().poll(cx)).map_or(State::Over, State::Parked)
+                    this.state = match ready!(busy.as_mut().poll(cx)) {
+                        Driven::Park => State::Parked,
+                        Driven::Over => State::Over,
+                    };
                 }
                 State::Over => return Poll::Ready(()),
             }
@@ -191,7 +189,7 @@
 }
 
 /// Serves a connection until it ends, or has been idle for a while: then its socket is given back.
-async fn busy(heard: Heard, place: Rc<Place>, front: Rc<Front>) -> Option<Heard> {
+async fn busy(place: Rc<Place>, front: Rc<Front>) -> Driven {
     let service = service_fn(async |request| {
         place.asked();
         let response = respond(&front, &place, request).await;
@@ -200,14 +198,13 @@
     });
     let mut http = http1::Builder::new();
     http.max_buf_size(LARGEST_HEAD);
-    let mut serving = http.serve_connection(heard, service);
-    match place.drive(&mut serving, |serving| serving.graceful_shutdown()).await {
-        Driven::Over => None,
-        Driven::Park => {
-            let parts = serving.into_parts();
-            Some(place.park(parts.io, parts.read_buf))
-        }
+    let mut serving = http.serve_connection(Heard(place.clone()), service);
+    let driven = place.drive(&mut serving, |serving| serving.graceful_shutdown()).await;
+    match driven {
+        Driven::Over => {}
+        Driven::Park => place.park(&serving.into_parts().read_buf),
     }
+    driven
 }
 
 /// Tells the driver of a client that left: hyper drops the answer's future with its connection.
@@ -235,7 +232,7 @@
     // the others the least of waits between two.
     // Where places run out an answered connection makes room at once: kept, it would stand idle for its time while
     // others wait unaccepted, or cannot connect at all.
-    if !usable || place.wanted() || *front.stage.borrow() >= Stage::Leaving {
+    if !usable || place.wanted() || place.overrun() || *front.stage.borrow() >= Stage::Leaving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -275,6 +272,10 @@
         true => (true, read_body(body).await?),
         false => (false, Bytes::new()),
     };
+    // Its client may have gone before it was read: nothing is begun for nobody.
+    if place.left() {
+        return Err(plain(StatusCode::BAD_REQUEST, "its client has gone"));
+    }
     // Sent on, it would be a second copy of another client's request.
     let id =
         front.open.enter(asked.id).ok_or_else(|| plain(StatusCode::CONFLICT, "Req-Id is open already"))?;
--- a/crates/node/src/table.rs
+++ b/crates/node/src/table.rs
@@ -1,17 +1,17 @@
 //! The sockets behind the table of clients' connections: what the table says of each is done here.
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
-use slatelink_front::{Budget, Cause, Door, Figures, Id, Lease, Short, Side, Terms, Told};
-use std::cell::RefCell;
+use slatelink_front::{Budget, Cause, Door, Figures, Id, Lease, Phase, Short, Side, Terms, Told};
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::io;
-use std::net::IpAddr;
+use std::net::{IpAddr, Shutdown};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
@@ -26,7 +26,11 @@
 const LOOKS: u32 = 10;
 /// Bytes read from a socket at once.
 const READ: usize = 8 << 10;
-
+/// What a client sends while its request is open is read up to so many bytes, in search of its end behind them. A client
+/// that sends more then gets its answer and no further one: the rest is read and dropped.
+const AHEAD: usize = 16 << 10;
+/// Parts read in search of that before other connections have their turn.
+const PARTS: usize = 8;
 /// All connections of one port.
 pub struct Table {
     door: RefCell<Door>,
@@ -87,7 +91,12 @@
 
     /// Waits for a place for a connection of this address that is accepted. `others` asks another side of the budget
     /// for one. `None` where its address has all it may.
-    pub async fn admit(self: &Rc<Self>, address: IpAddr, others: impl Fn(Side) -> bool) -> Option<Place> {
+    pub async fn admit(
+        self: &Rc<Self>,
+        stream: TcpStream,
+        address: IpAddr,
+        others: impl Fn(Side) -> bool,
+    ) -> Option<Place> {
         let admitted = self.door.borrow_mut().admits(address);
         if let Err(oldest) = admitted {
             // Its own idle one makes room for it, and is as good as closed.
@@ -100,7 +109,7 @@
             wakers.resize(id as usize + 1, None);
         }
         wakers[id as usize] = None;
-        Some(Place { table: self.clone(), id })
+        Some(Place { table: self.clone(), id, socket: Socket::new(stream) })
     }
 
     /// Waits for a place. Clients keep the connections they have: left idle, they would keep all others out.
@@ -173,10 +182,73 @@
     }
 }
 
+/// A client's socket, read by whoever holds it.
+struct Socket {
+    stream: TcpStream,
+    /// Read, and not used yet.
+    ahead: RefCell<BytesMut>,
+    /// The client sends no more: it has gone.
+    ended: Cell<bool>,
+    /// It has sent more than is kept: what follows is not read as requests.
+    overrun: Cell<bool>,
+}
+
+impl Socket {
+    fn new(stream: TcpStream) -> Self {
+        Self { stream, ahead: RefCell::default(), ended: Cell::default(), overrun: Cell::default() }
+    }
+
+    /// What there is to be read, without a wait. Unlike a runtime's read this goes on until the socket is empty, so that
+    /// an end which came together with the last bytes is seen without another event.
+    fn try_read(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        let read = self.stream.try_read(buffer);
+        match &read {
+            Ok(0) => self.ended.set(true),
+            Err(error) if error.kind() != io::ErrorKind::WouldBlock => self.ended.set(true),
+            _ => {}
+        }
+        read
+    }
+
+    fn poll_write(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn() -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match write() {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                wrote => return Poll::Ready(wrote),
+            }
+        }
+    }
+
+    /// Reads ahead what there is. Whether bytes may be left.
+    fn read_ahead(&self) -> bool {
+        let mut part = [0; READ];
+        for _ in 0..PARTS {
+            match self.try_read(&mut part) {
+                Ok(n) if n > 0 => {
+                    let mut ahead = self.ahead.borrow_mut();
+                    if self.overrun.get() || ahead.len() + n > AHEAD {
+                        self.overrun.set(true);
+                    } else {
+                        ahead.extend_from_slice(&part[..n]);
+                    }
+                }
+                _ => return false,
+            }
+        }
+        true
+    }
+}
+
 /// A connection's place in the table.
 pub struct Place {
     table: Rc<Table>,
     id: Id,
+    socket: Socket,
 }
 
 impl Place {
@@ -220,20 +292,57 @@
     }
 
     /// The connection gives up all but its socket; `before` was read from that and not used.
-    pub fn park(&self, heard: Heard, before: Bytes) -> Heard {
+    pub fn park(&self, before: &Bytes) {
         self.table.door.borrow_mut().parked(self.id);
         self.table.fed();
-        // As it comes it would keep all of the buffer that it was read into.
-        Heard { before: Bytes::copy_from_slice(&before), ..heard }
+        let mut ahead = self.socket.ahead.borrow_mut();
+        let behind = ahead.split();
+        // A buffer of its own size: as it comes each would keep all of what it was read into.
+        *ahead = BytesMut::with_capacity(before.len() + behind.len());
+        ahead.extend_from_slice(before);
+        ahead.extend_from_slice(&behind);
+    }
+
+    /// Whether the client has gone, also where its end stands behind bytes that nobody has asked for.
+    pub fn left(&self) -> bool {
+        self.socket.read_ahead();
+        self.socket.ended.get()
+    }
+
+    /// Whether what the client sends is not read as requests any more, since it sent too much at once.
+    pub fn overrun(&self) -> bool {
+        self.socket.overrun.get()
+    }
+
+    /// The same, with a turn whenever there is more to look at.
+    fn poll_left(&self, cx: &mut Context<'_>) -> bool {
+        while !self.socket.ended.get() {
+            match self.socket.stream.poll_read_ready(cx) {
+                Poll::Pending => return false,
+                Poll::Ready(Err(_)) => self.socket.ended.set(true),
+                Poll::Ready(Ok(())) if self.socket.read_ahead() => {
+                    cx.waker().wake_by_ref();
+                    return self.socket.ended.get();
+                }
+                Poll::Ready(Ok(())) => {}
+            }
+        }
+        true
+    }
+
+    fn is_at(&self, phase: Phase) -> bool {
+        self.table.door.borrow().phase(self.id) == phase
     }
 
     /// Waits until a connection that holds nothing but its socket speaks, and there is memory to read it. `false` where
     /// the node ends it first, or it is broken.
-    pub fn poll_spoken(&self, heard: &Heard, cx: &mut Context<'_>) -> Poll<bool> {
+    pub fn poll_spoken(&self, cx: &mut Context<'_>) -> Poll<bool> {
         self.follow(cx);
         // What has come by then is taken: it goes before the end.
-        let spoken =
-            if heard.before.is_empty() { heard.stream.poll_read_ready(cx) } else { Poll::Ready(Ok(())) };
+        let spoken = match self.socket.ahead.borrow().is_empty() {
+            true => self.socket.stream.poll_read_ready(cx),
+            false => Poll::Ready(Ok(())),
+        };
         let told = self.told();
         if matches!(spoken, Poll::Ready(Err(_))) || told == Told::Drop {
             return Poll::Ready(false);
@@ -264,6 +373,10 @@
                 if Pin::new(&mut *serving).poll(cx).is_ready() {
                     return Poll::Ready(Driven::Over);
                 }
+                // hyper looks for the client's end only while it has read nothing more of it.
+                if self.is_at(Phase::Open) && self.poll_left(cx) {
+                    return Poll::Ready(Driven::Over);
+                }
                 match self.told() {
                     Told::Drop => return Poll::Ready(Driven::Over),
                     Told::Park => return Poll::Ready(Driven::Park),
@@ -299,74 +412,76 @@
     Park,
 }
 
-/// A client's socket, which tells the table what passes on it.
-pub struct Heard {
-    stream: TcpStream,
-    place: Rc<Place>,
-    /// Read before it was parked, and not used then.
-    before: Bytes,
-}
-
-impl Heard {
-    /// The socket of a connection in this place.
-    pub fn new(stream: TcpStream, place: Rc<Place>) -> Self {
-        Self { stream, place, before: Bytes::new() }
-    }
-}
+/// The socket of the connection in this place, which tells the table what passes on it.
+pub struct Heard(pub Rc<Place>);
 
 impl Read for Heard {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        if !self.before.is_empty() {
-            let part = self.before.len().min(buf.remaining());
-            buf.put_slice(&self.before.split_to(part));
+        let Place { table, id, socket } = &*self.0;
+        let heard = || table.door.borrow_mut().heard(table.now(), *id);
+        let mut ahead = socket.ahead.borrow_mut();
+        if !ahead.is_empty() {
+            let part = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead[..part]);
+            ahead.advance(part);
+            heard();
+            return Poll::Ready(Ok(()));
+        }
+        // What would follow was dropped in part.
+        if socket.overrun.get() {
             return Poll::Ready(Ok(()));
         }
         // A cursor does not tell what was read into it: the bytes pass through a buffer that does.
         let mut bytes = [0; READ];
         let room = buf.remaining().min(READ);
-        let mut read = ReadBuf::new(&mut bytes[..room]);
-        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
-        buf.put_slice(read.filled());
-        if !read.filled().is_empty() {
-            let Place { table, id } = &*self.place;
-            table.door.borrow_mut().heard(table.now(), *id);
+        loop {
+            ready!(socket.stream.poll_read_ready(cx))?;
+            match socket.try_read(&mut bytes[..room]) {
+                Ok(read) => {
+                    buf.put_slice(&bytes[..read]);
+                    if read > 0 {
+                        heard();
+                    }
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
         }
-        Poll::Ready(Ok(()))
     }
 }
 
 impl Write for Heard {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let socket = &self.0.socket;
+        socket.poll_write(cx, || socket.stream.try_write(buf))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
-        // hyper flushes the socket only once all of an answer is written.
-        if matches!(flushed, Poll::Ready(Ok(()))) {
-            let Place { table, id } = &*self.place;
-            table.door.borrow_mut().flushed(table.now(), *id);
-        }
-        flushed
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes the socket, which itself holds nothing back, only once all of an answer is written.
+        let Place { table, id, .. } = &*self.0;
+        table.door.borrow_mut().flushed(table.now(), *id);
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&self.0.socket.stream).shutdown(Shutdown::Write))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let socket = &self.0.socket;
+        socket.poll_write(cx, || socket.stream.try_write_vectored(bufs))
     }
 }
