Answer half a request that crosses the node's end, and one whole as its time runs out

By reading: Told::Finish made hyper shut an idle connection, and for hyper one is idle until a head is whole: half a request was dropped with it, though the table's page says that it is read to its end. And Told::Drop, given to a request that was slow, stood when the rest came in the same turn: a request that the node had whole was cut off and its work went on. Now a connection on which a request is coming is left to its answer, which closes it, or to the 2 s that a request may take; and a request that is whole is answered whatever was said before. Ruled out: parked connections, which look for bytes before they end.

--- a/crates/cli/tests/node_crossings.rs
+++ b/crates/cli/tests/node_crossings.rs
@@ -116,3 +116,27 @@
     }
     assert_eq!(broken.connections.load(Ordering::SeqCst) as usize, broken.count());
 }
+
+// Guards against half a request that is dropped as if nothing had come, when the node closes at that moment.
+#[test]
+fn half_a_request_that_crosses_the_nodes_end_is_read_and_answered() {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    let (mut used, mut fresh, mut idle) = (node.client(), node.client(), node.client());
+    assert_eq!(used.ask(&read("read", 1, 20_000)).status(), 200);
+    assert_eq!(idle.ask(&read("read", 2, 20_000)).status(), 200);
+    let (one, two) = (read("read", 3, 20_000), read("read", 4, 20_000));
+    used.send(&one[..40]);
+    fresh.send(&two[..40]);
+    node.terminate();
+    // The node closes what is idle, and so is at it.
+    assert_eq!(idle.answer(), None);
+    used.send(&one[40..]);
+    fresh.send(&two[40..]);
+    for client in [&mut used, &mut fresh] {
+        let served = client.answer().expect("an answer to what the node has read half of");
+        assert_eq!((served.status(), served.header("connection")), (200, Some("close")));
+    }
+    assert!(node.exit().success());
+}
--- a/crates/front/src/door.rs
+++ b/crates/front/src/door.rs
@@ -402,6 +402,11 @@
     /// decision module to know.
     pub fn opened(&mut self, now: Duration, id: Id, class: usize) -> bool {
         self.turn(now, id, Phase::Open);
+        // Its time may have run out in the very turn in which the rest came: the node has the request now, and answers it.
+        let ending = self.entry_mut(id).and_then(|entry| entry.ending.as_mut());
+        if let Some(ending) = ending.filter(|ending| ending.way == Told::Drop) {
+            ending.way = Told::Finish;
+        }
         if self.open_of.len() <= class {
             self.open_of.resize(class + 1, 0);
         }
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -399,3 +399,24 @@
         assert_eq!(budget.held(), Default::default());
     });
 }
+
+// Guards against a request that the node has whole, in the turn in which its time runs out, and that is dropped for it.
+#[test]
+fn a_request_that_comes_whole_as_its_time_runs_out_is_answered_and_then_closed() {
+    let budget = Budget::new(4, [Share { floor: 1, most: 4 }; 3], 1_000).expect("fits");
+    let terms = Terms { crowd: 4, idle: ms(60_000), busy: 10, parked: 1, ..Terms::default() };
+    let mut door = Door::new(terms);
+    let id = door.enter(ms(0), address(1), budget.lease(Side::Clients).expect("room"));
+    door.heard(ms(10), id);
+    let mut woken = Vec::new();
+    while !door.advance(ms(2_500), 100, &mut woken) {}
+    assert_eq!((woken, door.told(id)), (vec![id], Told::Drop), "what is not whole ends at once");
+    door.asked(ms(2_500), id);
+    door.opened(ms(2_500), id, 0);
+    assert_eq!(door.told(id), Told::Finish);
+    door.answered(ms(2_600), id);
+    assert_eq!(door.told(id), Told::Finish, "while its answer is written too");
+    // One that is not taken ends at once all the same.
+    while !door.advance(ms(9_000), 100, &mut Vec::new()) {}
+    assert_eq!(door.told(id), Told::Drop);
+}
--- a/crates/node/src/table.rs
+++ b/crates/node/src/table.rs
@@ -380,7 +380,8 @@
                 match self.told() {
                     Told::Drop => return Poll::Ready(Driven::Over),
                     Told::Park => return Poll::Ready(Driven::Park),
-                    Told::Finish if !closed => {
+                    // Closed now, hyper would drop the half of a request that it has: its answer closes the connection.
+                    Told::Finish if !closed && !self.is_at(Phase::Asking) => {
                         closed = true;
                         close(Pin::new(serving));
                     }
