Let a closed connection linger while its client may still be reading

A socket that is closed over unread bytes is reset, and what its client has not read is gone: an answer that closes its connection (a node that stops, a full table, bad input) was lost to a client that had sent more. With 4 KiB of receive buffer and 20 kB sent while the answer is written, the answer broke off at its client. After hyper has shut the writing side the socket now stays until the client closes, 1 s after the last write at most. Nothing is read from it meanwhile: what crossed the end is its client's to send again. One that closes to make room for another does not linger. Test: node_crossings an_answer_that_closes_its_connection_is_whole_though_more_was_sent; it fails without linger().

--- a/crates/cli/tests/node_crossings.rs
+++ b/crates/cli/tests/node_crossings.rs
@@ -4,6 +4,8 @@
 
 use node_common::*;
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
+use std::net::TcpStream;
 use std::sync::atomic::Ordering;
 
 /// What a client sends that has gone before the node reads it.
@@ -140,3 +142,38 @@
     }
     assert!(node.exit().success());
 }
+
+// Guards against an answer that is reset on its way, since its connection was closed over bytes that nobody read.
+#[test]
+fn an_answer_that_closes_its_connection_is_whole_though_more_was_sent() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let body: &'static str = Box::leak("v".repeat(60_000).into_boxed_str());
+    let server = CacheServer::start(move |_| {
+        held.pass();
+        Does::Answer(answer("200 OK", "", body))
+    });
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    // Most of the answer stays with the node until its client reads.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    socket.connect(&node.address.into()).unwrap();
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let arrived = stream.try_clone().unwrap();
+    let mut client = Client::on(stream);
+    client.send(&read("read", 1, 60_000));
+    wait_for("the attempt", || server.count() == 1);
+    node.terminate();
+    gate.open();
+    assert!(arrived.peek(&mut [0]).unwrap() > 0);
+    // Its answer closes the connection, over these.
+    client.send(&"x".repeat(20_000));
+    let served = client.answer().expect("the whole answer");
+    assert_eq!((served.status(), served.body.len()), (200, body.len()));
+    assert_eq!(server.count(), 1);
+    drop(client);
+    drop(arrived);
+    assert!(node.exit().success());
+}
--- a/crates/front/src/door.rs
+++ b/crates/front/src/door.rs
@@ -475,6 +475,13 @@
         }
     }
 
+    /// Whether its descriptor may be held for a moment past its end, for a client that still reads: not where it was closed
+    /// so that another one can have its place.
+    pub fn may_linger(&self, id: Id) -> bool {
+        let ending = self.entry(id).and_then(|entry| entry.ending.as_ref());
+        ending.is_none_or(|ending| !matches!(ending.cause, Cause::Room | Cause::Address))
+    }
+
     /// It closes for this cause: at once where it keeps the node waiting, else when what it has asked is answered. A
     /// request that crosses the word is read to its end.
     pub fn end(&mut self, id: Id, cause: Cause) {
--- a/crates/node/src/multiget.rs
+++ b/crates/node/src/multiget.rs
@@ -154,6 +154,8 @@
     let driven = place.drive(&mut serving, |serving| serving.graceful_shutdown());
     // Cut off, it is as if its client had left.
     let _ = timeout(longest + AROUND, driven).await;
+    drop(serving);
+    place.linger().await;
 }
 
 async fn respond(
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -201,7 +201,11 @@
     let mut serving = http.serve_connection(Heard(place.clone()), service);
     let driven = place.drive(&mut serving, |serving| serving.graceful_shutdown()).await;
     match driven {
-        Driven::Over => {}
+        Driven::Over => {
+            // Its buffers are not needed for that.
+            drop(serving);
+            place.linger().await;
+        }
         Driven::Park => place.park(&serving.into_parts().read_buf),
     }
     driven
--- a/crates/node/src/table.rs
+++ b/crates/node/src/table.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
-use tokio::time::{interval, timeout, Instant};
+use tokio::time::{interval, sleep_until, timeout, Instant};
 
 const SWEEP: Duration = Duration::from_millis(50);
 /// Connections that are told of at once: others' work goes on between two such parts.
@@ -31,6 +31,10 @@
 const AHEAD: usize = 16 << 10;
 /// Parts read in search of that before other connections have their turn.
 const PARTS: usize = 8;
+/// For so long after its last write to a client a connection stays open unless that closes it: closed over bytes that
+/// nobody has read, it would be reset, and take with it what the client has not read yet.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// All connections of one port.
 pub struct Table {
     door: RefCell<Door>,
@@ -191,11 +195,16 @@
     ended: Cell<bool>,
     /// It has sent more than is kept: what follows is not read as requests.
     overrun: Cell<bool>,
+    /// When something was written last.
+    wrote: Cell<Option<Instant>>,
+    /// The client was told that nothing more comes.
+    shut: Cell<bool>,
 }
 
 impl Socket {
     fn new(stream: TcpStream) -> Self {
-        Self { stream, ahead: RefCell::default(), ended: Cell::default(), overrun: Cell::default() }
+        let (ended, overrun, shut) = (Cell::default(), Cell::default(), Cell::default());
+        Self { stream, ahead: RefCell::default(), ended, overrun, wrote: Cell::default(), shut }
     }
 
     /// What there is to be read, without a wait. Unlike a runtime's read this goes on until the socket is empty, so that
@@ -219,7 +228,10 @@
             ready!(self.stream.poll_write_ready(cx))?;
             match write() {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                wrote => return Poll::Ready(wrote),
+                wrote => {
+                    self.wrote.set(Some(Instant::now()));
+                    return Poll::Ready(wrote);
+                }
             }
         }
     }
@@ -334,6 +346,24 @@
         self.table.door.borrow().phase(self.id) == phase
     }
 
+    /// Keeps a connection that was shut for as long as its client may still be reading, and reads nothing from it: what
+    /// crossed the end is its client's to send again, elsewhere.
+    pub async fn linger(&self) {
+        let Some(wrote) = self.socket.wrote.get().filter(|_| self.socket.shut.get()) else { return };
+        if self.socket.ended.get() || !self.table.door.borrow().may_linger(self.id) {
+            return;
+        }
+        let until = wrote + LINGER;
+        let mut seen = [0];
+        tokio::select! {
+            // Closed by the client, unless there are bytes: nothing tells what stands behind those.
+            seen = self.socket.stream.peek(&mut seen) => if matches!(seen, Ok(n) if n > 0) {
+                sleep_until(until).await;
+            },
+            () = sleep_until(until) => {}
+        }
+    }
+
     /// Waits until a connection that holds nothing but its socket speaks, and there is memory to read it. `false` where
     /// the node ends it first, or it is broken.
     pub fn poll_spoken(&self, cx: &mut Context<'_>) -> Poll<bool> {
@@ -470,7 +500,9 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&self.0.socket.stream).shutdown(Shutdown::Write))
+        let Socket { stream, shut, .. } = &self.0.socket;
+        shut.set(true);
+        Poll::Ready(SockRef::from(stream).shutdown(Shutdown::Write))
     }
 
     fn is_write_vectored(&self) -> bool {
