--- /dev/null
+++ b/crates/node/src/upstream/tests.rs
@@ -0,0 +1,75 @@
+use super::*;
+
+const STATED: Duration = Duration::from_secs(30);
+
+/// Requests on connections that had stood idle for so many milliseconds, of which so many were lost.
+fn notes(idling: &mut Idling, idle: u64, all: u32, lost: u32, now: Instant) {
+    (0..all).for_each(|i| idling.note(Duration::from_millis(idle), i < lost, now));
+}
+
+// Guards against requests lost on connections that servers have dropped without a word.
+#[test]
+fn an_idle_time_after_which_connections_are_dropped_is_learnt_and_forgotten() {
+    let now = Instant::now();
+    let mut idling = Idling::new(STATED, now);
+    notes(&mut idling, 5, 100, 4, now);
+    notes(&mut idling, 200, 4, 2, now);
+    assert_eq!(idling.limit(), STATED, "two drops are too few");
+    notes(&mut idling, 200, 4, 2, now);
+    assert_eq!(idling.limit(), Duration::from_millis(128));
+    notes(&mut idling, 5, 1, 0, now + RELEARN);
+    assert_eq!(idling.limit(), STATED, "tried again after a while");
+}
+
+// Guards against a handshake for each request where connections break at any time.
+#[test]
+fn breaks_that_do_not_grow_with_idleness_leave_connections_kept() {
+    let now = Instant::now();
+    let mut idling = Idling::new(STATED, now);
+    for idle in [0, 1, 10, 100, 1_000, 10_000, 100_000] {
+        notes(&mut idling, idle, 30, 9, now);
+    }
+    assert_eq!(idling.limit(), STATED);
+}
+
+// Guards against what lies in a kept connection's socket, a second copy of an answer or noise, taken for the answer to
+// the request that is written next. hyper sees it only where the runtime has polled in between.
+#[tokio::test]
+async fn a_kept_connection_with_something_to_read_takes_no_request() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let mut server = listener.accept().unwrap().0;
+    let written = Rc::new(Written::default());
+    let mut watched = Watched { stream: TokioIo::new(stream), written: written.clone() };
+    let write = |watched: &mut Watched| {
+        let mut cx = Context::from_waker(std::task::Waker::noop());
+        hyper::rt::Write::poll_write(Pin::new(watched), &mut cx, b"GET")
+    };
+    written.reused.set(true);
+    assert!(matches!(write(&mut watched), Poll::Ready(Ok(3))), "nothing lies there");
+    io::Write::write_all(&mut server, b"HTTP/1.1 200 OK\r\n").unwrap();
+    while SockRef::from(watched.stream.inner()).peek(&mut [MaybeUninit::uninit()]).is_err() {
+        std::thread::yield_now();
+    }
+    // An answer may come while a request is still being written.
+    assert!(matches!(write(&mut watched), Poll::Ready(Ok(3))), "the request's own answer");
+    written.reset();
+    let refused = write(&mut watched);
+    assert!(
+        matches!(&refused, Poll::Ready(Err(error)) if error.kind() == io::ErrorKind::ConnectionAborted),
+        "{refused:?}"
+    );
+    assert!(!written.begun.get(), "not a byte went out: another connection serves");
+    // On a new one there can be nothing of a request before.
+    written.reused.set(false);
+    assert!(matches!(write(&mut watched), Poll::Ready(Ok(3))));
+}
+
+// Guards against a node's own want of memory that is held against the server it meant to ask.
+#[test]
+fn a_want_of_descriptors_memory_or_addresses_is_the_nodes_own() {
+    for code in [libc::ENOMEM, libc::ENFILE, libc::EMFILE, libc::EADDRNOTAVAIL, libc::ENOBUFS] {
+        assert!(own_fault(&io::Error::from_raw_os_error(code)), "{code}");
+    }
+    assert!(!own_fault(&io::Error::from_raw_os_error(libc::ECONNREFUSED)));
+}
