Ask discovery again within 0.84 s of a failed call, and first by one that is answered

Cause: after a failed call the module waited 1 s, discovery.rs then a backoff of up to 3.75 s, which outlived the outage since only an answer reset it, and a call stands in the queue for 2 s: 6.75 s, where a change now counts as told after 6. And the next call was a watch of 60 s: one that is swallowed looks like one without news for 12 to 18 s. Now the module alone says when (0.36 to 0.84 s, by seed), the first call after a failure waits 50 ms at discovery at most and is given up after 2.25 s, and a node that was told nothing new opens its watch within 2 s of that. A renewal that is refused is tried again in the same way, beside the old watch. A connect that runs out pauses no further. Ruled out: a longer first pause, growing later (two refusals and a turn take 6.08 s of 6). Tests: discovery after_calls_that_fail_a_change..., after_a_discovery_that_could_not_be_ connected_to..., after_a_failure_a_call_that_is_answered...; decide failed_calls_are_made_ again_in_time_and_apart. The rig's FOLLOW_AGAIN stands for the module's pause and follows it.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -64,7 +64,13 @@
 const HOLD_STEP: f64 = 0.1;
 /// A refused client is told to come back after such a part of its aim.
 const AWAY_STEP: f64 = 0.02;
-const FOLLOW_AGAIN: Duration = Duration::from_secs(1);
+/// The pause before discovery is asked again, about: a call that failed makes each change count as told 6 s
+/// after discovery had it, and two further ones that fail, with a wait of 2 s in its queue, must fit into
+/// that. Drawn by seed: nodes that lost the same discovery together must not come back together.
+const FOLLOW_AGAIN: Duration = Duration::from_millis(600);
+const FOLLOW_SPREAD: f64 = 0.4;
+/// Who has no watch and does not ask for the settings' time counts as told: the pause is a part of that.
+const ASKING_PART: u32 = 4;
 /// Keys whose last answer is remembered.
 const KEYS_KNOWN: usize = 4096;
 /// Requests for each one in time that a node admits while most of what it sends fails.
@@ -352,11 +358,13 @@
         match event {
             Event::Restored(list) | Event::Servers(ServerList::Full(list)) => self.learn(now, &list, true),
             Event::Servers(ServerList::Changes(list)) => self.learn(now, &list, false),
-            // Asked for again after a while: discovery that fails is loaded enough.
-            Event::Servers(ServerList::Unavailable) => self.follow_at = Some(now + FOLLOW_AGAIN),
+            Event::Servers(ServerList::Unavailable) => {
+                let spread = 1.0 + FOLLOW_SPREAD * (2.0 * self.draw() - 1.0);
+                let pause = FOLLOW_AGAIN.min(self.settings.ask_within / ASKING_PART);
+                self.follow_at = Some(now + pause.mul_f64(spread));
+            }
             Event::Request(request) => {
-                self.drawn += 1;
-                let luck = unit(mix(self.seed ^ self.drawn));
+                let luck = self.draw();
                 let held = Held { request, attempts: Vec::new(), luck, arrived: now, done: false };
                 match held.request.over_share {
                     true => self.end(now, held, actions),
@@ -454,6 +462,12 @@
         self.limit_start <= 1.0
     }
 
+    /// The next of this node's random numbers, from 0 to 1.
+    fn draw(&mut self) -> f64 {
+        self.drawn += 1;
+        unit(mix(self.seed ^ self.drawn))
+    }
+
     fn zone(&self, name: &Option<Name>) -> Option<usize> {
         self.zones.iter().position(|(zone, _)| zone == name)
     }
@@ -476,8 +490,7 @@
         if !trial && !self.zones.iter().enumerate().any(|(i, other)| i != place && answers(other)) {
             return None;
         }
-        self.drawn += 1;
-        let cooldown = ZONE_COOLDOWN.mul_f64(0.75 + 0.5 * unit(mix(self.seed ^ self.drawn)));
+        let cooldown = ZONE_COOLDOWN.mul_f64(0.75 + 0.5 * self.draw());
         self.zones[place].1.enter(State::Open { until: now + cooldown }, now);
         Some(format!("breaker of zone {} tripped", zone.as_ref().map_or("", Name::as_str)))
     }
--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -145,6 +145,31 @@
     assert_eq!(node.trace.iter().filter(|action| **action == Action::Follow).count(), 2);
 }
 
+/// After a failed call each change counts as told 6 s after discovery had it: two calls more may fail, and one wait for
+/// its turn of 2 s, in that time. And nodes that lost discovery together must come back apart.
+#[test]
+fn failed_calls_are_made_again_in_time_and_apart() {
+    let pauses = |seed, ask_within| {
+        let mut node = Node::new(Settings { must_follow: true, ask_within, ..settings() }, seed);
+        node.feed(Event::Restored(Vec::new().into()));
+        let pause = |_| {
+            let (failed, before) = (node.now, node.trace.len());
+            node.feed(Event::Servers(ServerList::Unavailable));
+            while !node.trace[before..].contains(&Action::Follow) {
+                node.pass(ms(5));
+            }
+            node.now.since(failed)
+        };
+        (0..8).map(pause).collect::<Vec<_>>()
+    };
+    let all: Vec<_> = (0..20).flat_map(|seed| pauses(seed, ms(10_000))).collect();
+    assert!(all.iter().all(|pause| *pause <= ms(850) && *pause >= ms(350)), "{all:?}");
+    let (least, most) = (all.iter().min().expect("some"), all.iter().max().expect("some"));
+    assert!(*most - *least >= ms(400), "{all:?}");
+    // Where the settings leave less time for asking, that is kept as well.
+    assert!(pauses(1, ms(800)).iter().all(|pause| *pause < ms(400)));
+}
+
 /// The cold-server budget, counted from outside: what one node sends a fresh server in any span stays under the
 /// stated multiple of what that server can do, taking the rest of the fleet's use for its size.
 #[test]
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -33,20 +33,23 @@
 /// For so long the old watch stays beside the new one: a call has its turn at discovery by then, or has failed, and what
 /// is written to the old one meanwhile counts as told.
 const OVERLAP: Duration = Duration::from_secs(3);
-/// The wait before a renewal that discovery refused is tried again.
-const RENEW_AGAIN: Duration = Duration::from_secs(2);
+/// A call that failed, a renewal too, makes each change count as told 6 s after discovery had it, and whether a watch that
+/// is opened then says nothing because it has nothing to say cannot be told in that time. The next call waits no longer
+/// than this at discovery: once it has its answer all is known that there was, and a watch can follow.
+const BRIEF: Duration = Duration::from_millis(50);
+/// Before that watch a node that was told nothing new waits for a part of this: nodes that lost discovery together would
+/// otherwise all ask for two turns there, and keep the last of them from their first.
+const BRIEF_APART: Duration = Duration::from_secs(2);
+/// The pause before a renewal that failed is tried again, give or take a part of it; before other calls the module's.
+const RENEW_AGAIN: Duration = Duration::from_millis(600);
+const RENEW_AGAIN_SPREAD: f64 = 0.4;
 /// A watch that could not be renewed and says nothing for this long after its wait is over is dead.
 const OVERDUE: Duration = Duration::from_millis(500);
-/// A call that has nothing to wait for but its turn is given up after this.
-const LIST: Duration = Duration::from_millis(2500);
+/// A call that has nothing to wait for but its turn, which it gets or loses within 2 s, is given up after this.
+const TURN: Duration = Duration::from_millis(2250);
 const CONNECT: Duration = Duration::from_secs(1);
 /// A list longer than this is no list.
 const LARGEST: usize = 8 << 20;
-/// Wait before a call that follows failed ones: the first step, doubled with each failure up to the most. The most is
-/// also bound to the time for asking: who has no watch and does not ask for that long counts as told.
-const BACKOFF: Duration = Duration::from_millis(200);
-const BACKOFF_MOST: Duration = Duration::from_secs(3);
-const ASKING_PART: u32 = 4;
 /// For so long after it was told to move, a node counts as told nothing that it has not heard at the new address.
 const MOVED: Duration = Duration::from_secs(4);
 /// Until it has a list there, a call that is refused is made again after about this, and one without an answer at
@@ -104,8 +107,8 @@
     pub seq: Option<u64>,
     /// Whether changes come unprompted: a watch is open all the time then, and the module says nothing of it.
     pub pushed: bool,
-    /// The time that the settings give for asking.
-    pub ask_within: Duration,
+    /// A call has failed, and none has had its answer since.
+    pub unsure: bool,
     pub random: fastrand::Rng,
     pub events: UnboundedSender<Input>,
     pub log: Log,
@@ -141,23 +144,17 @@
         moved: Option<Instant>,
         open: &mut Option<Call>,
     ) {
-        let mut failures = 0;
         let mut told = moved.is_some();
         loop {
             if !self.pushed && !std::mem::take(&mut told) {
                 follow.notified().await;
-                if failures > 0 {
-                    // Nodes that lost the same discovery together must not come back together.
-                    let most = BACKOFF_MOST.min(self.ask_within / ASKING_PART);
-                    let step = BACKOFF.saturating_mul(1 << (failures - 1).min(8)).min(most);
-                    sleep(step.mul_f64(0.5 + self.random.f64())).await;
-                }
             }
             let mut link = None;
             loop {
                 let asked = Instant::now();
                 let (called, kept) = self.ask(address, link.take(), open).await;
                 link = kept;
+                let unsure = std::mem::replace(&mut self.unsure, called.is_err());
                 match called {
                     // It would bring servers back that are gone. Discovery may have lost its versions all the same:
                     // the whole list is taken as it comes, and until then what this one says of servers that leave.
@@ -170,26 +167,26 @@
                         sleep(PACE).await;
                     }
                     Ok(listing) => {
-                        failures = 0;
                         let early = self.seq == Some(listing.seq) && asked.elapsed() < EARLY;
                         self.seq = Some(listing.seq);
                         if self.events.send(Input::Listing(listing)).is_err() {
                             return;
                         }
-                        if early {
+                        if early && unsure && !self.pushed {
+                            sleep(BRIEF_APART.mul_f64(self.random.f64())).await;
+                        } else if early {
                             sleep(PACE).await;
                         }
                     }
                     Err(error) => {
                         self.log.often("discovery", &format!("discovery: {error}"));
-                        failures += 1;
                         told = self.seq.is_none() && moved.is_some_and(|at| at.elapsed() < MOVED);
                         // The module's word is waited for but where it has no say.
                         if (self.pushed || !told) && self.events.send(Input::ListingFailed).is_err() {
                             return;
                         }
                         let pause = match error {
-                            _ if self.pushed => PUSHED_AGAIN * u32::from(failures > 1),
+                            _ if self.pushed => PUSHED_AGAIN * u32::from(unsure),
                             CallError::Overdue => Duration::ZERO,
                             _ => MOVED_AGAIN * u32::from(told),
                         };
@@ -206,12 +203,14 @@
     async fn ask(&mut self, address: SocketAddr, link: Option<Link>, open: &mut Option<Call>) -> Called {
         let Some(seq) = self.seq else {
             // With a list, the next call takes the old watch's place at once.
-            let called = self.beside_old(open, timeout(LIST, call(address, None, link))).await;
-            return called.unwrap_or((Err(CallError::Overdue), None));
+            return self.beside_old(open, turn(call(address, Ask::Whole, link))).await;
         };
+        if self.unsure {
+            return self.beside_old(open, turn(call(address, Ask::After(seq, BRIEF), link))).await;
+        }
         let mut opened = Instant::now();
         let mut renew = self.renewal();
-        *open = Some(Box::pin(call(address, Some(seq), link)));
+        *open = Some(Box::pin(call(address, Ask::After(seq, WAIT), link)));
         loop {
             let now = Instant::now();
             let (due, over) = (now + renew, opened + WAIT + OVERDUE);
@@ -222,7 +221,10 @@
                 *open = None;
                 return (Err(CallError::Overdue), None);
             }
-            let mut fresh: Call = Box::pin(call(address, Some(seq), None));
+            let mut fresh: Call = match self.unsure {
+                true => Box::pin(turn(call(address, Ask::After(seq, BRIEF), None))),
+                false => Box::pin(call(address, Ask::After(seq, WAIT), None)),
+            };
             tokio::select! {
                 biased;
                 // What is left of a watch that broke just now is the new one.
@@ -233,7 +235,10 @@
                 ended = &mut fresh => match ended {
                     (Err(error), _) => {
                         self.log.often("discovery", &format!("discovery: watch not renewed: {error}"));
-                        renew = RENEW_AGAIN.mul_f64(0.5 + self.random.f64());
+                        self.unsure = true;
+                        // One that was given up has waited for long enough.
+                        let pause = RENEW_AGAIN * u32::from(!matches!(error, CallError::Overdue));
+                        renew = self.spread(pause, RENEW_AGAIN_SPREAD);
                         // The one that is open is as good as it was.
                         continue;
                     }
@@ -277,10 +282,28 @@
     }
 
     fn renewal(&mut self) -> Duration {
-        RENEW.mul_f64(1.0 + RENEW_SPREAD * (2.0 * self.random.f64() - 1.0))
+        self.spread(RENEW, RENEW_SPREAD)
+    }
+
+    fn spread(&mut self, time: Duration, part: f64) -> Duration {
+        time.mul_f64(1.0 + part * (2.0 * self.random.f64() - 1.0))
     }
 }
 
+/// What a call is for.
+#[derive(Clone, Copy)]
+enum Ask {
+    /// The whole list.
+    Whole,
+    /// What came after a version, once there is something or so long has passed.
+    After(u64, Duration),
+}
+
+/// A call that has nothing to wait for but its turn.
+async fn turn(call: impl Future<Output = Called>) -> Called {
+    timeout(TURN, call).await.unwrap_or((Err(CallError::Overdue), None))
+}
+
 /// How the call in this place ended; the place is empty then. Without one it never does.
 async fn ended(open: &mut Option<Call>) -> Called {
     let Some(call) = open else { return pending().await };
@@ -289,17 +312,12 @@
     called
 }
 
-/// One call: for the whole list, or for what came after a version of it, once there is something.
-async fn call(address: SocketAddr, after: Option<u64>, mut link: Option<Link>) -> Called {
-    let called = call_on(address, after, &mut link).await;
+async fn call(address: SocketAddr, ask: Ask, mut link: Option<Link>) -> Called {
+    let called = call_on(address, ask, &mut link).await;
     (called, link)
 }
 
-async fn call_on(
-    address: SocketAddr,
-    after: Option<u64>,
-    link: &mut Option<Link>,
-) -> Result<Listing, CallError> {
+async fn call_on(address: SocketAddr, ask: Ask, link: &mut Option<Link>) -> Result<Listing, CallError> {
     // A kept connection that discovery has closed meanwhile is no failure of the call.
     let usable = match link {
         Some(link) => link.sender.ready().await.is_ok(),
@@ -312,9 +330,9 @@
         Some(link) => link,
         None => link.insert(connect(address).await?),
     };
-    let path = match after {
-        Some(seq) => format!("/v1/servers?after={seq}&wait_ms={}", WAIT.as_millis()),
-        None => "/v1/servers".to_owned(),
+    let path = match ask {
+        Ask::After(seq, wait) => format!("/v1/servers?after={seq}&wait_ms={}", wait.as_millis()),
+        Ask::Whole => "/v1/servers".to_owned(),
     };
     let request = Request::get(path).header(HOST, address.to_string()).body(Empty::new())?;
     let response = link.sender.send_request(request).await?;
@@ -326,8 +344,7 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<Link, CallError> {
-    let stream = timeout(CONNECT, TcpStream::connect(address)).await;
-    let stream = stream.unwrap_or(Err(std::io::ErrorKind::TimedOut.into()))?;
+    let stream = timeout(CONNECT, TcpStream::connect(address)).await.map_err(|_| CallError::Overdue)??;
     stream.set_nodelay(true)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let task = tokio::task::spawn_local(async move {
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -8,8 +8,12 @@
 
 /// What a change that a silent watch misses has, past the watch's wait, until it counts as told.
 const TOLD: Duration = Duration::from_secs(2);
-/// The module follows again so long after it was told of a failure.
-const FOLLOW_AGAIN: Duration = Duration::from_secs(1);
+/// The module's longest pause after it was told of a failure.
+const FOLLOW_AGAIN: Duration = Duration::from_millis(840);
+/// After a call that failed each change counts as told so long after discovery had it and could be reached.
+const TOLD_AFTER_FAILURE: Duration = Duration::from_secs(6);
+/// Who stands in discovery's queue has a turn by then, or is refused.
+const QUEUE: Duration = Duration::from_secs(2);
 
 /// What the stand-in does with a call.
 enum Reply {
@@ -26,7 +30,11 @@
 
 /// A discovery that answers the calls, numbered from 0 as they come, as `reply` says.
 async fn stand_in(reply: impl Fn(usize, &str) -> Reply + 'static) -> (SocketAddr, Calls) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    stand_in_on(TcpListener::bind("127.0.0.1:0").await.unwrap(), reply)
+}
+
+/// The same, on this listener.
+fn stand_in_on(listener: TcpListener, reply: impl Fn(usize, &str) -> Reply + 'static) -> (SocketAddr, Calls) {
     let address = listener.local_addr().unwrap();
     let (calls, reply) = (Calls::default(), Rc::new(reply));
     let all = calls.clone();
@@ -95,8 +103,8 @@
     let addresses = Rc::new(addresses);
     let kept = addresses.clone();
     let random = fastrand::Rng::with_seed(seed);
-    let ask_within = Duration::from_secs(10);
-    let watching = Discovery { address, seq: Some(1), pushed, ask_within, random, events, log: log.clone() };
+    let watching =
+        Discovery { address, seq: Some(1), pushed, unsure: false, random, events, log: log.clone() };
     let follow = Rc::new(Notify::new());
     if !pushed {
         follow.notify_one();
@@ -313,3 +321,95 @@
         assert!(most <= NODES / 2, "{most} of {NODES} within discovery's queue");
     });
 }
+
+// Guards against a node that has lost its watch and comes back by calls that fail again, or by a watch that is swallowed,
+// only once the changes of meanwhile count as told.
+#[test]
+fn after_calls_that_fail_a_change_is_brought_before_it_counts_as_told() {
+    // What the first calls meet, and which of them fails first: the watch that is open, or a renewal beside one that has
+    // fallen silent. R is refused, X reset, and - swallowed.
+    let days = ["X", "XR", "XRR", "X-", "XXR", "-R", "-RR", "-R-", "-XR"];
+    for fails in days {
+        let first = usize::from(fails.starts_with('-'));
+        for seed in 0..3 {
+            play(async |log| {
+                let reply = move |call, _: &str| match fails.as_bytes().get(call) {
+                    Some(b'R') => Reply::Refused,
+                    Some(b'X') => Reply::Reset,
+                    Some(_) => Reply::Nothing,
+                    None if call == fails.len() => Reply::After(call, QUEUE, 2),
+                    None => Reply::Nothing,
+                };
+                let (address, calls) = stand_in(reply).await;
+                let came = list(&mut client(address, seed, &log), 2).await;
+                let took = came - calls.borrow()[first].0;
+                assert!(took < TOLD_AFTER_FAILURE, "{fails}: {took:?} of {:?}", calls.borrow());
+                assert!(took >= QUEUE, "{fails}: {took:?}");
+            });
+        }
+    }
+}
+
+// The same for a discovery that nothing can be connected to, as where it is cut off: it is back while the node still waits
+// for a connection that never comes up.
+#[test]
+fn after_a_discovery_that_could_not_be_connected_to_a_change_is_brought_before_it_counts_as_told() {
+    play(async |log| {
+        // With its queue full a listener lets no connection come up.
+        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        listener.listen(0).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap().as_socket().unwrap();
+        let mut filling = Vec::new();
+        while let Ok(stream) = std::net::TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
+            filling.push(stream);
+        }
+        let mut heard = client(address, 1, &log);
+        let (failed, input) = heard.recv().await.unwrap();
+        assert!(matches!(input, Input::ListingFailed));
+        while Instant::now() < failed + FOLLOW_AGAIN + CONNECT / 10 {
+            sleep(Duration::from_millis(10)).await;
+        }
+        drop(filling);
+        let reached = Instant::now();
+        let reply = |call, path: &str| match path.contains("after=1&") {
+            true => Reply::After(call, QUEUE, 2),
+            false => Reply::Nothing,
+        };
+        let (_, calls) = stand_in_on(TcpListener::from_std(listener.into()).unwrap(), reply);
+        let took = list(&mut heard, 2).await - reached;
+        assert!(took < TOLD_AFTER_FAILURE, "{took:?}, {:?}", calls.borrow());
+        assert!(took > QUEUE + CONNECT / 2, "it met the node at a call that nobody took: {took:?}");
+    });
+}
+
+// Guards against a node that takes a watch which says nothing for word that there is nothing, right after a failure, and
+// against two turns asked of discovery together by all nodes that lost it together.
+#[test]
+fn after_a_failure_a_call_that_is_answered_at_once_comes_before_the_next_watch() {
+    let apart: Vec<_> = (0..8)
+        .map(|seed| {
+            play(async |log| {
+                let (address, calls) = stand_in(|call, _| match call {
+                    0 => Reply::Reset,
+                    1 => Reply::List(1),
+                    _ => Reply::Nothing,
+                })
+                .await;
+                let _heard = client(address, seed, &log);
+                while calls.borrow().len() < 3 {
+                    sleep(Duration::from_millis(10)).await;
+                }
+                let calls = calls.borrow();
+                let waits: Vec<_> = calls.iter().map(|(_, path)| wait_of(path)).collect();
+                assert_eq!(waits, [WAIT, BRIEF, WAIT]);
+                let apart = calls[2].0 - calls[1].0;
+                assert!(apart + QUEUE < TOLD_AFTER_FAILURE, "{apart:?}");
+                apart
+            })
+        })
+        .collect();
+    let (least, most) = (apart.iter().min().unwrap(), apart.iter().max().unwrap());
+    assert!(*most - *least > BRIEF_APART / 4, "{apart:?}");
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -102,9 +102,8 @@
     let seq = (!known.hosts.is_empty() && !pushed).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let (addresses, address) = watch::channel(discovery);
-    let ask_within = settings.ask_within;
     let watching =
-        Discovery { address, seq, pushed, ask_within, random, events: events.clone(), log: log.clone() };
+        Discovery { address, seq, pushed, unsure: false, random, events: events.clone(), log: log.clone() };
 
     spawn_local(upstream.clone().sweep());
     spawn_local(table.clone().sweep());
