Test want of descriptors while discovery is down, starts of thirty, and signals at the end

Paths looked at and ruled out, each with a test on real sockets that the program passed as it was: idle clients on every place of 64 while discovery is down (it is reached within 6 s of its return, and so is a server that the node had no connection to; under a quarter of a core meanwhile); thirty processes started together that know no ready server, at a discovery of 0.1 s a call that refuses who would wait for over 0.5 s (nine in ten within 10 s, and what is asked of one that is ready is placed); a second SIGTERM and SIGHUP, before and after the node stops accepting.

--- a/crates/cli/tests/node_common/mod.rs
+++ b/crates/cli/tests/node_common/mod.rs
@@ -90,16 +90,21 @@
 
 impl CacheServer {
     pub fn start(does: impl Fn(&Message) -> Does + Send + Sync + 'static) -> Self {
+        Self::start_with(move |message, _| does(message), None)
+    }
+
+    /// The same, with the address of who asks.
+    pub fn start_knowing_peers(does: impl Fn(&Message, SocketAddr) -> Does + Send + Sync + 'static) -> Self {
         Self::start_with(does, None)
     }
 
     /// One that serves, but for requests on connections that have stood idle for longer: those it drops.
     pub fn dropping_idle(after: Duration) -> Self {
-        Self::start_with(|_| Does::Answer(answer("200 OK", "", "value")), Some(after))
+        Self::start_with(|_, _| Does::Answer(answer("200 OK", "", "value")), Some(after))
     }
 
     fn start_with(
-        does: impl Fn(&Message) -> Does + Send + Sync + 'static,
+        does: impl Fn(&Message, SocketAddr) -> Does + Send + Sync + 'static,
         drops_after: Option<Duration>,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -117,6 +122,7 @@
                 connections.fetch_add(1, Ordering::SeqCst);
                 let (asked, closed, does) = (asked.clone(), closed.clone(), does.clone());
                 thread::spawn(move || {
+                    let Ok(peer) = stream.peer_addr() else { return };
                     let mut reader = BufReader::new(stream.try_clone().unwrap());
                     let mut stream = stream;
                     let mut answered: Option<Instant> = None;
@@ -126,7 +132,7 @@
                         }
                         answered = Some(Instant::now());
                         asked.lock().unwrap().push(message.clone());
-                        match does(&message) {
+                        match does(&message, peer) {
                             Does::Answer(text) => drop(stream.write_all(text.as_bytes())),
                             Does::Close(text) => return drop(stream.write_all(text.as_bytes())),
                             Does::Nothing => {}
@@ -247,7 +253,12 @@
 impl Discovery {
     /// Its whole list has version 1.
     pub fn start(hosts: &[Value]) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), hosts)
+    }
+
+    /// The same, at an address of the test's choice.
+    pub fn start_at(address: SocketAddr, hosts: &[Value]) -> Self {
+        let listener = TcpListener::bind(address).unwrap();
         let address = listener.local_addr().unwrap();
         let body = json!({"seq": 1, "whole": true, "hosts": hosts}).to_string();
         let lists = Arc::new((Mutex::new(Lists { seq: 1, body }), Condvar::new()));
--- a/crates/cli/tests/node_exhaustion.rs
+++ b/crates/cli/tests/node_exhaustion.rs
@@ -264,3 +264,39 @@
     assert!(peak < 32 << 10, "{peak} kB at the most");
     wait_for("room again", || node.read("read", 9_999).status() == 200);
 }
+
+// Guards against clients that sit idle on every place while discovery is down, and keep the node from it, or from a server
+// of its new list, once it is back; and against a node that spins meanwhile.
+#[test]
+fn idle_clients_on_every_place_keep_the_node_neither_from_discovery_nor_from_its_servers() {
+    let servers = [CacheServer::serving("0"), CacheServer::serving("1")];
+    let first = Discovery::start(&[servers[0].entry("s-0", "ready")]);
+    let mut small = config(first.address);
+    small["limits"]["sockets"] = json!(64);
+    let node = Node::ready(&small);
+    first.wait_until_told(1);
+    // As on the platform: a descriptor more than its limit is refused.
+    limit(&node, Resource::Nofile, Some(64));
+    // It is told of a discovery that is down: nobody listens there yet.
+    let address = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    node.reload(&config(address).to_string());
+    wait_for("a call that fails", || !lines(&node, "discovery: ").is_empty());
+    // Twice as many as it has places: the others wait unaccepted.
+    let mut idle: Vec<_> = (0..100).map(|_| node.client()).collect();
+    let (used, start) = (cpu(&node), Instant::now());
+    for (key, client) in idle.iter_mut().enumerate().take(20) {
+        client.try_send(&read("read", key as u64, 20_000));
+    }
+    sleep(Duration::from_secs(2));
+    let (used, took) = (cpu(&node) - used, start.elapsed().as_secs_f64());
+    assert!(used < took / 4.0, "{used} s of {took} s on a core");
+    let back = Discovery::start_at(address, &[servers[1].entry("s-1", "ready")]);
+    let start = Instant::now();
+    back.wait_until_told(1);
+    assert!(start.elapsed() < Duration::from_secs(6), "{:?}", start.elapsed());
+    // A server that it has no connection to, for a client that had to wait for a place.
+    let mut late = node.client();
+    assert_eq!(late.ask(&read("once", 1_000, 20_000)).body, b"1");
+    drop(idle);
+    wait_for("the room that they leave", || node.read("read", 1_001).status() == 200);
+}
--- a/crates/cli/tests/node_lifecycle.rs
+++ b/crates/cli/tests/node_lifecycle.rs
@@ -4,6 +4,7 @@
 
 use node_common::*;
 use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
 
 // Guards against a planned restart that loses what was taken.
 #[test]
@@ -165,3 +166,116 @@
     assert!(line["message"].as_str().unwrap().starts_with("node n0 listens on 127.0.0.1:"), "{line}");
     assert_eq!(line["level"], "INFO");
 }
+
+// Guards against a second SIGTERM, or a SIGHUP, that cuts short what the first one lets the node finish.
+#[test]
+fn further_signals_during_the_end_change_nothing() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let server = CacheServer::start(move |asked| {
+        if asked.header("req-id") == Some("1") {
+            held.pass();
+        }
+        Does::Answer(answer("200 OK", "", "value"))
+    });
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    let (mut waiting, mut idle) = (node.client(), node.client());
+    waiting.send(&read("once", 1, 60_000));
+    wait_for("the attempt", || server.count() == 1);
+    assert_eq!(idle.ask(&read("read", 2, 20_000)).status(), 200);
+    node.terminate();
+    // While it still accepts, and once it does no more.
+    let told =
+        || node.log.lock().unwrap().iter().filter(|line| line.contains("configuration read again")).count();
+    node.terminate();
+    node.signal("-HUP");
+    wait_for("the reload", || told() == 1);
+    assert_eq!(idle.answer(), None, "it accepts no more");
+    node.terminate();
+    node.signal("-HUP");
+    wait_for("the reload", || told() == 2);
+    gate.open();
+    assert_eq!(waiting.answer().expect("the answer to what was taken").status(), 200);
+    assert_eq!(server.count(), 2);
+    assert!(node.exit().success());
+}
+
+// Guards against a fleet that starts together and stays away from its clients: discovery is slow and refuses most calls.
+// And against one that takes requests before it can place them.
+#[test]
+fn thirty_processes_started_together_are_ready_within_their_time() {
+    const NODES: usize = 30;
+    let server = CacheServer::serving("value");
+    let (address, refused) = busy_discovery(Duration::from_millis(100), &server.entry("s-1", "ready"));
+    // They know servers that are no more, or none at all.
+    let mut config = config(address);
+    config["known"]["hosts"] = serde_json::json!([server.entry("s-0", "gone")]);
+    let start = Instant::now();
+    let nodes: Vec<_> = (0..NODES)
+        .map(|i| {
+            config["seed"] = format!("{i:x}").into();
+            Node::start(&config)
+        })
+        .collect();
+    assert_eq!(nodes[NODES - 1].get("/healthz").status(), 503, "it knows no server yet");
+    let mut ready = Vec::new();
+    let mut left: Vec<_> = nodes.iter().collect();
+    while !left.is_empty() {
+        assert!(start.elapsed() < PATIENCE, "{} of them are not ready", left.len());
+        left.retain(|node| {
+            let is_ready = node.get("/healthz").status() == 200;
+            if is_ready {
+                ready.push(start.elapsed());
+                assert_eq!(node.read("once", 1).status(), 200, "what it takes it can place");
+            }
+            !is_ready
+        });
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert!(ready[NODES * 9 / 10 - 1] < Duration::from_secs(10), "{ready:?}");
+    assert!(*refused.lock().unwrap() > 0, "it had more calls than it takes");
+}
+
+/// Discovery that takes so long for each call, one after the other, and refuses those that would wait for over half a second.
+fn busy_discovery(turn: Duration, entry: &serde_json::Value) -> (std::net::SocketAddr, Arc<Mutex<u32>>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let list = serde_json::json!({"seq": 1, "whole": true, "hosts": [entry]}).to_string();
+    let (free, refused) = (Arc::new(Mutex::new(Instant::now())), Arc::new(Mutex::new(0)));
+    let count = refused.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let (free, refused, list) = (free.clone(), count.clone(), list.clone());
+            std::thread::spawn(move || {
+                let mut reader = std::io::BufReader::new(stream.try_clone().unwrap());
+                while let Ok(Some(asked)) = Message::read(&mut reader) {
+                    let at = {
+                        let mut free = free.lock().unwrap();
+                        let at = (*free).max(Instant::now()) + turn;
+                        (at < Instant::now() + Duration::from_millis(500))
+                            .then(|| std::mem::replace(&mut *free, at))
+                    };
+                    let text = match at {
+                        None => {
+                            *refused.lock().unwrap() += 1;
+                            answer("503 Service Unavailable", "", "")
+                        }
+                        Some(before) => {
+                            std::thread::sleep((before + turn).saturating_duration_since(Instant::now()));
+                            // A watch for what comes after it waits for good.
+                            if asked.start.contains("after=1&wait_ms=60000") {
+                                continue;
+                            }
+                            answer("200 OK", "", &list)
+                        }
+                    };
+                    if std::io::Write::write_all(&mut stream, text.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, refused)
+}
--- a/crates/decide/tests/cold.rs
+++ b/crates/decide/tests/cold.rs
@@ -66,7 +66,7 @@
         while let Some(entry) = ends.first_entry().filter(|entry| entry.key().0 <= arrives) {
             let ((when, _), (i, id, attempt, status)) = entry.remove_entry();
             let (node, ..) = &mut nodes[i];
-            if !node.requests.get(&id).is_some_and(|open| open.sent[attempt as usize].status.is_none()) {
+            if node.requests.get(&id).is_none_or(|open| open.sent[attempt as usize].status.is_some()) {
                 continue;
             }
             node.pass(when.since(node.now));
