Let a connection to a server rest 20 ms after each answer

An answer's second copy that comes some milliseconds late was taken for the answer to the next request, if that was on its way by then: hyper and Watched::check() see what lies in the socket before the first byte, not what comes while a request is out. With a server that writes such a copy, the second request got "left: (200, [49]) right: (200, [50])": a lost request, and another one's answer served. A connection that has carried an answer is now taken again after 20 ms; what comes meanwhile ends it. Requests without a pause use as many connections as rest at once. a_connection_is_kept_for_the_next_request wanted one connection for ten requests in a row, which is what the rule now forbids: it wants one for ten requests 30 ms apart, and of a thousand without a pause no more connections than requests within a rest. Idle times after which servers drop connections were learnt against requests on connections that had stood for less; there are none under 20 ms any more, so those on new connections count as not idle at all (connections_that_a_server_drops_when_idle... waited in vain). Test: node_crossings a_late_second_copy_of_an_answer_is_never_the_next_requests.

--- a/crates/cli/tests/node_crossings.rs
+++ b/crates/cli/tests/node_crossings.rs
@@ -5,8 +5,11 @@
 use node_common::*;
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
-use std::net::TcpStream;
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 /// What a client sends that has gone before the node reads it.
 fn read_and_leave(node: &Node, key: u64) {
@@ -177,3 +180,30 @@
     drop(arrived);
     assert!(node.exit().success());
 }
+
+// Guards against a second copy of an answer that comes some milliseconds late and meets the next request on its way: that
+// would be served with another one's answer.
+#[test]
+fn a_late_second_copy_of_an_answer_is_never_the_next_requests() {
+    let answered: Arc<Mutex<HashMap<SocketAddr, (Instant, String)>>> = Arc::default();
+    let server = CacheServer::start_knowing_peers(move |asked, peer| {
+        let own = answer("200 OK", "", asked.header("req-id").unwrap());
+        // On its way when the next request came: the client reads it first.
+        let before = answered.lock().unwrap().insert(peer, (Instant::now(), own.clone()));
+        let late = before.filter(|(at, _)| at.elapsed() < Duration::from_millis(10));
+        Does::Answer(late.map_or(String::new(), |(_, copy)| copy) + &own)
+    });
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    let mut client = node.client();
+    for key in 1..60 {
+        let served = client.ask(&read("once", key, 20_000));
+        assert_eq!((served.status(), served.body), (200, format!("{key:x}").into_bytes()));
+    }
+    assert_eq!(server.count(), 59);
+    // Rested, connections are used again.
+    std::thread::sleep(Duration::from_millis(40));
+    let connections = server.connections.load(Ordering::SeqCst);
+    assert_eq!(client.ask(&read("once", 60, 20_000)).status(), 200);
+    assert_eq!(server.connections.load(Ordering::SeqCst), connections);
+}
--- a/crates/cli/tests/node_servers.rs
+++ b/crates/cli/tests/node_servers.rs
@@ -81,9 +81,22 @@
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
     let node = Node::ready(&config(discovery.address));
     for key in 0..10 {
+        // It rests a little after each answer.
+        std::thread::sleep(std::time::Duration::from_millis(30));
         assert_eq!(node.read("read", key).status(), 200);
     }
     assert_eq!((server.count(), server.connections.load(Ordering::SeqCst)), (10, 1));
+    // Requests without a pause use as many as rest meanwhile, over and over: those of any 20 ms, and of a turn.
+    let (mut client, mut asked) = (node.client(), Vec::new());
+    for key in 10..1_010 {
+        asked.push(std::time::Instant::now());
+        assert_eq!(client.ask(&read("read", key, 20_000)).status(), 200);
+    }
+    let rest = std::time::Duration::from_millis(20 + 10);
+    let most =
+        asked.iter().map(|from| asked.iter().filter(|at| **at >= *from && **at - *from < rest).count());
+    let (made, most) = (server.connections.load(Ordering::SeqCst) as usize, most.max().unwrap());
+    assert!(made <= 1 + most, "{made} connections, {most} requests in a rest");
 }
 
 /// Two servers, of which the first to be asked does as told and the other one serves.
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -41,6 +41,9 @@
 /// close would take a request only to end it as a reset.
 const IDLE_SHARE: u32 = 2;
 const SWEEP: Duration = Duration::from_secs(1);
+/// A connection rests for so long after an answer: a second copy of that, some milliseconds late, would be taken for the
+/// answer to the next request, if it is written while that is on its way. Come while the connection rests, it ends it.
+const REST: Duration = Duration::from_millis(20);
 /// So many requests lost on connections that had stood idle about as long, and such a share of all there, show
 /// that servers drop them without a word after that time.
 const DROPS: u32 = 3;
@@ -395,7 +398,9 @@
             let idle = connection.kept.elapsed();
             let answer = timeout_at(until, exchange(&mut connection.sender, request)).await;
             let Written { begun, whole, reused } = &*connection.written;
-            if reused.get() && begun.get() {
+            if begun.get() {
+                // On a new one idleness is no cause: what breaks there shows how often others do.
+                let idle = if reused.get() { idle } else { Duration::ZERO };
                 self.idling.borrow_mut().note(idle, matches!(answer, Ok(Err(_))), Instant::now());
             }
             return match answer {
@@ -419,7 +424,11 @@
 
     async fn connection(&self, peer: &Peer) -> io::Result<Connection> {
         loop {
-            let kept = peer.idle.borrow_mut().pop();
+            let kept = {
+                let mut idle = peer.idle.borrow_mut();
+                let rested = |kept: &Connection| !kept.written.reused.get() || kept.kept.elapsed() >= REST;
+                idle.iter().rposition(rested).map(|place| idle.remove(place))
+            };
             let Some(mut kept) = kept else { break };
             if self.fresh(&kept) && kept.sender.ready().await.is_ok() {
                 return Ok(kept);
