--- a/crates/cli/tests/node_exhaustion.rs
+++ b/crates/cli/tests/node_exhaustion.rs
@@ -31,6 +31,13 @@
     ticks.map(|ticks| ticks.parse::<f64>().unwrap()).sum::<f64>() / 100.0
 }
 
+/// The most memory that it has held so far, in kB.
+fn peak(node: &Node) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", node.child.id())).unwrap();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap().trim();
+    peak.split(' ').next().unwrap().parse().unwrap()
+}
+
 fn lines(node: &Node, start: &str) -> Vec<String> {
     node.log.lock().unwrap().iter().filter(|line| line.starts_with(start)).cloned().collect()
 }
@@ -258,10 +265,7 @@
     }
     assert!(answers.len() > 100, "{} of 300 answered", answers.len());
     drop(clients);
-    let status = fs::read_to_string(format!("/proc/{}/status", node.child.id())).unwrap();
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap().trim();
-    let peak: u64 = peak.split(' ').next().unwrap().parse().unwrap();
-    assert!(peak < 32 << 10, "{peak} kB at the most");
+    assert!(peak(&node) < 32 << 10, "{} kB at the most", peak(&node));
     wait_for("room again", || node.read("read", 9_999).status() == 200);
 }
 
@@ -300,3 +304,50 @@
     drop(idle);
     wait_for("the room that they leave", || node.read("read", 1_001).status() == 200);
 }
+
+// Guards against clients that send much behind a request and go: what is read ahead of their requests, in search of their
+// end, must not fill the node's memory, and others are served meanwhile.
+#[test]
+fn clients_that_send_much_behind_a_request_and_go_cost_little_memory() {
+    let gate = Gate::default();
+    // Room for all of them and more.
+    let servers: Vec<_> = (0..16)
+        .map(|_| {
+            let held = gate.clone();
+            CacheServer::start(move |asked| {
+                if asked.header("req-id").is_some_and(|id| id.len() < 4) {
+                    held.pass();
+                }
+                Does::Answer(answer("200 OK", "", "value"))
+            })
+        })
+        .collect();
+    let names = servers.iter().enumerate().map(|(i, server)| server.entry(&format!("s-{i}"), "ready"));
+    let discovery = Discovery::start(&names.collect::<Vec<_>>());
+    let mut told = config(discovery.address);
+    told["limits"]["memory_mb"] = json!(32);
+    let node = Node::ready(&told);
+    let before = peak(&node);
+    let much = "x".repeat(500_000);
+    let mut flood: Vec<_> = (0..120u64)
+        .map(|key| {
+            let mut client = node.client();
+            client.send(&read("read", key, 60_000));
+            client
+        })
+        .collect();
+    wait_for("all of them at the servers", || {
+        servers.iter().map(CacheServer::count).sum::<usize>() == flood.len()
+    });
+    flood.iter_mut().for_each(|client| client.try_send(&much));
+    assert_eq!(node.read("read", 0xffff).status(), 200, "others are served meanwhile");
+    // What the budget counts: 40 KiB for a client at work, 10 KiB for a connection to a server; 500 kB each would be 60,000.
+    let used = peak(&node) - before;
+    assert!(used < 120 * (40 + 10) + 500, "{used} kB for 120 that sent 500 kB each");
+    for client in &flood {
+        client.leave();
+    }
+    gate.open();
+    drop(flood);
+    wait_for("room again", || node.read("read", 0xfffe).status() == 200);
+}
