Test answers that break off or never end, with and without a length

Ruled out by this: thirteen ways of ending (closed, reset, a byte at a time for ever; without a length, with one, chunked, within the head, before it) give one failure and one run of an unsafe request, in its time; only the one that ends in order without a length is whole.

--- a/crates/cli/tests/node_crossings.rs
+++ b/crates/cli/tests/node_crossings.rs
@@ -4,10 +4,11 @@
 
 use node_common::*;
 use serde_json::json;
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::Ordering;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -207,3 +208,72 @@
     assert_eq!(client.ask(&read("once", 60, 20_000)).status(), 200);
     assert_eq!(server.connections.load(Ordering::SeqCst), connections);
 }
+
+/// How an answer goes on after its first part, and ends.
+#[derive(Clone, Copy, Debug)]
+enum Ends {
+    /// The connection is closed in order.
+    Closed,
+    /// It is reset.
+    Reset,
+    /// Never: a byte comes every few milliseconds.
+    Never,
+}
+
+// Guards against an answer that broke off and is passed on as whole, or run again where that is not allowed; a reset is no
+// end. And against one that never ends and keeps its client past its time.
+#[test]
+fn an_answer_that_breaks_off_or_never_ends_is_one_failure_and_one_run() {
+    let cases = [
+        ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nvalue", Ends::Closed, 200),
+        ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nval", Ends::Reset, 502),
+        ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nval", Ends::Never, 502),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nval", Ends::Closed, 502),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nval", Ends::Reset, 502),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\nval", Ends::Never, 502),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nval", Ends::Closed, 502),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nvalue\r\n", Ends::Reset, 502),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf000\r\nval", Ends::Never, 502),
+        ("HTTP/1.1 200 OK\r\nX-Long: val", Ends::Never, 502),
+        ("HTTP/1.1 200 OK\r\nX-Long: val", Ends::Reset, 502),
+        ("HTT", Ends::Closed, 502),
+        ("", Ends::Reset, 502),
+    ];
+    for (text, ends, status) in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (address, runs) = (listener.local_addr().unwrap(), Arc::new(AtomicU32::new(0)));
+        let counted = runs.clone();
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().map_while(Result::ok) {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                if !matches!(Message::read(&mut reader), Ok(Some(_))) {
+                    continue;
+                }
+                counted.fetch_add(1, Ordering::SeqCst);
+                stream.write_all(text.as_bytes()).unwrap();
+                match ends {
+                    Ends::Closed => {}
+                    Ends::Reset => SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap(),
+                    // Until the node gives it up.
+                    Ends::Never => {
+                        while stream.write_all(b"v").is_ok() {
+                            std::thread::sleep(Duration::from_millis(5));
+                        }
+                    }
+                }
+            }
+        });
+        let discovery = Discovery::start(&[host("s-1", address, "ready")]);
+        let node = Node::ready(&config(discovery.address));
+        let patience = Duration::from_millis(600);
+        let asked = Instant::now();
+        let served = node.client().ask(&read("once", 1, patience.as_millis() as u64));
+        assert_eq!(served.status(), status, "{text:?} {ends:?}");
+        if status == 200 {
+            assert_eq!(served.body, b"value", "{text:?}");
+        }
+        // The node answers by itself; the rest is for a machine that does other things too.
+        assert!(asked.elapsed() < patience * 5, "{text:?} {ends:?}: {:?}", asked.elapsed());
+        assert_eq!(runs.load(Ordering::SeqCst), 1, "{text:?} {ends:?}");
+    }
+}
