Look at a connection that was kept unused before its first request

Since a connection that came up for a client which had left is kept for the next request; it had carried nothing, and Watched::check() looks for what lies in the socket only on one that has. What a server wrote there would have been taken for the next answer. Every connection that is kept now counts as one that has stood idle.

--- a/crates/cli/tests/node_common/mod.rs
+++ b/crates/cli/tests/node_common/mod.rs
@@ -223,6 +223,18 @@
         self.asked.lock().unwrap().clone()
     }
 
+    /// Lets connections come up, and gives the first that the node makes.
+    pub fn accept_one(&self) -> TcpStream {
+        let filling = std::mem::take(&mut *self.filling.lock().unwrap());
+        let own: Vec<_> = filling.iter().map(|stream| stream.local_addr().unwrap()).collect();
+        loop {
+            let (stream, from) = self.listener.accept().unwrap();
+            if !own.contains(&from) {
+                return stream;
+            }
+        }
+    }
+
     /// Lets connections come up, and answers one request on each.
     pub fn accept(&self) {
         self.filling.lock().unwrap().clear();
--- a/crates/cli/tests/node_crossings.rs
+++ b/crates/cli/tests/node_crossings.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::HashMap;
-use std::io::{BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -277,3 +277,29 @@
         assert_eq!(runs.load(Ordering::SeqCst), 1, "{text:?} {ends:?}");
     }
 }
+
+// Guards against what a server wrote on a connection that has carried nothing yet, and was kept since its client had left:
+// it is no answer to the request that is sent there next.
+#[test]
+fn what_lies_in_a_connection_kept_unused_is_nobodys_answer() {
+    let slow = SlowServer::start();
+    let discovery = Discovery::start(&[host("s-1", slow.address, "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    let mut client = node.client();
+    client.send(&read("once", 1, 20_000));
+    wait_for("the attempt", || slow.waited_for() == 1);
+    client.leave();
+    assert_eq!(client.answer(), None, "the node has seen it leave");
+    let mut kept = slow.accept_one();
+    // Both are there when the node runs again: a whole answer that nobody asked for, and the next request.
+    std::thread::sleep(Duration::from_millis(50));
+    node.signal("-STOP");
+    kept.write_all(answer("200 OK", "", "stray").as_bytes()).unwrap();
+    let mut next = node.client();
+    next.send(&read("once", 2, 20_000));
+    slow.accept();
+    node.signal("-CONT");
+    assert_eq!(next.answer().unwrap().body, b"value");
+    assert_eq!(kept.read(&mut [0]).unwrap_or(0), 0, "nothing was sent there");
+    assert_eq!(slow.asked().len(), 1);
+}
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -124,7 +124,7 @@
 struct Written {
     begun: Cell<bool>,
     whole: Cell<bool>,
-    /// The connection has carried an answer before.
+    /// The connection has stood idle before, most often after an answer.
     reused: Cell<bool>,
 }
 
@@ -281,6 +281,15 @@
     idle: RefCell<Vec<Connection>>,
 }
 
+impl Peer {
+    /// Keeps a connection for the next request.
+    fn keep(&self, mut connection: Connection) {
+        connection.written.reused.set(true);
+        connection.kept = Instant::now();
+        self.idle.borrow_mut().push(connection);
+    }
+}
+
 /// All cache servers, by id.
 pub struct Upstream {
     peers: RefCell<HashMap<ServerId, Rc<Peer>>>,
@@ -387,8 +396,7 @@
             // once servers no longer know it for one; time may have passed since the connection came up.
             if over.get() || Instant::now() >= begin_by.min(until) {
                 let status = if over.get() { Status::Ignored } else { Status::ConnectError };
-                connection.kept = Instant::now();
-                peer.idle.borrow_mut().push(connection);
+                peer.keep(connection);
                 return Ended::without_answer(status);
             }
             let Ok(request) = request(&peer, message, until) else {
@@ -407,9 +415,7 @@
                 Ok(Ok((ended, reusable))) => {
                     let kept = peer.takes_work.get() && connection.life == peer.life.get();
                     if reusable && kept && !connection.sender.is_closed() {
-                        reused.set(true);
-                        connection.kept = Instant::now();
-                        peer.idle.borrow_mut().push(connection);
+                        peer.keep(connection);
                     }
                     ended
                 }
--- a/crates/node/src/upstream/tests.rs
+++ b/crates/node/src/upstream/tests.rs
@@ -73,3 +73,30 @@
     }
     assert!(!own_fault(&io::Error::from_raw_os_error(libc::ECONNREFUSED)));
 }
+
+// Guards against a connection that is kept though it has carried nothing, and taken for a new one: what lies in it is looked
+// for only on one that has stood idle.
+#[tokio::test]
+async fn a_connection_kept_unused_is_looked_at_before_its_first_request() {
+    let run = async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let written = Rc::new(Written::default());
+        let watched = Watched { stream: TokioIo::new(stream), written: written.clone() };
+        let (sender, driving) = http1::Builder::new().handshake(watched).await.unwrap();
+        let task = tokio::task::spawn_local(async move { drop(driving.await) }).abort_handle();
+        let share = slatelink_front::Share { floor: 0, most: 1 };
+        let budget = Budget::new(1, [share; 3], 0).unwrap();
+        let _lease = budget.lease(Side::Servers).unwrap();
+        let connection =
+            Connection { life: 0, sender, written: written.clone(), task, kept: Instant::now(), _lease };
+        let (dial, started) = (Cell::new(listener.local_addr().unwrap()), Cell::default());
+        let (life, takes_work, idle) = (Cell::default(), Cell::new(true), RefCell::default());
+        let peer = Peer { dial, started, life, takes_work, idle };
+        assert!(!written.reused.get(), "a new one");
+        peer.keep(connection);
+        assert!(written.reused.get());
+        assert_eq!(peer.idle.borrow().len(), 1);
+    };
+    tokio::task::LocalSet::new().run_until(run).await;
+}
