Serve all tests by one gate and one slow server, and derive one bound once

The gate that holds a stand-in until a test opens it stood in six test files, the server to which no connection comes up in two: both are node_common's now; no assertion changed. upstream.rs took the lesser of begin_by and until twice, which the driver has done already; the bound says so. A comment in table.rs had come to stand behind the wrong function.

--- a/crates/cli/tests/node_clients.rs
+++ b/crates/cli/tests/node_clients.rs
@@ -5,7 +5,6 @@
 use node_common::*;
 use serde_json::json;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Condvar, Mutex};
 
 // Guards against rewriting what only the client and the cache server may read.
 #[test]
@@ -151,15 +150,14 @@
 // Guards against work for a client that has gone: what its attempt comes to must not be tried again.
 #[test]
 fn nothing_more_is_sent_for_a_client_that_left() {
-    let gate = Arc::new((Mutex::new(false), Condvar::new()));
+    let gate = Gate::default();
     let server = || {
         let held = gate.clone();
         CacheServer::start(move |asked| {
             if asked.header("req-id") != Some("1") {
                 return Does::Answer(answer("200 OK", "", "value"));
             }
-            let open = held.0.lock().unwrap();
-            drop(held.1.wait_timeout_while(open, PATIENCE, |open| !*open).unwrap());
+            held.pass();
             Does::Close(String::new())
         })
     };
@@ -171,8 +169,7 @@
     wait_for("the attempt", || one.count() + two.count() == 1);
     client.leave();
     assert_eq!(client.answer(), None);
-    *gate.0.lock().unwrap() = true;
-    gate.1.notify_all();
+    gate.open();
     for key in 2..12 {
         assert_eq!(node.read("read", key).status(), 200);
     }
@@ -218,11 +215,10 @@
 // Guards against a second copy of a request that another client asks for under the same id.
 #[test]
 fn an_id_that_is_open_already_is_turned_away_and_free_again_afterwards() {
-    let gate = Arc::new((Mutex::new(false), Condvar::new()));
+    let gate = Gate::default();
     let held = gate.clone();
     let server = CacheServer::start(move |_| {
-        let open = held.0.lock().unwrap();
-        drop(held.1.wait_timeout_while(open, PATIENCE, |open| !*open).unwrap());
+        held.pass();
         Does::Answer(answer("200 OK", "", "value"))
     });
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
@@ -232,8 +228,7 @@
     wait_for("the attempt", || server.count() == 1);
     let answered = node.read("read", 1);
     assert!((400..500).contains(&answered.status()), "{}", answered.status());
-    *gate.0.lock().unwrap() = true;
-    gate.1.notify_all();
+    gate.open();
     assert_eq!(first.answer().expect("an answer").status(), 200);
     assert_eq!(node.read("read", 1).status(), 200);
     assert_eq!(server.count(), 2);
--- a/crates/cli/tests/node_front.rs
+++ b/crates/cli/tests/node_front.rs
@@ -4,7 +4,6 @@
 
 use node_common::*;
 use serde_json::json;
-use std::sync::{Arc, Condvar, Mutex};
 
 /// A server that says nothing to requests whose id begins with `held`.
 fn holding() -> CacheServer {
@@ -119,13 +118,12 @@
 // Guards against a client that is accepted into a full table just before the end, and dropped there.
 #[test]
 fn a_client_that_waits_for_a_place_at_the_end_is_served() {
-    let gate = Arc::new((Mutex::new(false), Condvar::new()));
+    let gate = Gate::default();
     let servers: Vec<_> = (0..8)
         .map(|_| {
             let held = gate.clone();
             CacheServer::start(move |_| {
-                let open = held.0.lock().unwrap();
-                drop(held.1.wait_timeout_while(open, PATIENCE, |open| !*open).unwrap());
+                held.pass();
                 Does::Answer(answer("200 OK", "", "value"))
             })
         })
@@ -152,8 +150,7 @@
     node.terminate();
     // Past the time in which the node still accepts; later is as good.
     std::thread::sleep(std::time::Duration::from_millis(1_000));
-    *gate.0.lock().unwrap() = true;
-    gate.1.notify_all();
+    gate.open();
     for client in &mut clients {
         assert!(client.answer().is_some(), "a final answer for each");
     }
--- a/crates/cli/tests/node_lifecycle.rs
+++ b/crates/cli/tests/node_lifecycle.rs
@@ -3,18 +3,17 @@
 mod node_common;
 
 use node_common::*;
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 // Guards against a planned restart that loses what was taken.
 #[test]
 fn a_terminated_node_finishes_what_it_took_and_exits_well() {
-    let gate = Arc::new((Mutex::new(false), Condvar::new()));
+    let gate = Gate::default();
     let held = gate.clone();
     let server = CacheServer::start(move |asked| {
         if asked.header("req-id") == Some("1") {
-            let open = held.0.lock().unwrap();
-            drop(held.1.wait_timeout_while(open, PATIENCE, |open| !*open).unwrap());
+            held.pass();
         }
         Does::Answer(answer("200 OK", "", "value"))
     });
@@ -28,8 +27,7 @@
     node.terminate();
     // An idle connection ends when the node has stopped accepting; what it took before is still out.
     assert_eq!(idle.answer(), None);
-    *gate.0.lock().unwrap() = true;
-    gate.1.notify_all();
+    gate.open();
     let served = waiting.answer().expect("the answer to what was taken");
     assert_eq!((served.status(), &served.body[..]), (200, &b"value"[..]));
     assert_eq!(served.header("connection"), Some("close"));
--- a/crates/cli/tests/node_lists.rs
+++ b/crates/cli/tests/node_lists.rs
@@ -4,33 +4,24 @@
 
 use node_common::*;
 use serde_json::{json, Value};
-use socket2::{Domain, Socket, Type};
-use std::io::{BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::io::{BufReader, Write};
+use std::net::TcpListener;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-type Gate = Arc<(Mutex<bool>, Condvar)>;
-
 /// A server that holds requests with odd ids until the gate is open; its answers bear its name.
 fn gated(name: &'static str, gate: &Gate) -> CacheServer {
     let gate = gate.clone();
     CacheServer::start(move |asked| {
         if asked.header("req-id").is_some_and(|id| id.ends_with(['1', '3', '5', '7'])) {
-            let open = gate.0.lock().unwrap();
-            drop(gate.1.wait_timeout_while(open, PATIENCE, |open| !*open).unwrap());
+            gate.pass();
         }
         Does::Answer(answer("200 OK", "", name))
     })
 }
 
-fn open(gate: &Gate) {
-    *gate.0.lock().unwrap() = true;
-    gate.1.notify_all();
-}
-
 fn born(mut entry: Value, at_ms: u64) -> Value {
     entry["born_ms"] = json!(at_ms);
     entry
@@ -48,7 +39,7 @@
     wait_for("the attempt", || old.count() == 1);
     discovery.tell(false, &[new.entry("s-1", "ready")]);
     discovery.wait_until_told(2);
-    open(&gate);
+    gate.open();
     assert_eq!(waiting.answer().unwrap().body, b"old", "an attempt under way is finished");
     for key in [2, 4, 6] {
         assert_eq!(node.read("read", key).body, b"new", "{key}");
@@ -71,7 +62,7 @@
     discovery.tell(false, &[born(server.entry("s-1", "ready"), 2)]);
     discovery.wait_until_told(2);
     wait_for("the idle connection's end", || server.closed.load(Ordering::SeqCst) == 1);
-    open(&gate);
+    gate.open();
     assert_eq!(waiting.answer().unwrap().status(), 200);
     wait_for("the other one's end", || server.closed.load(Ordering::SeqCst) == 2);
     assert_eq!(node.read("read", 4).status(), 200);
@@ -84,7 +75,7 @@
 fn a_drain_or_end_at_any_moment_gets_nothing_new_and_loses_no_request() {
     let gate = Gate::default();
     let servers = ["s-0", "s-1", "s-2"].map(|name| gated(name, &gate));
-    open(&gate);
+    gate.open();
     let names = ["s-0", "s-1", "s-2"];
     let entries = |state: &[&str; 3]| -> Vec<Value> {
         let all = servers.iter().zip(names).zip(state);
@@ -139,18 +130,9 @@
 // Guards against a request that goes out on a connection which came up only after the drain was told.
 #[test]
 fn a_drain_told_while_a_connection_is_being_made_keeps_the_request_from_it() {
-    // With its queue full a listener lets no connection come up; with room, the next try does, about a second later.
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-    socket.listen(0).unwrap();
-    let slow = TcpListener::from(socket);
-    let address = slow.local_addr().unwrap();
-    let mut filling = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(300)) {
-        filling.push(stream);
-    }
+    let slow = SlowServer::start();
     let other = CacheServer::serving("value");
-    let entries = |health: &str| [host("s-1", address, health), other.entry("s-2", "ready")];
+    let entries = |health: &str| [host("s-1", slow.address, health), other.entry("s-2", "ready")];
     let discovery = Discovery::start(&entries("ready"));
     let node = Node::ready(&config(discovery.address));
     let mut clients: Vec<_> = (1..16).map(|key| (key, node.client())).collect();
@@ -160,23 +142,11 @@
     assert!(other.count() < clients.len(), "some are on their way to the slow one");
     discovery.tell(true, &entries("draining"));
     discovery.wait_until_told(2);
-    // What comes up now is read to its end.
-    let (sender, bytes) = std::sync::mpsc::channel();
-    thread::spawn(move || {
-        for mut stream in slow.incoming().map_while(Result::ok) {
-            let sender = sender.clone();
-            thread::spawn(move || {
-                let mut buffer = [0; 1024];
-                let read = stream.read(&mut buffer).unwrap_or(0);
-                sender.send(String::from_utf8_lossy(&buffer[..read]).into_owned()).unwrap_or_default();
-            });
-        }
-    });
-    filling.clear();
+    slow.accept();
     for (key, client) in &mut clients {
         assert_eq!(client.answer().unwrap().status(), 200, "{key}");
     }
-    assert_eq!(bytes.try_iter().collect::<String>(), "", "after the drain was told");
+    assert_eq!(slow.asked().concat(), "", "after the drain was told");
 }
 
 // Guards against an empty list that leaves requests waiting, and one that cannot be undone.
--- a/crates/cli/tests/node_multiget.rs
+++ b/crates/cli/tests/node_multiget.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Command, Output};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::Arc;
 use std::time::Instant;
 
 const SIDE: &str = "[multiget]\nport = 0\n";
@@ -114,10 +114,10 @@
 // Guards against more than so many items out at once.
 #[test]
 fn no_more_than_parallel_items_are_out_at_once() {
-    let gate = Arc::new((Mutex::new(false), Condvar::new()));
+    let gate = Gate::default();
     let held = gate.clone();
     let server = CacheServer::start(move |asked| {
-        drop(held.1.wait_timeout_while(held.0.lock().unwrap(), PATIENCE, |open| !*open).unwrap());
+        held.pass();
         echo(asked)
     });
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
@@ -130,8 +130,7 @@
         assert_eq!(node.get("/healthz").status(), 200);
     }
     assert_eq!(server.count(), 3);
-    *gate.0.lock().unwrap() = true;
-    gate.1.notify_all();
+    gate.open();
     assert!(lines(&asked.join().unwrap()).iter().all(|line| line["status"] == 200));
     assert_eq!(server.count(), 9);
 }
@@ -338,10 +337,10 @@
 // Guards against a stop that loses the items it has taken.
 #[test]
 fn a_terminated_node_finishes_the_calls_it_took() {
-    let gate = Arc::new((Mutex::new(false), Condvar::new()));
+    let gate = Gate::default();
     let held = gate.clone();
     let server = CacheServer::start(move |asked| {
-        drop(held.1.wait_timeout_while(held.0.lock().unwrap(), PATIENCE, |open| !*open).unwrap());
+        held.pass();
         echo(asked)
     });
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
@@ -352,8 +351,7 @@
     wait_for("the first items", || server.count() == 8);
     node.terminate();
     wait_for("a closed side port", || std::net::TcpStream::connect(side).is_err());
-    *gate.0.lock().unwrap() = true;
-    gate.1.notify_all();
+    gate.open();
     let output = asked.join().unwrap();
     assert!(lines(&output).iter().all(|line| line["status"] == 200), "{output:?}");
     assert!(node.exit().success());
--- a/crates/node/src/table.rs
+++ b/crates/node/src/table.rs
@@ -315,18 +315,18 @@
         ahead.extend_from_slice(&behind);
     }
 
+    /// Whether what the client sends is not read as requests any more, since it sent too much at once.
+    pub fn overrun(&self) -> bool {
+        self.socket.overrun.get()
+    }
+
     /// Whether the client has gone, also where its end stands behind bytes that nobody has asked for.
     pub fn left(&self) -> bool {
         self.socket.read_ahead();
         self.socket.ended.get()
     }
 
-    /// Whether what the client sends is not read as requests any more, since it sent too much at once.
-    pub fn overrun(&self) -> bool {
-        self.socket.overrun.get()
-    }
-
-    /// The same, with a turn whenever there is more to look at.
+    /// The same, polled again whenever there is more to look at.
     fn poll_left(&self, cx: &mut Context<'_>) -> bool {
         while !self.socket.ended.get() {
             match self.socket.stream.poll_read_ready(cx) {
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -111,7 +111,7 @@
 /// Until when an attempt is worth beginning, and worth waiting for.
 #[derive(Clone, Debug)]
 pub struct Bounds {
-    /// Its first byte is written by then, or none is.
+    /// Its first byte is written by then, or none is; no later than `until`.
     pub begin_by: Instant,
     /// Its answer is waited for until then.
     pub until: Instant,
@@ -379,7 +379,7 @@
             if over.get() {
                 return Ended::without_answer(Status::Ignored);
             }
-            let mut connection = match timeout_at(begin_by.min(until), self.connection(&peer)).await {
+            let mut connection = match timeout_at(begin_by, self.connection(&peer)).await {
                 Ok(Ok(connection)) => connection,
                 // The node's own want says nothing of the server.
                 Ok(Err(error)) if own_fault(&error) => return Ended::without_answer(Status::Ignored),
@@ -394,7 +394,7 @@
             }
             // So may the client's end have: who has gone is served by nothing that begins now. Nor may a repeat begin
             // once servers no longer know it for one; time may have passed since the connection came up.
-            if over.get() || Instant::now() >= begin_by.min(until) {
+            if over.get() || Instant::now() >= begin_by {
                 let status = if over.get() { Status::Ignored } else { Status::ConnectError };
                 peer.keep(connection);
                 return Ended::without_answer(status);
