Heed a departure before a burst, to the last byte's look, and by every call that is out

A word that was written but not yet read was dropped with its watch (`ask`, three places); an older list undid a drain after a move, or at one discovery that lost its versions (`watch_at`, `tell_leaving`, `Driver::learn`). Nothing read `safety.stop_sending_within_us`; two late failures in a row outlasted 6 s.

Change: the client of discovery drives its own connection and is polled by the node's main future between any 61 tasks; departures go to the connections at once, lists to the driver by a channel of their own that goes first; each request asks leave once more in the write of its first byte. Calls to discovery are read on when another takes their place. Departures are remembered for 30 s against lists that can't be told to be newer. The pause where lists are pushed comes from the settings. After a call that failed late the next follows at once, and a second one beside it after 0.6 s.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -147,6 +147,8 @@
     pub must_follow: bool,
     /// Without a subscription, a node that has not asked for so long counts as told.
     pub ask_within: Duration,
+    /// Nothing is sent to a server later than this after its departure was told.
+    pub stop_sending_within: Duration,
     /// Attempts a request may have.
     pub max_attempts: u32,
     /// Longest stay-away advice a client honours.
@@ -175,6 +177,7 @@
             sized: true,
             must_follow: false,
             ask_within: Duration::from_secs(10),
+            stop_sending_within: Duration::from_millis(250),
             max_attempts: 3,
             max_retry_after: Duration::ZERO,
             connect_timeout: Duration::from_millis(250),
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,25 +1,23 @@
-//! The list of cache servers: discovery's words as the module's, the watch on changes, backoff.
+//! The client of discovery: keeps a watch on the list of cache servers, renews it, and tries again after failures.
+
+mod call;
+mod departures;
+mod in_flight;
 
 use crate::driver::Input;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::HOST;
-use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
+use call::{call, Ask, CallError, Called, Link};
+use departures::{Departures, REMEMBERED};
+use in_flight::{Answered, Call, CallId, InFlight, Source};
 use slatelink_config::Listing;
-use slatelink_decide::Availability;
+use slatelink_decide::{Availability, Settings};
 use slatelink_observe::Log;
-use std::future::{pending, Future};
+use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{watch, Notify};
-use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// How long a watch asks discovery to wait: the most that it takes. What a watch that has fallen silent misses counts
@@ -30,8 +28,8 @@
 /// anew each time, since nodes whose watches fell silent together would stand in discovery's queue together.
 const RENEW: Duration = Duration::from_secs(15);
 const RENEW_SPREAD: f64 = 0.2;
-/// For so long the old watch stays beside the new one: a call has its turn at discovery by then, or has failed, and what
-/// is written to the old one meanwhile counts as told.
+/// For so long the old watch stays beside the new one: a call has its turn at discovery by then, or has failed. What is
+/// written to a call that another has taken the place of is read for as long again.
 const OVERLAP: Duration = Duration::from_secs(3);
 /// A call that failed, a renewal too, makes each change count as told 6 s after discovery had it, and whether a watch that
 /// is opened then says nothing because it has nothing to say cannot be told in that time. The next call waits no longer
@@ -43,11 +41,15 @@
 const RENEW_AGAIN_SPREAD: f64 = 0.4;
 /// A watch that could not be renewed and says nothing for this long after its wait is over is dead.
 const OVERDUE: Duration = Duration::from_millis(500);
-/// A call that has nothing to wait for but its turn, which it gets or loses within 2 s, is given up after this.
+/// A call that has nothing to wait for but its turn is made again after this. It is read on: it may have had its turn
+/// late, and what discovery has written counts as told.
 const TURN: Duration = Duration::from_millis(2250);
-const CONNECT: Duration = Duration::from_secs(1);
-/// A list longer than this is no list.
-const LARGEST: usize = 8 << 20;
+const LATE_ANSWER: Duration = Duration::from_secs(10);
+/// A call that fails after this has waited in discovery's queue or was swallowed. Two of these one after the other take up
+/// most of the 6 s: the next call follows within `LATE_PAUSE`, and a second one beside it after `HEDGE`.
+const LATE_FAILURE: Duration = Duration::from_millis(1500);
+const LATE_PAUSE: Duration = Duration::from_millis(200);
+const HEDGE: Duration = Duration::from_millis(600);
 /// For so long after it was told to move, a node counts as told nothing that it has not heard at the new address.
 const MOVED: Duration = Duration::from_secs(4);
 /// Until it has a list there, a call that is refused is made again after about this, and one without an answer at
@@ -58,55 +60,34 @@
 const PACE: Duration = Duration::from_millis(50);
 const EARLY: Duration = Duration::from_secs(10);
 /// Where lists are pushed, what the agent has counts as told at once, watch or no watch: a lost watch is opened again
-/// without delay, and after a call that failed too the next one follows within the time that the rule on drains leaves.
-/// The agent is the node's own, so that nobody else waits for that.
-const PUSHED_AGAIN: Duration = Duration::from_millis(100);
+/// without delay, and after a call that failed too the next one follows within this part of the time that the settings
+/// leave for heeding a drain. The agent is the node's own, so that nobody else waits for that.
+const PUSHED_AGAIN_PART: f64 = 0.4;
 
-#[derive(Debug, Error)]
-enum CallError {
-    #[error("{0}")]
-    Connect(#[from] std::io::Error),
-    #[error("{0}")]
-    Http(#[from] hyper::Error),
-    #[error("{0}")]
-    Uri(#[from] hyper::http::Error),
-    #[error("{0}")]
-    Body(#[from] Box<dyn std::error::Error + Send + Sync>),
-    #[error("answered {0}")]
-    Status(StatusCode),
-    #[error("not a list: {0}")]
-    Malformed(#[from] serde_json::Error),
-    #[error("no answer in time")]
-    Overdue,
+/// What the settings leave for hearing of changes.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Nothing is sent to a server later than this after its departure was told.
+    pub stop_sending_within: Duration,
 }
 
-/// How a call ended, and its connection where that may carry another.
-type Called = (Result<Listing, CallError>, Option<Link>);
-/// A call that is out.
-type Call = Pin<Box<dyn Future<Output = Called>>>;
-
-/// An open connection; its driving task ends with it.
-struct Link {
-    sender: SendRequest<Empty<Bytes>>,
-    task: AbortHandle,
-}
-
-impl Drop for Link {
-    fn drop(&mut self) {
-        self.task.abort();
+impl Limits {
+    /// Those of these settings.
+    pub fn of(settings: &Settings) -> Self {
+        Self { stop_sending_within: settings.stop_sending_within }
     }
 }
 
-/// The client of discovery.
+/// How the client of discovery begins.
 pub struct Discovery {
-    /// Where it answers. A new address ends what was going on at the old one, but for the open watch.
+    /// Where it answers. A new address ends what was going on at the old one, but for reading what that still says.
     pub address: watch::Receiver<SocketAddr>,
     /// Version of the list held; `None` where none is.
     pub seq: Option<u64>,
     /// Whether changes come unprompted: a watch is open all the time then, and the module says nothing of it.
     pub pushed: bool,
-    /// A call has failed, and none has had its answer since.
-    pub unsure: bool,
+    /// What the settings leave for hearing of changes.
+    pub limits: Limits,
     pub random: fastrand::Rng,
     pub events: UnboundedSender<Input>,
     pub log: Log,
@@ -116,78 +97,102 @@
     /// Watches whenever it is told to, until a call fails: then the module is told and says when to try again.
     /// A new address starts anew at once, from the whole list: versions of the old one mean nothing there, and
     /// the node serves from the list it holds until that has come.
-    pub async fn run(mut self, follow: Rc<Notify>) {
+    pub async fn run(self, follow: Rc<Notify>) {
         let mut address = self.address.clone();
+        let mut client = Client::new(self);
         let mut moved = None;
-        // The watch that is open.
-        let mut open = None;
         loop {
             let at = *address.borrow_and_update();
             tokio::select! {
-                // What belongs to the old address goes with this future: link, calls and backoff.
-                () = self.watch_at(at, &follow, moved, &mut open) => return,
+                () = client.watch_at(at, &follow, moved) => return,
                 changed = address.changed() => if changed.is_err() { return },
             }
-            // The open watch stays until the new one has answered: what the old one still writes counts as told.
-            self.seq = None;
+            client.leave_address();
             moved = Some(Instant::now());
         }
     }
+}
+
+/// The client at work.
+struct Client {
+    seq: Option<u64>,
+    pushed: bool,
+    limits: Limits,
+    random: fastrand::Rng,
+    events: UnboundedSender<Input>,
+    log: Log,
+    /// A call has failed, and none has had its answer since.
+    unsure: bool,
+    /// That call failed late.
+    failed_late: bool,
+    source: Source,
+    in_flight: InFlight,
+    departures: Departures,
+    /// A server is left alone against the list's word: when the whole list is asked for, to see whether it still leaves.
+    confirm_at: Option<Instant>,
+}
+
+impl Client {
+    fn new(begin: Discovery) -> Self {
+        let Discovery { seq, pushed, limits, random, events, log, .. } = begin;
+        Self {
+            seq,
+            pushed,
+            limits,
+            random,
+            events,
+            log,
+            unsure: false,
+            failed_late: false,
+            source: Source::default(),
+            in_flight: InFlight::default(),
+            departures: Departures::default(),
+            confirm_at: None,
+        }
+    }
+
+    /// What the old address still writes counts as told.
+    fn leave_address(&mut self) {
+        self.in_flight.supersede_all(Instant::now() + LATE_ANSWER);
+        self.source = self.source.next();
+        self.seq = None;
+    }
 
     /// Watches at one address, until the driver has gone. Where it moved there, the module's word to watch holds.
-    async fn watch_at(
-        &mut self,
-        address: SocketAddr,
-        follow: &Notify,
-        moved: Option<Instant>,
-        open: &mut Option<Call>,
-    ) {
-        let mut told = moved.is_some();
+    async fn watch_at(&mut self, address: SocketAddr, follow: &Notify, moved: Option<Instant>) {
+        let mut at_once = moved.is_some();
         loop {
-            if !self.pushed && !std::mem::take(&mut told) {
-                follow.notified().await;
+            if !self.pushed && !std::mem::take(&mut at_once) {
+                self.reading(follow.notified()).await;
             }
             let mut link = None;
             loop {
-                let asked = Instant::now();
-                let (called, kept) = self.ask(address, link.take(), open).await;
+                let (asked, is_watch) = (Instant::now(), self.seq.is_some() && !self.unsure);
+                let (called, kept) = self.ask(address, link.take()).await;
                 link = kept;
                 let unsure = std::mem::replace(&mut self.unsure, called.is_err());
                 match called {
-                    // It would bring servers back that are gone. Discovery may have lost its versions all the same:
-                    // the whole list is taken as it comes, and until then what this one says of servers that leave.
-                    Ok(listing) if self.seq.is_some_and(|held| listing.seq < held) => {
-                        let (held, got) = (self.seq.take().unwrap_or_default(), listing.seq);
-                        self.tell_leaving(listing);
-                        let text =
-                            format!("discovery: list {got} is older than {held}: asking for the whole list");
-                        self.log.often("discovery", &text);
-                        sleep(PACE).await;
-                    }
                     Ok(listing) => {
+                        self.failed_late = false;
                         let early = self.seq == Some(listing.seq) && asked.elapsed() < EARLY;
-                        self.seq = Some(listing.seq);
-                        if self.events.send(Input::Listing(listing)).is_err() {
-                            return;
-                        }
-                        if early && !unsure {
-                            sleep(PACE).await;
+                        match self.take(listing) {
+                            Taken::Older => self.reading(sleep(PACE)).await,
+                            Taken::Newest if early && !unsure => self.reading(sleep(PACE)).await,
+                            Taken::Newest => {}
+                            Taken::NobodyListens => return,
                         }
                     }
                     Err(error) => {
                         self.log.often("discovery", &format!("discovery: {error}"));
-                        told = self.seq.is_none() && moved.is_some_and(|at| at.elapsed() < MOVED);
+                        let new_there = self.seq.is_none() && moved.is_some_and(|at| at.elapsed() < MOVED);
+                        self.failed_late = !is_watch && asked.elapsed() >= LATE_FAILURE;
+                        at_once = new_there || self.failed_late;
                         // The module's word is waited for but where it has no say.
-                        if (self.pushed || !told) && self.events.send(Input::ListingFailed).is_err() {
+                        if (self.pushed || !at_once) && self.events.send(Input::ListingFailed).is_err() {
                             return;
                         }
-                        let pause = match error {
-                            _ if self.pushed => PUSHED_AGAIN * u32::from(unsure),
-                            CallError::Overdue => Duration::ZERO,
-                            _ => MOVED_AGAIN * u32::from(told),
-                        };
-                        let pause = pause.mul_f64(0.5 + self.random.f64());
-                        self.beside_old(open, sleep(pause)).await;
+                        let pause = self.pause_after(&error, unsure, new_there);
+                        self.reading(sleep(pause)).await;
                         break;
                     }
                 }
@@ -195,88 +200,215 @@
         }
     }
 
-    /// Discovery's next word: the whole list where none is held, or what a watch brings.
-    async fn ask(&mut self, address: SocketAddr, link: Option<Link>, open: &mut Option<Call>) -> Called {
-        let Some(seq) = self.seq else {
-            // With a list, the next call takes the old watch's place at once.
-            return self.beside_old(open, turn(call(address, Ask::Whole, link))).await;
+    /// How long the next call waits here, beside what the module says.
+    fn pause_after(&mut self, error: &CallError, unsure: bool, new_there: bool) -> Duration {
+        let pause = match error {
+            _ if self.pushed && !unsure => Duration::ZERO,
+            _ if self.pushed => self.limits.stop_sending_within.mul_f64(PUSHED_AGAIN_PART),
+            CallError::Overdue => Duration::ZERO,
+            _ if new_there => MOVED_AGAIN,
+            _ if self.failed_late => LATE_PAUSE,
+            _ => Duration::ZERO,
         };
-        if self.unsure {
-            return self.beside_old(open, turn(call(address, Ask::After(seq, BRIEF), link))).await;
+        self.spread(pause, 0.5)
+    }
+
+    /// Discovery's next word: the whole list where none is held, or what a watch brings.
+    async fn ask(&mut self, address: SocketAddr, link: Option<Link>) -> Called {
+        match self.seq {
+            None => self.ask_now(address, Ask::Whole, link).await,
+            Some(seq) if self.unsure => self.ask_now(address, Ask::After(seq, BRIEF), link).await,
+            Some(seq) => self.watch(address, seq, link).await,
+        }
+    }
+
+    /// A call that has nothing to wait for but its turn. After one that failed late a second one is made beside it.
+    async fn ask_now(&mut self, address: SocketAddr, ask: Ask, link: Option<Link>) -> Called {
+        let first = self.start(address, ask, link);
+        if !self.failed_late {
+            return self.turn_of(first).await;
+        }
+        match timeout(HEDGE, self.answer_to(&[first])).await {
+            Ok((_, (Ok(listing), link))) => return (Ok(listing), link),
+            Ok((_, failed)) => return failed,
+            Err(_) => {}
+        }
+        let second = self.start(address, ask, None);
+        match timeout(TURN - HEDGE, self.answer_to(&[first, second])).await {
+            Ok((answered, (Ok(listing), link))) => {
+                let other = if answered == first { second } else { first };
+                self.in_flight.supersede(other, Instant::now() + OVERLAP);
+                (Ok(listing), link)
+            }
+            Ok((failed, _)) => self.turn_of(if failed == first { second } else { first }).await,
+            Err(_) => {
+                self.in_flight.supersede(first, Instant::now() + LATE_ANSWER);
+                self.turn_of(second).await
+            }
+        }
+    }
+
+    /// The answer to a call that has had its turn within `TURN`, or has none in time.
+    async fn turn_of(&mut self, id: CallId) -> Called {
+        match timeout(TURN, self.answer_to(&[id])).await {
+            Ok((_, called)) => called,
+            Err(_) => {
+                self.in_flight.supersede(id, Instant::now() + LATE_ANSWER);
+                (Err(CallError::Overdue), None)
+            }
         }
+    }
+
+    /// What a watch brings, or one of those that renew it.
+    async fn watch(&mut self, address: SocketAddr, seq: u64, link: Option<Link>) -> Called {
         let mut opened = Instant::now();
-        let mut renew = self.renewal();
-        *open = Some(Box::pin(call(address, Ask::After(seq, WAIT), link)));
+        let mut renew_after = self.renewal();
+        let mut open = self.start(address, Ask::After(seq, WAIT), link);
         loop {
             let now = Instant::now();
-            let (due, over) = (now + renew, opened + WAIT + OVERDUE);
-            if let Ok(ended) = timeout_at(due.min(over), ended(open)).await {
-                return ended;
+            let (due, over) = (now + renew_after, opened + WAIT + OVERDUE);
+            if let Ok((_, called)) = timeout_at(due.min(over), self.answer_to(&[open])).await {
+                return called;
             }
             if over <= due {
-                *open = None;
+                self.in_flight.supersede(open, Instant::now());
                 return (Err(CallError::Overdue), None);
             }
-            let mut fresh: Call = match self.unsure {
-                true => Box::pin(turn(call(address, Ask::After(seq, BRIEF), None))),
-                false => Box::pin(call(address, Ask::After(seq, WAIT), None)),
-            };
-            tokio::select! {
-                biased;
-                // What is left of a watch that broke just now is the new one.
-                ended = ended(open) => match ended {
-                    (Err(_), _) => {}
-                    word => return word,
-                },
-                ended = &mut fresh => match ended {
-                    (Err(error), _) => {
-                        self.log.often("discovery", &format!("discovery: watch not renewed: {error}"));
-                        self.unsure = true;
-                        // One that was given up has waited for long enough.
-                        let pause = RENEW_AGAIN * u32::from(!matches!(error, CallError::Overdue));
-                        renew = self.spread(pause, RENEW_AGAIN_SPREAD);
-                        // The one that is open is as good as it was.
-                        continue;
-                    }
-                    (Ok(listing), link) => {
-                        if listing.seq > seq {
-                            let news = listing.seq;
-                            let text = format!("discovery: list {news} came by a new watch, not by the old one");
-                            self.log.often("discovery", &text);
-                        }
-                        *open = None;
-                        return (Ok(listing), link);
-                    }
-                },
-                () = sleep(OVERLAP) => {}
+            match self.renew(address, seq, open).await {
+                Renewed::Called(called) => return called,
+                Renewed::By(fresh) => (open, opened, renew_after) = (fresh, due, self.renewal()),
+                Renewed::Failed(error) => {
+                    self.log.often("discovery", &format!("discovery: watch not renewed: {error}"));
+                    self.unsure = true;
+                    // One that had no answer has waited for long enough.
+                    let pause = RENEW_AGAIN * u32::from(!matches!(error, CallError::Overdue));
+                    renew_after = self.spread(pause, RENEW_AGAIN_SPREAD);
+                }
+            }
+        }
+    }
+
+    /// Makes a call beside an open watch, to stand in its place.
+    async fn renew(&mut self, address: SocketAddr, seq: u64, open: CallId) -> Renewed {
+        let confirm = self.confirm_at.is_some_and(|at| Instant::now() >= at);
+        let (ask, patience) = match () {
+            () if confirm => (Ask::Whole, TURN),
+            () if self.unsure => (Ask::After(seq, BRIEF), TURN),
+            () => (Ask::After(seq, WAIT), OVERLAP),
+        };
+        let fresh = self.start(address, ask, None);
+        match timeout(patience, self.answer_to(&[open, fresh])).await {
+            // What is left of a watch that broke just now is the new one.
+            Ok((ended, (Err(_), _))) if ended == open => match ask {
+                Ask::After(_, WAIT) => Renewed::By(fresh),
+                _ => Renewed::Called(self.turn_of(fresh).await),
+            },
+            Ok((ended, called)) if ended == open => {
+                self.in_flight.supersede(fresh, Instant::now() + OVERLAP);
+                Renewed::Called(called)
+            }
+            // The one that is open is as good as it was.
+            Ok((_, (Err(error), _))) => Renewed::Failed(error),
+            Ok((_, (Ok(listing), link))) => {
+                if listing.seq > seq {
+                    let news = listing.seq;
+                    let text = format!("discovery: list {news} came by a new watch, not by the old one");
+                    self.log.often("discovery", &text);
+                }
+                if confirm {
+                    self.confirm_at = None;
+                }
+                self.in_flight.supersede(open, Instant::now() + OVERLAP);
+                Renewed::Called((Ok(listing), link))
+            }
+            Err(_) if patience == OVERLAP => {
+                self.in_flight.supersede(open, Instant::now() + OVERLAP);
+                Renewed::By(fresh)
             }
-            *open = Some(fresh);
-            (opened, renew) = (due, self.renewal());
+            Err(_) => {
+                self.in_flight.supersede(fresh, Instant::now() + LATE_ANSWER);
+                Renewed::Failed(CallError::Overdue)
+            }
+        }
+    }
+
+    fn start(&mut self, address: SocketAddr, ask: Ask, link: Option<Link>) -> CallId {
+        let call: Call = Box::pin(call(address, ask, link));
+        self.in_flight.start(self.source, call)
+    }
+
+    /// How the first of these calls ended. What others bring meanwhile is heeded.
+    async fn answer_to(&mut self, calls: &[CallId]) -> (CallId, Called) {
+        loop {
+            let answered = self.in_flight.next().await;
+            if calls.contains(&answered.id) {
+                return (answered.id, answered.called);
+            }
+            self.heed(answered);
         }
     }
 
-    /// Does something while a watch of before may still be open, and hands on what that tells of servers that leave.
-    async fn beside_old<T>(&self, open: &mut Option<Call>, work: impl Future<Output = T>) -> T {
+    /// Does something while calls of before may still be out, and heeds what these bring.
+    async fn reading<T>(&mut self, work: impl Future<Output = T>) -> T {
         let mut work = pin!(work);
         loop {
             tokio::select! {
                 biased;
+                answered = self.in_flight.next() => self.heed(answered),
                 done = &mut work => return done,
-                (word, _) = ended(open) => if let Ok(listing) = word {
-                    self.tell_leaving(listing);
-                },
             }
         }
     }
 
-    /// Hands on what a list that is not taken tells of servers that leave: written, it counts as told. Whether the
-    /// driver is there shows at the next list.
-    fn tell_leaving(&self, mut listing: Listing) {
+    /// Heeds the answer to a call that another has taken the place of: written, it counts as told.
+    fn heed(&mut self, answered: Answered) {
+        let Answered { source, called: (Ok(listing), _), .. } = answered else { return };
+        // Whether the driver is there shows at the next list.
+        if source != self.source || self.seq.is_none() {
+            self.tell_leaving(listing, source);
+        } else if self.seq.is_some_and(|held| listing.seq > held) {
+            self.take(listing);
+        }
+    }
+
+    /// Takes a list of the present address, unless it is older than the one held.
+    fn take(&mut self, listing: Listing) -> Taken {
+        // It would bring servers back that are gone. Discovery may have lost its versions all the same: the whole list is
+        // taken as it comes, and until then what this one says of servers that leave.
+        if let Some(held) = self.seq.filter(|held| listing.seq < *held) {
+            let text =
+                format!("discovery: list {} is older than {held}: asking for the whole list", listing.seq);
+            self.log.often("discovery", &text);
+            self.seq = None;
+            self.tell_leaving(listing, self.source);
+            return Taken::Older;
+        }
+        self.seq = Some(listing.seq);
+        match self.tell(listing, self.source) {
+            true => Taken::Newest,
+            false => Taken::NobodyListens,
+        }
+    }
+
+    /// Hands on what a list that is not taken tells of servers that leave.
+    fn tell_leaving(&mut self, mut listing: Listing, source: Source) {
         listing.whole = false;
-        listing.hosts.retain(|host| host.entry().availability != Availability::Ready);
-        let _ = self.events.send(Input::Listing(listing));
+        listing.hosts.retain(|host| host.availability() != Availability::Ready);
+        self.tell(listing, source);
     }
 
+    /// Hands a list on. `false` where the driver has gone.
+    fn tell(&mut self, mut listing: Listing, source: Source) -> bool {
+        let now = Instant::now();
+        if self.departures.amend(&mut listing, source, now) {
+            let text = "discovery: a server that leaves stays left alone, against a list that is not newer";
+            self.log.often("discovery", text);
+            self.confirm_at = Some(now + REMEMBERED);
+        }
+        self.events.send(Input::Listing(listing)).is_ok()
+    }
+
+    /// When the watch that is opened now is renewed.
     fn renewal(&mut self) -> Duration {
         self.spread(RENEW, RENEW_SPREAD)
     }
@@ -286,68 +418,24 @@
     }
 }
 
-/// What a call is for.
-#[derive(Clone, Copy)]
-enum Ask {
-    /// The whole list.
-    Whole,
-    /// What came after a version, once there is something or so long has passed.
-    After(u64, Duration),
-}
-
-/// A call that has nothing to wait for but its turn.
-async fn turn(call: impl Future<Output = Called>) -> Called {
-    timeout(TURN, call).await.unwrap_or((Err(CallError::Overdue), None))
-}
-
-/// How the call in this place ended; the place is empty then. Without one it never does.
-async fn ended(open: &mut Option<Call>) -> Called {
-    let Some(call) = open else { return pending().await };
-    let called = call.await;
-    *open = None;
-    called
-}
-
-async fn call(address: SocketAddr, ask: Ask, mut link: Option<Link>) -> Called {
-    let called = call_on(address, ask, &mut link).await;
-    (called, link)
-}
-
-async fn call_on(address: SocketAddr, ask: Ask, link: &mut Option<Link>) -> Result<Listing, CallError> {
-    // A kept connection that discovery has closed meanwhile is no failure of the call.
-    let usable = match link {
-        Some(link) => link.sender.ready().await.is_ok(),
-        None => false,
-    };
-    if !usable {
-        *link = None;
-    }
-    let link = match link {
-        Some(link) => link,
-        None => link.insert(connect(address).await?),
-    };
-    let path = match ask {
-        Ask::After(seq, wait) => format!("/v1/servers?after={seq}&wait_ms={}", wait.as_millis()),
-        Ask::Whole => "/v1/servers".to_owned(),
-    };
-    let request = Request::get(path).header(HOST, address.to_string()).body(Empty::new())?;
-    let response = link.sender.send_request(request).await?;
-    if response.status() != StatusCode::OK {
-        return Err(CallError::Status(response.status()));
-    }
-    let body = Limited::new(response.into_body(), LARGEST).collect().await?.to_bytes();
-    Ok(serde_json::from_slice(&body)?)
+/// What became of a list.
+enum Taken {
+    /// It is the one held now.
+    Newest,
+    /// It is older than the one held, which may be wrong: the whole list is asked for.
+    Older,
+    /// The driver has gone.
+    NobodyListens,
 }
 
-async fn connect(address: SocketAddr) -> Result<Link, CallError> {
-    let stream = timeout(CONNECT, TcpStream::connect(address)).await.map_err(|_| CallError::Overdue)??;
-    stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let task = tokio::task::spawn_local(async move {
-        // How it ends shows at the call that is out, or at the next one.
-        let _ = connection.await;
-    });
-    Ok(Link { sender, task: task.abort_handle() })
+/// What became of a renewal.
+enum Renewed {
+    /// One of the two calls has ended.
+    Called(Called),
+    /// The new watch stands in the old one's place.
+    By(CallId),
+    /// The old one stays.
+    Failed(CallError),
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/node/src/discovery/departures.rs
@@ -0,0 +1,69 @@
+//! Servers that were announced as leaving, so that a list from before the announcement can't bring one back.
+//!
+//! Lists reach a node on several connections: the watch and the one that renews it, the old discovery and the new one
+//! after a move. One that was made earlier may arrive later, and a discovery that has lost its state may begin with old
+//! versions. Time comes in as an argument.
+
+use super::in_flight::Source;
+use slatelink_config::Listing;
+use slatelink_decide::Availability;
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// For so long a departure outweighs lists that can't be told to be newer. An older one that is still on its way has
+/// come by then, and a discovery that has lost its state has found it again.
+pub const REMEMBERED: Duration = Duration::from_secs(30);
+
+struct Departure {
+    source: Source,
+    version: u64,
+    /// Start of the process that leaves.
+    started: Option<u64>,
+    announced: Instant,
+}
+
+/// The departures of late, by server. As many as the lists of `REMEMBERED` named.
+#[derive(Default)]
+pub struct Departures {
+    servers: HashMap<String, Departure>,
+}
+
+impl Departures {
+    /// Notes what a list says of servers that leave, and has those left alone that it calls ready by older knowledge.
+    /// Whether there were any of these.
+    pub fn amend(&mut self, listing: &mut Listing, source: Source, now: Instant) -> bool {
+        self.servers.retain(|_, departure| now - departure.announced < REMEMBERED);
+        let version = listing.seq;
+        let mut amended = false;
+        for host in &mut listing.hosts {
+            if host.availability() != Availability::Ready {
+                let departure = Departure { source, version, started: host.started_ms(), announced: now };
+                self.note(host.id(), departure);
+                continue;
+            }
+            let Some(departure) = self.servers.get(host.id()) else { continue };
+            let newer = source == departure.source && version > departure.version;
+            if newer || host.started_ms() > departure.started {
+                self.servers.remove(host.id());
+            } else {
+                host.set_draining();
+                amended = true;
+            }
+        }
+        amended
+    }
+
+    fn note(&mut self, server: &str, departure: Departure) {
+        match self.servers.get_mut(server) {
+            // An older list that repeats it takes nothing from the newer one's weight.
+            Some(known) if known.source == departure.source => {
+                known.version = known.version.max(departure.version);
+                known.started = known.started.max(departure.started);
+                known.announced = departure.announced;
+            }
+            Some(known) => *known = departure,
+            None => drop(self.servers.insert(server.to_owned(), departure)),
+        }
+    }
+}
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -1,3 +1,4 @@
+use super::call::CONNECT_TIMEOUT;
 use super::*;
 use slatelink_observe::{Format, Observers};
 use std::cell::RefCell;
@@ -103,8 +104,8 @@
     let addresses = Rc::new(addresses);
     let kept = addresses.clone();
     let random = fastrand::Rng::with_seed(seed);
-    let watching =
-        Discovery { address, seq: Some(1), pushed, unsure: false, random, events, log: log.clone() };
+    let limits = Limits::of(&Settings::default());
+    let watching = Discovery { address, seq: Some(1), pushed, limits, random, events, log: log.clone() };
     let follow = Rc::new(Notify::new());
     if !pushed {
         follow.notify_one();
@@ -237,7 +238,10 @@
         assert!(calls.iter().all(|(_, path)| path.contains("after=")), "{calls:?}");
         let pauses: Vec<_> = calls.windows(2).map(|two| two[1].0 - two[0].0).collect();
         assert!(pauses.iter().all(|pause| *pause < Duration::from_millis(250)), "{pauses:?}");
-        assert!(pauses[4] >= PUSHED_AGAIN / 2, "an agent that fails is not asked without end: {pauses:?}");
+        assert!(
+            pauses[4] >= Settings::default().stop_sending_within.mul_f64(PUSHED_AGAIN_PART) / 2,
+            "an agent that fails is not asked without end: {pauses:?}"
+        );
     });
 }
 
@@ -368,7 +372,7 @@
         let mut heard = client(address, 1, &log);
         let (failed, input) = heard.recv().await.unwrap();
         assert!(matches!(input, Input::ListingFailed));
-        while Instant::now() < failed + FOLLOW_AGAIN + CONNECT / 10 {
+        while Instant::now() < failed + FOLLOW_AGAIN + CONNECT_TIMEOUT / 10 {
             sleep(Duration::from_millis(10)).await;
         }
         drop(filling);
@@ -380,7 +384,7 @@
         let (_, calls) = stand_in_on(TcpListener::from_std(listener.into()).unwrap(), reply);
         let took = list(&mut heard, 2).await - reached;
         assert!(took < TOLD_AFTER_FAILURE, "{took:?}, {:?}", calls.borrow());
-        assert!(took > QUEUE + CONNECT / 2, "it met the node at a call that nobody took: {took:?}");
+        assert!(took > QUEUE + CONNECT_TIMEOUT / 2, "it met the node at a call that nobody took: {took:?}");
     });
 }
 
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -182,8 +182,14 @@
         }
     }
 
-    /// Runs for as long as the node does.
-    pub async fn run(mut self, known: Listing, mut inputs: UnboundedReceiver<Input>) {
+    /// Runs for as long as the node does. What discovery says comes by a channel of its own and goes before all else: in
+    /// one queue it would wait until the whole of a burst of requests has been decided by the old list.
+    pub async fn run(
+        mut self,
+        known: Listing,
+        mut lists: UnboundedReceiver<Input>,
+        mut inputs: UnboundedReceiver<Input>,
+    ) {
         let entries = self.learn(&Listing { whole: true, ..known });
         self.due.push_back(Event::Restored(entries));
         self.handle_due();
@@ -196,11 +202,16 @@
                 }
             };
             tokio::select! {
+                biased;
+                list = lists.recv() => match list {
+                    Some(list) => self.take(list),
+                    None => return,
+                },
+                () = timer => self.ring(),
                 input = inputs.recv() => match input {
                     Some(input) => self.take(input),
                     None => return,
                 },
-                () = timer => self.ring(),
             }
             self.handle_due();
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,8 +11,8 @@
 mod table;
 mod upstream;
 
-use discovery::Discovery;
-use driver::Driver;
+use discovery::{Discovery, Limits};
+use driver::{Driver, Input};
 use multiget::MultiGet;
 use server::{serve, Connection, Front, Room, Stage, LARGEST_HEAD};
 use slatelink_config::operators;
@@ -90,6 +90,7 @@
 
     // Unbounded, and bounded all the same by the connections: each has one request, or one attempt, in it.
     let (events, inputs) = mpsc::unbounded_channel();
+    let (heard, lists) = mpsc::unbounded_channel();
     let (stages, stage) = watch::channel(Stage::Serving);
     let (follow, ready) = (Rc::new(Notify::new()), Rc::default());
     let table = Table::new(budget.clone(), Side::Clients, terms.clone());
@@ -103,17 +104,19 @@
     let seq = (!known.hosts.is_empty() && !pushed).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let (addresses, address) = watch::channel(discovery);
-    let watching =
-        Discovery { address, seq, pushed, unsure: false, random, events: events.clone(), log: log.clone() };
+    let limits = Limits::of(&settings);
+    let discovery = Discovery { address, seq, pushed, limits, random, events: heard, log: log.clone() };
 
     spawn_local(upstream.clone().sweep());
     spawn_local(table.clone().sweep());
     spawn_local(tell(table, observers.clone()));
-    spawn_local(watching.run(follow.clone()));
     spawn_local(reload(hangup, addresses, observers.clone()));
     let balancer = Balancer::new(settings, seed);
+    let (told, to_driver) = mpsc::unbounded_channel();
+    let heeding = heed_departures(lists, told, upstream.clone());
+    let following = discovery.run(follow.clone());
     let driver = Driver::new(balancer, upstream.clone(), follow, ready, pushed, events, observers.clone());
-    spawn_local(driver.run(known, inputs));
+    spawn_local(driver.run(known, to_driver, inputs));
     let beside = match side {
         Some(listener) => {
             log.line(&format!("multi-get listens on {}", listener.local_addr()?));
@@ -147,7 +150,14 @@
             None => std::future::pending().await,
         }
     };
+    // Not as tasks, which take turns with those of all requests: this future is polled between any 61 of them.
+    let membership = async {
+        tokio::join!(following, heeding);
+        std::future::pending().await
+    };
     let by = tokio::select! {
+        biased;
+        never = membership => never,
         drained = drained => drained.map(|()| Stop::TERMINATE)?,
         stop = at_once => stop,
     };
@@ -156,6 +166,23 @@
     Ok(if by == Stop::TERMINATE { ExitCode::SUCCESS } else { ExitCode::from(128 + by.number) })
 }
 
+/// Has the connections heed what a list tells of servers that leave at once, and hands the list on to the driver, whose
+/// turn may come later.
+async fn heed_departures(
+    mut lists: mpsc::UnboundedReceiver<Input>,
+    told: mpsc::UnboundedSender<Input>,
+    upstream: Rc<Upstream>,
+) {
+    while let Some(input) = lists.recv().await {
+        if let Input::Listing(listing) = &input {
+            upstream.heed_departures(listing);
+        }
+        if told.send(input).is_err() {
+            return;
+        }
+    }
+}
+
 /// One budget for all connections, with a floor for each side.
 fn shares(
     wanted: &operators::Settings,
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -10,6 +10,7 @@
 use hyper::rt::ReadBufCursor;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use slatelink_config::Listing;
 use slatelink_decide::{Availability, LoadReport, Note, ServerEntry, ServerId, Status, Timestamp};
 use slatelink_front::{Budget, Lease, Short, Side};
 use slatelink_wire::read_load;
@@ -126,12 +127,37 @@
     whole: Cell<bool>,
     /// The connection has stood idle before, most often after an answer.
     reused: Cell<bool>,
+    /// What must still hold as the first byte is written.
+    permit: RefCell<Option<Permit>>,
 }
 
 impl Written {
-    fn reset(&self) {
+    fn reset(&self, permit: Permit) {
         self.begun.set(false);
         self.whole.set(false);
+        self.permit.replace(Some(permit));
+    }
+
+    fn permitted(&self) -> bool {
+        self.permit.borrow().as_ref().is_none_or(Permit::holds)
+    }
+}
+
+/// Leave to begin a request. Between the attempt's own look and the first byte the connection's task has to get its turn,
+/// which takes long on a busy node: the server may have been told to leave, or the client may have gone, meanwhile.
+#[derive(Debug)]
+struct Permit {
+    peer: Rc<Peer>,
+    /// Of the server, when the connection was made.
+    life: u64,
+    begin_by: Instant,
+    over: Rc<Cell<bool>>,
+}
+
+impl Permit {
+    fn holds(&self) -> bool {
+        let server_takes_it = self.peer.takes_work.get() && self.peer.life.get() == self.life;
+        server_takes_it && !self.over.get() && Instant::now() < self.begin_by
     }
 }
 
@@ -143,11 +169,17 @@
 }
 
 impl Watched {
-    /// Before the first byte of a request on a kept connection: nothing may stand there to be read. hyper looks
-    /// as well, but only as far as the runtime has polled, and would take what lies in the socket (a second copy
-    /// of the last answer, noise) for the answer to this request.
+    /// Before the first byte of a request: it must still be permitted, and on a kept connection nothing may stand there to
+    /// be read. hyper looks as well, but only as far as the runtime has polled, and would take what lies in the socket
+    /// (a second copy of the last answer, noise) for the answer to this request.
     fn check(&self) -> io::Result<()> {
-        if self.written.begun.get() || !self.written.reused.get() {
+        if self.written.begun.get() {
+            return Ok(());
+        }
+        if !self.written.permitted() {
+            return Err(io::ErrorKind::PermissionDenied.into());
+        }
+        if !self.written.reused.get() {
             return Ok(());
         }
         match SockRef::from(self.stream.inner()).peek(&mut [MaybeUninit::uninit()]) {
@@ -160,6 +192,8 @@
     fn note(&self, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(wrote, Poll::Ready(Ok(n)) if n > 0) {
             self.written.begun.set(true);
+            // It would keep the server's record alive, which keeps this connection.
+            self.written.permit.take();
         }
         wrote
     }
@@ -254,6 +288,7 @@
 
 /// A connection. Dropping it closes the socket at once, also with an answer under way: that is how an
 /// attempt is given up.
+#[derive(Debug)]
 struct Connection {
     /// Of its server, when it was made.
     life: u64,
@@ -271,6 +306,7 @@
 }
 
 /// A cache server.
+#[derive(Debug)]
 struct Peer {
     dial: Cell<SocketAddr>,
     started: Cell<Option<Timestamp>>,
@@ -334,6 +370,16 @@
         }
     }
 
+    /// Begins nothing more at the servers that a list tells to leave. Whatever else it says is left to `learn`.
+    pub fn heed_departures(&self, listing: &Listing) {
+        let peers = self.peers.borrow();
+        let leaving = listing.hosts.iter().filter(|host| host.availability() != Availability::Ready);
+        for peer in leaving.filter_map(|host| peers.get(&ServerId::from(host.id()))) {
+            peer.takes_work.set(false);
+            peer.idle.borrow_mut().clear();
+        }
+    }
+
     /// Forgets a server that is gone. An attempt on its way there sees that it takes no work any more.
     pub fn forget(&self, server: &ServerId) {
         if let Some(peer) = self.peers.borrow_mut().remove(server) {
@@ -379,6 +425,9 @@
             if over.get() {
                 return Ended::without_answer(Status::Ignored);
             }
+            if !peer.takes_work.get() {
+                return Ended::without_answer(Status::ConnectError);
+            }
             let mut connection = match timeout_at(begin_by, self.connection(&peer)).await {
                 Ok(Ok(connection)) => connection,
                 // The node's own want says nothing of the server.
@@ -402,10 +451,11 @@
             let Ok(request) = request(&peer, message, until) else {
                 return Ended::without_answer(Status::ConnectError);
             };
-            connection.written.reset();
+            let permit = Permit { peer: peer.clone(), life: connection.life, begin_by, over: over.clone() };
+            connection.written.reset(permit);
             let idle = connection.kept.elapsed();
             let answer = timeout_at(until, exchange(&mut connection.sender, request)).await;
-            let Written { begun, whole, reused } = &*connection.written;
+            let Written { begun, whole, reused, .. } = &*connection.written;
             if begun.get() {
                 // On a new one idleness is no cause: what breaks there shows how often others do.
                 let idle = if reused.get() { idle } else { Duration::ZERO };
@@ -419,8 +469,9 @@
                     }
                     ended
                 }
-                // A kept connection that turned out to be spent: not a byte went out, another one serves.
-                Ok(Err(_)) if reused.get() && !begun.get() => continue,
+                // Not a byte went out: a kept connection that turned out to be spent, or a request that is not permitted
+                // any more. Another connection serves, or the looks above end it.
+                Ok(Err(_)) if !begun.get() && (reused.get() || !connection.written.permitted()) => continue,
                 Ok(Err(_)) if whole.get() => Ended::without_answer(Status::Reset),
                 Err(_) if whole.get() => Ended::without_answer(Status::TimedOut),
                 _ => Ended::without_answer(Status::ConnectError),
--- a/crates/node/src/upstream/tests.rs
+++ b/crates/node/src/upstream/tests.rs
@@ -53,7 +53,7 @@
     }
     // An answer may come while a request is still being written.
     assert!(matches!(write(&mut watched), Poll::Ready(Ok(3))), "the request's own answer");
-    written.reset();
+    written.begun.set(false);
     let refused = write(&mut watched);
     assert!(
         matches!(&refused, Poll::Ready(Err(error)) if error.kind() == io::ErrorKind::ConnectionAborted),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -326,6 +326,7 @@
         sized: matches!(fields.text("weights"), None | Some("nominal")),
         must_follow: fields.text("membership_mode") == Some("subscribe"),
         ask_within: or("safety.ask_within_us", base.ask_within)?,
+        stop_sending_within: or("safety.stop_sending_within_us", base.stop_sending_within)?,
         max_attempts: fields.optional("limits.most_tries")?.unwrap_or(base.max_attempts),
         max_retry_after: or("limits.max_retry_after_us", base.max_retry_after)?,
         connect_timeout: or("limits.connect_timeout_us", base.connect_timeout)?,
