Force drains, ends and restarts across connections, buffers and first calls

Cause: sends to leaving servers were seen where many nodes and clients met; the crossings of a drain with a connection that comes up, a move, an end and a new listing, a full socket buffer, a first call that is refused or queued, and the two watches of a renewal had no test. Change: cli/node_leaving (real sockets, a discovery whose calls the test answers) and discovery/leaving_tests (virtual time). The rig's types in discovery/tests are visible beside it.

--- /dev/null
+++ b/crates/cli/tests/node_leaving.rs
@@ -0,0 +1,423 @@
+//! A drain or an end that crosses another event: once its time is over, nothing new reaches the server that leaves.
+
+mod node_common;
+
+use node_common::*;
+use serde_json::{json, Value};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What the rule leaves between the word of a drain and the last first byte: the settings' time and the 50 ms of sockets.
+const GRACE: Duration = Duration::from_millis(300);
+
+/// A discovery whose calls the test answers itself, one by one.
+struct ManualDiscovery {
+    address: SocketAddr,
+    calls: Receiver<Call>,
+}
+
+/// A call that waits for its answer.
+struct Call {
+    path: String,
+    stream: TcpStream,
+}
+
+impl Call {
+    fn answer(&mut self, list: &str) {
+        self.stream.write_all(answer("200 OK", "", list).as_bytes()).unwrap();
+    }
+
+    fn refuse(&mut self) {
+        self.stream.write_all(answer("503 Service Unavailable", "", "").as_bytes()).unwrap();
+    }
+}
+
+impl ManualDiscovery {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (came, calls) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let came = came.clone();
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().unwrap());
+                    while let Ok(Some(message)) = Message::read(&mut reader) {
+                        let path = message.start.split(' ').nth(1).unwrap().to_owned();
+                        if came.send(Call { path, stream: stream.try_clone().unwrap() }).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Self { address, calls }
+    }
+
+    fn next_call(&self) -> Call {
+        self.calls.recv_timeout(PATIENCE).expect("a call of the node's")
+    }
+}
+
+fn list(seq: u64, whole: bool, hosts: &[Value]) -> String {
+    json!({"seq": seq, "whole": whole, "hosts": hosts}).to_string()
+}
+
+/// A server that serves, and the times at which it was asked.
+fn timed() -> (CacheServer, Arc<Mutex<Vec<Instant>>>) {
+    let times: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let kept = times.clone();
+    let server = CacheServer::start(move |_| {
+        kept.lock().unwrap().push(Instant::now());
+        Does::Answer(answer("200 OK", "", "value"))
+    });
+    (server, times)
+}
+
+/// Clients that keep many requests open all the time, until they are stopped.
+struct Crowd {
+    stop: Arc<AtomicBool>,
+    threads: Vec<thread::JoinHandle<(u64, u64)>>,
+}
+
+impl Crowd {
+    fn start(node: &Node, threads: u64, connections: u64) -> Self {
+        let (stop, address) = (Arc::new(AtomicBool::new(false)), node.address);
+        let crowd = |thread: u64| {
+            let stop = stop.clone();
+            thread::spawn(move || {
+                let connect = || {
+                    let stream = TcpStream::connect(address).unwrap();
+                    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+                    Client::on(stream)
+                };
+                let mut clients: Vec<_> = (0..connections).map(|_| connect()).collect();
+                let (mut served, mut others, mut turn) = (0, 0, 0);
+                while !stop.load(Ordering::SeqCst) {
+                    turn += 1;
+                    for (i, client) in clients.iter_mut().enumerate() {
+                        client.try_send(&read("read", thread << 48 | turn << 16 | i as u64, 20_000));
+                    }
+                    for client in &mut clients {
+                        let answer = client.answer();
+                        match answer.as_ref().map(Message::status) {
+                            Some(200) => served += 1,
+                            _ => others += 1,
+                        }
+                        if answer.is_none_or(|answer| answer.header("connection") == Some("close")) {
+                            *client = connect();
+                        }
+                    }
+                }
+                (served, others)
+            })
+        };
+        let threads = (0..threads).map(crowd).collect();
+        Self { stop, threads }
+    }
+
+    /// Requests that were served, and those that were not.
+    fn stop(self) -> (u64, u64) {
+        self.stop.store(true, Ordering::SeqCst);
+        let ends = self.threads.into_iter().map(|thread| thread.join().unwrap());
+        ends.fold((0, 0), |all, end| (all.0 + end.0, all.1 + end.1))
+    }
+}
+
+/// Cache servers of which every second one is told to leave, and when each was asked.
+struct Fleet(Vec<(CacheServer, Arc<Mutex<Vec<Instant>>>)>);
+
+impl Fleet {
+    fn start(servers: usize) -> Self {
+        Self((0..servers).map(|_| timed()).collect())
+    }
+
+    fn entries(&self, leaves: impl Fn(usize) -> bool) -> Vec<Value> {
+        let health = |i| if leaves(i) { "draining" } else { "ready" };
+        let all = self.0.iter().enumerate();
+        all.map(|(i, (server, _))| server.entry(&format!("s-{i}"), health(i))).collect()
+    }
+
+    /// When those that leave were asked.
+    fn asked(&self, leaves: impl Fn(usize) -> bool) -> Vec<Instant> {
+        let leaving = self.0.iter().enumerate().filter(|(i, _)| leaves(*i));
+        leaving.flat_map(|(_, (_, times))| times.lock().unwrap().clone()).collect()
+    }
+}
+
+/// A node with places for this many clients, which has taken in the first list.
+fn roomy_node(discovery: &ManualDiscovery, first: &str) -> Node {
+    let mut config = config(discovery.address);
+    config["limits"]["sockets"] = json!(8192);
+    let node = Node::start(&config);
+    discovery.next_call().answer(first);
+    wait_for("the node's readiness", || node.get("/healthz").status() == 200);
+    node
+}
+
+// Guards against a list that is read late because very many clients are busy at once.
+#[test]
+fn a_drain_told_while_many_clients_are_busy_is_heeded_in_time() {
+    let fleet = Fleet::start(20);
+    let discovery = ManualDiscovery::start();
+    let node = roomy_node(&discovery, &list(1, true, &fleet.entries(|_| false)));
+    let crowd = Crowd::start(&node, 4, 25);
+    wait_for("a crowd at work", || fleet.asked(|_| true).len() > 2_000);
+    let (mut worst, mut heeded) = (Duration::ZERO, 0);
+    for turn in 0..6 {
+        // Half of them drain, and the other half after them.
+        let leaves = |i: usize| i % 2 == turn % 2;
+        let mut watch = discovery.next_call();
+        watch.answer(&list(turn as u64 + 2, true, &fleet.entries(leaves)));
+        let told = Instant::now();
+        let before = fleet.asked(|i| !leaves(i)).len();
+        wait_for("the others' work", || {
+            told.elapsed() > 2 * GRACE && fleet.asked(|i| !leaves(i)).len() > before + 200
+        });
+        let asked = fleet.asked(leaves);
+        worst = asked.iter().map(|at| at.saturating_duration_since(told)).fold(worst, Duration::max);
+        heeded += 1;
+    }
+    let (served, _) = crowd.stop();
+    println!("served {served}, the last send {worst:?} after the word, {heeded} times");
+    assert!(worst < GRACE, "{worst:?}");
+}
+
+/// Two servers, of which the first one leaves; their answers tell them apart.
+struct Pair {
+    leaving: CacheServer,
+    staying: CacheServer,
+}
+
+impl Pair {
+    fn start() -> Self {
+        Self { leaving: CacheServer::serving("leaving"), staying: CacheServer::serving("staying") }
+    }
+
+    /// Their entries, the first one in this state.
+    fn entries(&self, health: &str) -> [Value; 2] {
+        [self.leaving.entry("s-1", health), self.staying.entry("s-2", "ready")]
+    }
+
+    /// Waits until requests have reached both.
+    fn wait_for_both(&self, node: &Node) {
+        let before = self.leaving.count();
+        wait_for("both", || {
+            (1..20).for_each(|key| drop(node.read("read", key)));
+            self.leaving.count() > before && self.staying.count() > 0
+        });
+    }
+
+    /// All requests go to the one that stays.
+    fn assert_left_alone(&self, node: &Node) {
+        let before = self.leaving.count();
+        let answers: Vec<_> = (20..60).map(|key| node.read("read", key)).collect();
+        assert_eq!(self.leaving.count(), before, "requests went to a server after its drain was told");
+        assert!(answers.iter().all(|answer| answer.body == b"staying"), "{answers:?}");
+    }
+}
+
+fn born(mut entry: Value, at_ms: u64) -> Value {
+    entry["born_ms"] = json!(at_ms);
+    entry
+}
+
+// Guards against a node that serves from the list it knew and whose first call is refused, or waits for its turn, as a drain is
+// told: the answer to that call, or to the next, is heeded, and the next one comes soon.
+#[test]
+fn a_drain_told_by_the_first_call_or_the_one_after_a_refusal_is_heeded() {
+    for refused in [false, true] {
+        let pair = Pair::start();
+        let discovery = ManualDiscovery::start();
+        let mut config = config(discovery.address);
+        config["known"] = json!({"seq": 1, "whole": true, "hosts": pair.entries("ready")});
+        let node = Node::ready(&config);
+        let mut call = discovery.next_call();
+        pair.wait_for_both(&node);
+        if refused {
+            call.refuse();
+            let since = Instant::now();
+            call = discovery.next_call();
+            // The module's pause is 0.84 s at most; the rest is for a machine that does other things too.
+            assert!(since.elapsed() < Duration::from_secs(3), "{:?}", since.elapsed());
+        }
+        assert!(call.path.contains("after=1&"), "{}", call.path);
+        call.answer(&list(2, false, &pair.entries("draining")[..1]));
+        let next = discovery.next_call();
+        assert!(next.path.contains("after=2&"), "{}", next.path);
+        pair.assert_left_alone(&node);
+    }
+}
+
+// Guards against a request that goes out on a connection which was begun before its server was told to leave, was forgotten
+// and listed again, or moved: what comes up then leads to one that wants nothing new, or is no more.
+#[test]
+fn a_connection_that_comes_up_after_a_drain_an_end_or_a_move_carries_nothing() {
+    // What is told of the slow server while connections to it are being made: its health, where it is, its start.
+    let days: [&[(&str, bool, u64)]; 7] = [
+        &[("ready", true, 0)],
+        &[("gone", false, 0)],
+        &[("gone", false, 0), ("draining", false, 0)],
+        &[("draining", false, 0), ("draining", true, 0)],
+        &[("draining", false, 0), ("draining", false, 9)],
+        &[("gone", false, 0), ("ready", false, 9), ("draining", false, 9)],
+        &[("gone", false, 0), ("ready", true, 9)],
+    ];
+    for day in days {
+        let slow = SlowServer::start();
+        let (other, moved) = (CacheServer::serving("value"), CacheServer::serving("moved"));
+        let discovery = Discovery::start(&[host("s-1", slow.address, "ready"), other.entry("s-2", "ready")]);
+        let node = Node::ready(&config(discovery.address));
+        let mut clients: Vec<_> = (1..16).map(|key| (key, node.client())).collect();
+        clients.iter_mut().for_each(|(key, client)| client.send(&read("once", *key, 20_000)));
+        wait_for("those of the other server", || other.count() > 0);
+        wait_for("those of the slow one", || slow.waited_for() + other.count() >= clients.len());
+        assert!(slow.waited_for() > 0);
+        for (i, (health, at_new_address, start)) in day.iter().enumerate() {
+            let dial = if *at_new_address { moved.address } else { slow.address };
+            discovery.tell(false, &[born(host("s-1", dial, health), *start)]);
+            discovery.wait_until_told(i as u64 + 2);
+        }
+        slow.accept();
+        for (key, client) in &mut clients {
+            assert_eq!(client.answer().unwrap().status(), 200, "{day:?}: {key}");
+        }
+        assert_eq!(slow.asked().concat(), "", "{day:?}");
+        if day.last().is_some_and(|last| last.0 != "ready") {
+            assert_eq!(moved.count(), 0, "{day:?}");
+        }
+    }
+}
+
+// Guards against a ready server that is taken for one that leaves for good: a new start is heeded, whichever way it is told.
+#[test]
+fn a_server_that_started_anew_after_its_drain_is_used_again() {
+    for (whole, gone_between) in [(false, false), (false, true), (true, false), (true, true)] {
+        let pair = Pair::start();
+        let discovery = Discovery::start(&pair.entries("ready"));
+        let node = Node::ready(&config(discovery.address));
+        pair.wait_for_both(&node);
+        discovery.tell(false, &pair.entries("draining")[..1]);
+        discovery.wait_until_told(2);
+        pair.assert_left_alone(&node);
+        let mut seq = 2;
+        if gone_between {
+            match whole {
+                true => discovery.tell(true, &pair.entries("ready")[1..]),
+                false => discovery.tell(false, &pair.entries("gone")[..1]),
+            }
+            seq += 1;
+            discovery.wait_until_told(seq);
+            pair.assert_left_alone(&node);
+        }
+        let [leaving, staying] = pair.entries("ready");
+        discovery.tell(whole, &[born(leaving, 1_000), staying]);
+        discovery.wait_until_told(seq + 1);
+        pair.wait_for_both(&node);
+    }
+}
+
+// Guards against a drain that is heeded by a clock of the node's own, whatever time the settings leave: where that is as
+// short as this, there is none to lose.
+#[test]
+fn a_drain_is_heeded_before_the_next_request_however_short_the_settings_time_is() {
+    for grace_us in [0, 60_000, 1_000_000] {
+        let pair = Pair::start();
+        let discovery = Discovery::start(&pair.entries("ready"));
+        let mut config = config(discovery.address);
+        config["settings"]["safety"] = json!({"stop_sending_within_us": grace_us});
+        let node = Node::ready(&config);
+        pair.wait_for_both(&node);
+        discovery.tell(false, &pair.entries("draining")[..1]);
+        // The node has taken the list in when it asks for the next one.
+        discovery.wait_until_told(2);
+        pair.assert_left_alone(&node);
+    }
+}
+
+/// Bytes that were written to a connection of this server and that nobody has read: here, and at whoever wrote them.
+fn unread(server: SocketAddr) -> usize {
+    let port = format!("0100007F:{:04X}", server.port());
+    let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let fields = sockets.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    // Of state 1, which stands; the queues are of bytes to be sent and to be read, in hexadecimal.
+    let standing = fields.filter(|fields| fields[3] == "01");
+    let queues = standing.filter_map(|fields| {
+        let (sent, read) = fields[4].split_once(':')?;
+        let bytes = |text| usize::from_str_radix(text, 16).unwrap();
+        match (fields[1] == port, fields[2] == port) {
+            (true, _) => Some(bytes(read)),
+            (_, true) => Some(bytes(sent)),
+            _ => None,
+        }
+    });
+    queues.sum()
+}
+
+// Guards against a request whose first byte goes out long after it was given to its connection: the server answers early,
+// without reading, and what it has not read of the request before stands in the way.
+#[test]
+fn a_request_behind_bytes_that_its_server_does_not_read_goes_out_before_a_drain_or_not_at_all() {
+    const BODY: usize = 60_000;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let staying = CacheServer::serving("staying");
+    let entries = |health: &str| [host("s-1", address, health), staying.entry("s-2", "ready")];
+    let discovery = Discovery::start(&entries("ready")[..1]);
+    let node = Node::ready(&config(discovery.address));
+    let put = |id: usize| {
+        format!(
+            "PUT /api/{id:016x} HTTP/1.1\r\nHost: s\r\nReq-Id: {id:x}\r\nReq-Kind: read\r\n\
+             Req-Deadline-Ms: 20000\r\nContent-Length: {BODY}\r\n\r\n{}",
+            "v".repeat(BODY)
+        )
+    };
+    let mut client = node.client();
+    client.send(&put(1));
+    let (mut server, _) = listener.accept().unwrap();
+    let (mut id, mut before) = (1, 0);
+    // Each is answered once it has left the node, until one no longer does as a whole.
+    loop {
+        let stands = Instant::now();
+        let queued = loop {
+            thread::sleep(Duration::from_millis(20));
+            // Slow where a machine has room for many sockets.
+            let queued = unread(address);
+            if queued >= before + BODY || stands.elapsed() > Duration::from_millis(1_500) {
+                break queued;
+            }
+        };
+        let whole = queued >= before + BODY;
+        before = queued;
+        server.write_all(answer("200 OK", "", "early").as_bytes()).unwrap();
+        assert_eq!(client.answer().unwrap().body, b"early", "request {id}");
+        // Connections rest between two requests.
+        thread::sleep(Duration::from_millis(40));
+        id += 1;
+        if !whole {
+            break;
+        }
+        client.send(&put(id));
+        assert!(id < 1_000, "a socket without end");
+    }
+    // This one is given to that connection, or to a new one if the node knows better.
+    client.send(&put(id));
+    thread::sleep(Duration::from_millis(300));
+    discovery.tell(true, &entries("draining"));
+    discovery.wait_until_told(2);
+    thread::sleep(GRACE);
+    let mut seen = String::new();
+    let mut reader = BufReader::new(server);
+    reader.get_mut().set_read_timeout(Some(Duration::from_millis(1_500))).unwrap();
+    while let Ok(Some(message)) = Message::read(&mut reader) {
+        seen = message.header("req-id").unwrap().to_owned();
+    }
+    assert_ne!(seen, format!("{id:x}"), "its first byte went out after the drain's time");
+    // It was not on its way to the one that leaves, by another connection.
+    assert_eq!(client.answer().unwrap().body, b"staying");
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -350,5 +350,7 @@
     Ok(Link { sender, task: task.abort_handle() })
 }
 
+#[cfg(test)]
+mod leaving_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -9,14 +9,14 @@
 /// What a change that a silent watch misses has, past the watch's wait, until it counts as told.
 const TOLD: Duration = Duration::from_secs(2);
 /// The module's longest pause after it was told of a failure.
-const FOLLOW_AGAIN: Duration = Duration::from_millis(840);
+pub(super) const FOLLOW_AGAIN: Duration = Duration::from_millis(840);
 /// After a call that failed each change counts as told so long after discovery had it and could be reached.
-const TOLD_AFTER_FAILURE: Duration = Duration::from_secs(6);
+pub(super) const TOLD_AFTER_FAILURE: Duration = Duration::from_secs(6);
 /// Who stands in discovery's queue has a turn by then, or is refused.
-const QUEUE: Duration = Duration::from_secs(2);
+pub(super) const QUEUE: Duration = Duration::from_secs(2);
 
 /// What the stand-in does with a call.
-enum Reply {
+pub(super) enum Reply {
     List(u64),
     /// The list of this version, so long after the call of this number has come.
     After(usize, Duration, u64),
@@ -26,10 +26,10 @@
 }
 
 /// Calls as they came: when, and for what.
-type Calls = Rc<RefCell<Vec<(Instant, String)>>>;
+pub(super) type Calls = Rc<RefCell<Vec<(Instant, String)>>>;
 
 /// A discovery that answers the calls, numbered from 0 as they come, as `reply` says.
-async fn stand_in(reply: impl Fn(usize, &str) -> Reply + 'static) -> (SocketAddr, Calls) {
+pub(super) async fn stand_in(reply: impl Fn(usize, &str) -> Reply + 'static) -> (SocketAddr, Calls) {
     stand_in_on(TcpListener::bind("127.0.0.1:0").await.unwrap(), reply)
 }
 
@@ -91,7 +91,7 @@
 }
 
 /// The same, with where it is told of another address. Where lists are pushed nobody says when to follow.
-fn client_at(
+pub(super) fn client_at(
     address: SocketAddr,
     seed: u64,
     pushed: bool,
@@ -128,7 +128,7 @@
 
 /// Plays in virtual time. It moves on in small steps between which the sockets have their turns: left to itself a
 /// paused clock jumps to the next timer whenever no task is ready, also over bytes that are on their way.
-fn play<T>(day: impl AsyncFnOnce(Log) -> T) -> T {
+pub(super) fn play<T>(day: impl AsyncFnOnce(Log) -> T) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
     LocalSet::new().block_on(&runtime.unwrap(), async {
         spawn_local(async {
@@ -146,7 +146,7 @@
 }
 
 /// When the list of this version came.
-async fn list(heard: &mut UnboundedReceiver<(Instant, Input)>, version: u64) -> Instant {
+pub(super) async fn list(heard: &mut UnboundedReceiver<(Instant, Input)>, version: u64) -> Instant {
     loop {
         let (at, input) = heard.recv().await.expect("a client that runs");
         if matches!(input, Input::Listing(listing) if listing.seq == version) {
