--- a/crates/cli/tests/node_leaving.rs
+++ b/crates/cli/tests/node_leaving.rs
@@ -35,6 +35,10 @@
     fn refuse(&mut self) {
         self.stream.write_all(answer("503 Service Unavailable", "", "").as_bytes()).unwrap();
     }
+
+    fn reset(self) {
+        self.stream.shutdown(std::net::Shutdown::Both).unwrap();
+    }
 }
 
 impl ManualDiscovery {
@@ -188,6 +192,58 @@
     assert!(worst < GRACE, "{worst:?}");
 }
 
+/// Has a node that stands still meet this list and then a burst of requests; how many of these reach those that leave.
+fn burst(
+    node: &Node,
+    clients: &mut [Client],
+    fleet: &Fleet,
+    leaves: impl Fn(usize) -> bool + Copy,
+    word: impl FnOnce(),
+    first_key: u64,
+) -> usize {
+    let before = fleet.asked(leaves).len();
+    node.signal("-STOP");
+    word();
+    for (key, client) in (first_key..).zip(clients.iter_mut()) {
+        client.send(&read("read", key, 20_000));
+    }
+    let told = Instant::now();
+    node.signal("-CONT");
+    let mut served = 0;
+    for client in clients.iter_mut() {
+        match client.answer() {
+            Some(answer) if answer.header("connection") != Some("close") => {
+                served += usize::from(answer.status() == 200);
+            }
+            _ => *client = node.client(),
+        }
+    }
+    let asked = fleet.asked(leaves);
+    let worst = asked.iter().map(|at| at.saturating_duration_since(told)).max();
+    println!("{served} served, {} to the leaving, the last {worst:?} after", asked.len() - before);
+    asked.len() - before
+}
+
+// Guards against a list that tells of a drain and waits in the driver's queue behind a burst of requests that came after it.
+#[test]
+fn a_drain_told_before_a_burst_of_requests_is_heeded_before_these() {
+    let fleet = Fleet::start(20);
+    let discovery = ManualDiscovery::start();
+    let node = roomy_node(&discovery, &list(1, true, &fleet.entries(|_| false)));
+    let mut clients: Vec<_> = (0..600).map(|_| node.client()).collect();
+    for (key, client) in (0..).zip(clients.iter_mut().take(200)) {
+        client.ask(&read("read", key, 20_000));
+    }
+    let mut watch = discovery.next_call();
+    let leaves = |i: usize| i.is_multiple_of(2);
+    let usual = burst(&node, &mut clients, &fleet, leaves, || (), 1_000);
+    assert!(usual > 100, "{usual}");
+    let drain = list(2, true, &fleet.entries(leaves));
+    let leaked = burst(&node, &mut clients, &fleet, leaves, || watch.answer(&drain), 2_000);
+    // Those that the node has begun to read by then may go out.
+    assert!(leaked * 4 <= usual, "{leaked} of a burst of 600 after the drain was told, {usual} without one");
+}
+
 /// Two servers, of which the first one leaves; their answers tell them apart.
 struct Pair {
     leaving: CacheServer,
@@ -213,6 +269,15 @@
         });
     }
 
+    /// Waits until the node sends the first one no more.
+    fn wait_until_left_alone(&self, node: &Node) {
+        wait_for("the drain's heeding", || {
+            let before = self.leaving.count();
+            (1..20).for_each(|key| drop(node.read("read", key)));
+            self.leaving.count() == before
+        });
+    }
+
     /// All requests go to the one that stays.
     fn assert_left_alone(&self, node: &Node) {
         let before = self.leaving.count();
@@ -222,11 +287,80 @@
     }
 }
 
+fn moved_to(config: &Value, discovery: SocketAddr) -> String {
+    let mut moved = config.clone();
+    moved["discovery"] = json!(discovery.to_string());
+    moved.to_string()
+}
+
+// Guards against a drain that the old discovery told while a node moved, and that the new one's whole list undoes though
+// it is of before: it was made, and is on its way, when the drain is told.
+#[test]
+fn a_whole_list_of_before_a_drain_that_comes_after_a_move_does_not_undo_it() {
+    let pair = Pair::start();
+    let (old, new) = (ManualDiscovery::start(), ManualDiscovery::start());
+    let config = config(old.address);
+    let node = Node::start(&config);
+    old.next_call().answer(&list(5, true, &pair.entries("ready")));
+    wait_for("the node's readiness", || node.get("/healthz").status() == 200);
+    pair.wait_for_both(&node);
+    let mut watch = old.next_call();
+    node.reload(&moved_to(&config, new.address));
+    let mut whole = new.next_call();
+    assert_eq!(whole.path, "/v1/servers");
+    watch.answer(&list(6, false, &pair.entries("draining")[..1]));
+    pair.wait_until_left_alone(&node);
+    whole.answer(&list(5, true, &pair.entries("ready")));
+    let mut next = new.next_call();
+    pair.assert_left_alone(&node);
+    // A later word that it is ready again counts.
+    next.answer(&list(7, false, &[born(pair.entries("ready")[0].clone(), 1_000)]));
+    pair.wait_for_both(&node);
+}
+
 fn born(mut entry: Value, at_ms: u64) -> Value {
     entry["born_ms"] = json!(at_ms);
     entry
 }
 
+// Guards against a list of before a drain that undoes it: one of a lower version is followed by the whole list, and that may
+// be of before as well.
+#[test]
+fn a_list_of_before_a_drain_does_not_undo_it_at_the_same_discovery() {
+    let mut undone = Vec::new();
+    // The drain is of version 6, and a whole list of this one comes after it.
+    for seq in [4, 6] {
+        let pair = Pair::start();
+        let discovery = ManualDiscovery::start();
+        let node = Node::start(&config(discovery.address));
+        discovery.next_call().answer(&list(5, true, &pair.entries("ready")));
+        wait_for("the node's readiness", || node.get("/healthz").status() == 200);
+        pair.wait_for_both(&node);
+        discovery.next_call().answer(&list(6, false, &pair.entries("draining")[..1]));
+        let mut watch = discovery.next_call();
+        pair.assert_left_alone(&node);
+        watch.answer(&list(seq, true, &pair.entries("ready")));
+        let mut next = discovery.next_call();
+        if next.path == "/v1/servers" {
+            next.answer(&list(seq, true, &pair.entries("ready")));
+            next = discovery.next_call();
+        }
+        let before = pair.leaving.count();
+        (20..60).for_each(|key| drop(node.read("read", key)));
+        let sent = pair.leaving.count() - before;
+        if sent > 0 {
+            undone.push((seq, sent));
+        }
+        // Started anew, it is ready.
+        next.answer(&list(7, false, &[born(pair.entries("ready")[0].clone(), 1_000)]));
+        pair.wait_for_both(&node);
+    }
+    assert!(
+        undone.is_empty(),
+        "lists of these versions undid a drain of version 6, sends after them: {undone:?}"
+    );
+}
+
 // Guards against a node that serves from the list it knew and whose first call is refused, or waits for its turn, as a drain is
 // told: the answer to that call, or to the next, is heeded, and the next one comes soon.
 #[test]
@@ -322,6 +456,44 @@
     }
 }
 
+/// How soon after a call that was reset the next one comes, for some of them, where lists are pushed and the settings
+/// leave this much time after a drain.
+fn pauses_after_resets(grace: Duration) -> Vec<Duration> {
+    let pair = Pair::start();
+    let discovery = ManualDiscovery::start();
+    let mut config = config(discovery.address);
+    config["settings"]["membership_mode"] = json!("automatic");
+    config["settings"]["safety"] = json!({"stop_sending_within_us": grace.as_micros() as u64});
+    let _node = Node::start(&config);
+    let mut first = discovery.next_call();
+    first.answer(&list(1, true, &pair.entries("ready")));
+    // The first pause after an answer is none.
+    discovery.next_call().reset();
+    discovery.next_call().reset();
+    let mut pauses = Vec::new();
+    for _ in 0..16 {
+        let reset = Instant::now();
+        let call = discovery.next_call();
+        pauses.push(reset.elapsed());
+        call.reset();
+    }
+    pauses.sort_unstable();
+    pauses
+}
+
+// Guards against a fixed time that stands where the settings' should: where lists are pushed, what the agent has counts as
+// told at once, and a drain's time may be as short as this.
+#[test]
+fn where_lists_are_pushed_an_agent_that_fails_is_asked_again_within_the_settings_time() {
+    for grace in [60, 250, 1_000].map(Duration::from_millis) {
+        let pauses = pauses_after_resets(grace);
+        // Of the slowest some may be the machine's.
+        let most = pauses[pauses.len() * 3 / 4];
+        println!("{grace:?}: {pauses:?}");
+        assert!(most <= grace, "{most:?} of {grace:?}");
+    }
+}
+
 // Guards against a drain that is heeded by a clock of the node's own, whatever time the settings leave: where that is as
 // short as this, there is none to lose.
 #[test]
--- a/crates/node/src/discovery/leaving_tests.rs
+++ b/crates/node/src/discovery/leaving_tests.rs
@@ -2,6 +2,7 @@
 
 use super::tests::{client_at, list, play, QUEUE, TOLD_AFTER_FAILURE};
 use super::*;
+use slatelink_decide::Settings;
 use socket2::SockRef;
 use std::net::Shutdown;
 use tokio::io::AsyncReadExt;
@@ -74,6 +75,94 @@
     format!("{{\"seq\":{seq},\"whole\":false,\"hosts\":[{}]}}", hosts.join(","))
 }
 
+/// Waits until the driver hears that this server leaves; `None` if it does not in this time.
+async fn heard_leaving(
+    heard: &mut UnboundedReceiver<(Instant, Input)>,
+    name: &str,
+    within: Duration,
+) -> Option<Instant> {
+    let until = Instant::now() + within;
+    while let Ok(Some((at, input))) = timeout_at(until, heard.recv()).await {
+        let Input::Listing(listing) = input else { continue };
+        let leaves = |host: &slatelink_config::Host| {
+            host.entry().id.as_str() == name && host.entry().availability != Availability::Ready
+        };
+        if listing.hosts.iter().any(leaves) {
+            return Some(at);
+        }
+    }
+    None
+}
+
+// Guards against a word that is dropped unread with the watch that it was written to, because the other watch had one too:
+// written, it counts as told, and the next call may stand in discovery's queue.
+#[test]
+fn words_on_both_watches_of_a_renewal_are_both_heeded_at_once() {
+    let mut missed = Vec::new();
+    // Which of the two the drain of the later version is told on.
+    for later_on in ["new", "old"] {
+        let came = play(async |log| {
+            let (address, mut calls) = manual().await;
+            let mut heard = client_at(address, 1, false, &log).0;
+            let old = calls.recv().await.unwrap();
+            let new = calls.recv().await.unwrap();
+            assert!(new.at - old.at > Duration::from_secs(10), "a renewal: {}", new.path);
+            let (first, second) = if later_on == "new" { (&old, &new) } else { (&new, &old) };
+            // The word of the later version is long: the other one is read before it.
+            let mut later = vec![("s-1", "draining"), ("s-2", "draining")];
+            later.extend([("s-other", "ready")].repeat(2_000));
+            second.answer(&changes(3, &later));
+            first.answer(&changes(2, &[("s-1", "draining")]));
+            // The call that follows is not answered.
+            heard_leaving(&mut heard, "s-2", AT_ONCE).await
+        });
+        if came.is_none() {
+            missed.push(later_on);
+        }
+    }
+    assert!(missed.is_empty(), "the drain that was told on the watch that is {missed:?} is not heeded");
+}
+
+// The same for the old discovery's watch, where the new one's list comes in that moment.
+#[test]
+fn a_word_of_the_old_discovery_that_comes_with_the_new_ones_list_is_heeded_at_once() {
+    play(async |log| {
+        let ((old, mut old_calls), (new, mut new_calls)) = (manual().await, manual().await);
+        let (mut heard, addresses) = client_at(old, 1, false, &log);
+        let watch = old_calls.recv().await.unwrap();
+        addresses.send_replace(new);
+        let whole = new_calls.recv().await.unwrap();
+        assert_eq!(whole.path, "/v1/servers");
+        whole.answer(&changes(5, &[("s-2", "ready")]));
+        watch.answer(&changes(6, &[("s-1", "draining")]));
+        // The call that follows is not answered.
+        let came = heard_leaving(&mut heard, "s-1", AT_ONCE).await;
+        assert!(came.is_some(), "a drain that was written, and so told");
+    });
+}
+
+// Guards against a list of the new discovery that is older than what the old one told, and undoes a drain: whatever the
+// order in which the two are read, the driver's last word of that server is that it leaves.
+#[test]
+fn a_list_of_before_a_drain_is_not_the_drivers_last_word() {
+    play(async |log| {
+        let ((old, mut old_calls), (new, mut new_calls)) = (manual().await, manual().await);
+        let (mut heard, addresses) = client_at(old, 1, false, &log);
+        let watch = old_calls.recv().await.unwrap();
+        addresses.send_replace(new);
+        let whole = new_calls.recv().await.unwrap();
+        watch.answer(&changes(6, &[("s-1", "draining")]));
+        assert!(heard_leaving(&mut heard, "s-1", AT_ONCE).await.is_some());
+        whole.answer(&changes(5, &[("s-1", "ready")]));
+        let until = Instant::now() + AT_ONCE;
+        while let Ok(Some((_, input))) = timeout_at(until, heard.recv()).await {
+            let Input::Listing(listing) = input else { continue };
+            let ready = listing.hosts.iter().any(|host| host.entry().availability == Availability::Ready);
+            assert!(!ready, "version {} brings back what version 6 told to leave", listing.seq);
+        }
+    });
+}
+
 // Guards against the older of two words, on the two watches of a renewal, that undoes what the later one told.
 #[test]
 fn an_older_word_on_the_other_watch_of_a_renewal_does_not_undo_a_drain() {
@@ -138,6 +227,23 @@
     })
 }
 
+// Guards against two failed calls in a row that together outlast the time in which a change counts as told: two refusals
+// that each stood in the queue, two calls that are swallowed.
+#[test]
+fn after_two_calls_in_a_row_that_fail_late_a_change_is_brought_before_it_counts_as_told() {
+    let mut late = Vec::new();
+    // An open watch that is reset, or a renewal beside a silent one that is refused, and two more.
+    for (first, meets) in [(0, "Xrr"), (0, "X--"), (0, "Xr-"), (0, "X-r"), (1, "-rr"), (1, "-R--")] {
+        let took = (0..2).map(|seed| after(first, meets, seed)).max().unwrap();
+        println!("{meets}: {took:?}");
+        assert!(took >= QUEUE, "{meets}: {took:?}");
+        if took >= TOLD_AFTER_FAILURE {
+            late.push((meets, took));
+        }
+    }
+    assert!(late.is_empty(), "later than {TOLD_AFTER_FAILURE:?}: {late:?}");
+}
+
 // Guards against a first call that fails, or is still in the queue, as a drain is told.
 #[test]
 fn a_first_call_that_is_refused_or_waits_in_the_queue_brings_a_drain_in_time() {
@@ -158,3 +264,38 @@
         }
     }
 }
+
+// Guards against a first call that is swallowed and noticed only when it is renewed: discovery has heard nothing of the node,
+// which counts as told once it has neither watched nor asked for the settings' time.
+#[test]
+fn a_first_call_that_is_swallowed_is_followed_before_the_settings_time_is_over() {
+    let within = Settings::default().ask_within;
+    let took = (0..3).map(|seed| after(0, "-", seed)).max().unwrap();
+    assert!(took < within, "{took:?} of {within:?}");
+}
+
+// Guards against an old watch that is given up for a new one which is silent: a call that was given up makes each change
+// count as told 6 s after discovery had it.
+#[test]
+fn after_an_old_watch_was_given_up_for_a_silent_one_a_change_is_brought_within_six_seconds() {
+    let mut late = Vec::new();
+    for seed in 0..3 {
+        let took = play(async |log| {
+            let (address, mut calls) = manual().await;
+            let mut heard = client_at(address, seed, false, &log).0;
+            let _old = calls.recv().await.unwrap();
+            let new = calls.recv().await.unwrap();
+            // It is given up after that, and the change comes then; the new one never says it.
+            let given_up = new.at + OVERLAP;
+            let call = calls.recv().await.unwrap();
+            sleep(QUEUE).await;
+            call.answer(&changes(2, &[("s-1", "draining")]));
+            list(&mut heard, 2).await - given_up
+        });
+        println!("seed {seed}: {took:?}");
+        if took >= TOLD_AFTER_FAILURE {
+            late.push(took);
+        }
+    }
+    assert!(late.is_empty(), "{late:?} after the old watch was given up");
+}
