--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -438,5 +438,7 @@
     Failed(CallError),
 }
 
+#[cfg(test)]
+mod leaving_tests;
 #[cfg(test)]
 mod tests;
