--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -167,13 +167,12 @@
             }
             let mut link = None;
             loop {
-                let (asked, is_watch) = (Instant::now(), self.seq.is_some() && !self.unsure);
+                let asked = Instant::now();
                 let (called, kept) = self.ask(address, link.take()).await;
                 link = kept;
                 let unsure = std::mem::replace(&mut self.unsure, called.is_err());
                 match called {
                     Ok(listing) => {
-                        self.failed_late = false;
                         let early = self.seq == Some(listing.seq) && asked.elapsed() < EARLY;
                         match self.take(listing) {
                             Taken::Older => self.reading(sleep(PACE)).await,
@@ -185,7 +184,6 @@
                     Err(error) => {
                         self.log.often("discovery", &format!("discovery: {error}"));
                         let new_there = self.seq.is_none() && moved.is_some_and(|at| at.elapsed() < MOVED);
-                        self.failed_late = !is_watch && asked.elapsed() >= LATE_FAILURE;
                         at_once = new_there || self.failed_late;
                         // The module's word is waited for but where it has no say.
                         if (self.pushed || !at_once) && self.events.send(Input::ListingFailed).is_err() {
@@ -215,11 +213,15 @@
 
     /// Discovery's next word: the whole list where none is held, or what a watch brings.
     async fn ask(&mut self, address: SocketAddr, link: Option<Link>) -> Called {
-        match self.seq {
-            None => self.ask_now(address, Ask::Whole, link).await,
-            Some(seq) if self.unsure => self.ask_now(address, Ask::After(seq, BRIEF), link).await,
-            Some(seq) => self.watch(address, seq, link).await,
-        }
+        let asked = Instant::now();
+        let ask = match self.seq {
+            None => Ask::Whole,
+            Some(seq) if self.unsure => Ask::After(seq, BRIEF),
+            Some(seq) => return self.watch(address, seq, link).await,
+        };
+        let called = self.ask_now(address, ask, link).await;
+        self.failed_late = called.0.is_err() && asked.elapsed() >= LATE_FAILURE;
+        called
     }
 
     /// A call that has nothing to wait for but its turn. After one that failed late a second one is made beside it.
@@ -278,11 +280,15 @@
                 Renewed::Called(called) => return called,
                 Renewed::By(fresh) => (open, opened, renew_after) = (fresh, due, self.renewal()),
                 Renewed::Failed(error) => {
+                    if now.elapsed() >= renew_after + LATE_FAILURE {
+                        // No time is left to wait before the next call. The one that is open is read on.
+                        self.failed_late = true;
+                        self.in_flight.supersede(open, over);
+                        return (Err(error), None);
+                    }
                     self.log.often("discovery", &format!("discovery: watch not renewed: {error}"));
                     self.unsure = true;
-                    // One that had no answer has waited for long enough.
-                    let pause = RENEW_AGAIN * u32::from(!matches!(error, CallError::Overdue));
-                    renew_after = self.spread(pause, RENEW_AGAIN_SPREAD);
+                    renew_after = self.spread(RENEW_AGAIN, RENEW_AGAIN_SPREAD);
                 }
             }
         }
