--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -1,6 +1,6 @@
 //! `slatelink lab`: plays scenarios, compares nodes, lists what there is to play.
 
-use crate::LogFormat;
+use crate::{scale, LogFormat};
 use clap::{Args, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use slatelink_lab::compare::{self, Measured};
@@ -40,6 +40,11 @@
         #[command(flatten)]
         node: Node,
     },
+    /// Measure control at scale: real nodes and many simulated ones against one discovery
+    Scale(Box<scale::Command>),
+    /// Run simulated nodes for `lab scale`, which starts this
+    #[command(hide = true)]
+    ScaleWorker,
     /// List the scenarios of a folder
     List {
         /// The folder
@@ -129,7 +134,7 @@
     features: Option<PathBuf>,
 }
 
-type Code = Result<ExitCode, Box<dyn Error>>;
+pub type Code = Result<ExitCode, Box<dyn Error>>;
 
 impl Command {
     pub fn run(self) -> Code {
@@ -171,6 +176,8 @@
                 )?;
                 Ok(ExitCode::SUCCESS)
             }
+            Self::Scale(command) => command.run(),
+            Self::ScaleWorker => scale::work(),
             Self::List { folder } => list(&folder),
         }
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod lab;
 mod multiget;
+mod scale;
 mod up;
 
 use clap::{Parser, Subcommand, ValueEnum};
--- /dev/null
+++ b/crates/cli/src/scale.rs
@@ -0,0 +1,199 @@
+//! `slatelink lab scale`: real nodes and many simulated ones against a stand-in for discovery, measured.
+
+use crate::lab::{Code, Node};
+use clap::{Args, ValueEnum};
+use indicatif::{ProgressBar, ProgressStyle};
+use slatelink_lab::scale::bounds::{Limits, Reckoning};
+use slatelink_lab::scale::run::Programs;
+use slatelink_lab::scale::{self, Options, Progress, Report, ScaleError, Trouble, TroubleKind};
+use std::error::Error;
+use std::io::{self, Write};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// The run could not be finished, and cannot be played.
+const BROKEN: u8 = 1;
+const UNUSABLE: u8 = 2;
+/// The progress line is written anew this often.
+const PROGRESS: Duration = Duration::from_millis(200);
+/// The hidden command that makes a process a worker.
+pub const WORKER: [&str; 2] = ["lab", "scale-worker"];
+
+#[derive(Args)]
+pub struct Command {
+    /// Nodes that are processes of their own
+    #[arg(long, value_name = "N", default_value_t = 1)]
+    real: usize,
+    /// Nodes that share a few processes: discovery's client and decision module of a real one
+    #[arg(long, value_name = "N", default_value_t = 50)]
+    simulated: usize,
+    /// Processes that simulated nodes share
+    #[arg(long, value_name = "N", default_value_t = 4)]
+    workers: usize,
+    /// Cache servers in the list
+    #[arg(long, value_name = "N", default_value_t = 50)]
+    servers: usize,
+    /// Zones that they are dealt out over
+    #[arg(long, value_name = "N", default_value_t = 3)]
+    zones: usize,
+    /// Requests a second of each node
+    #[arg(long, value_name = "RATE", default_value_t = 0.0)]
+    requests: f64,
+    /// Changes of the list a second
+    #[arg(long, value_name = "RATE", default_value_t = 1.0)]
+    list_changes: f64,
+    /// New configurations a second, each for the whole fleet
+    #[arg(long, value_name = "RATE", default_value_t = 0.0)]
+    configurations: f64,
+    /// How long changes are made
+    #[arg(long, value_name = "SECONDS", default_value_t = 30.0)]
+    length: f64,
+    /// Of all that is drawn
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Make a change only once the one before is in force everywhere, and all nodes watch again
+    #[arg(long)]
+    step_wise: bool,
+    /// Discovery's time for a call
+    #[arg(long, value_name = "MICROSECONDS", default_value_t = 250)]
+    call_cost: u64,
+    /// Discovery's time for an entry that it writes
+    #[arg(long, value_name = "MICROSECONDS", default_value_t = 5)]
+    entry_cost: u64,
+    /// What goes wrong
+    #[arg(long, value_enum)]
+    trouble: Option<TroubleName>,
+    /// When it does
+    #[arg(long, value_name = "SECONDS", default_value_t = 5.0, requires = "trouble")]
+    trouble_at: f64,
+    /// For how long; a restart takes none
+    #[arg(long, value_name = "SECONDS", default_value_t = 10.0, requires = "trouble")]
+    trouble_for: f64,
+    /// Write the report there, as JSON
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    #[command(flatten)]
+    node: Node,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum TroubleName {
+    /// Discovery is away and comes back
+    DiscoveryDown,
+    /// A tenth of the nodes is restarted at once
+    RestartTenth,
+    /// The servers of one zone are gone and come back
+    ZoneLost,
+    /// Half of the fleet is cut off from discovery for a while
+    Split,
+}
+
+impl From<TroubleName> for TroubleKind {
+    fn from(name: TroubleName) -> Self {
+        match name {
+            TroubleName::DiscoveryDown => Self::DiscoveryDown,
+            TroubleName::RestartTenth => Self::RestartTenth,
+            TroubleName::ZoneLost => Self::ZoneLost,
+            TroubleName::Split => Self::Split,
+        }
+    }
+}
+
+impl Command {
+    pub fn run(self) -> Code {
+        self.node.log();
+        let options = self.options();
+        let programs = Programs {
+            node: self.node.program()?,
+            worker: (std::env::current_exe()?, WORKER.map(str::to_owned).to_vec()),
+        };
+        if let Err(error) = announce(&options) {
+            return refused(&error);
+        }
+        let stop = crate::stop_at_interrupt()?;
+        match watched(&options, &programs, &stop)? {
+            Ok(report) => {
+                if let Some(path) = &self.json {
+                    let written = std::fs::write(path, serde_json::to_vec_pretty(&report)?);
+                    written.map_err(|error| format!("cannot write {}: {error}", path.display()))?;
+                }
+                write!(io::stdout().lock(), "{report}")?;
+                Ok(if report.behind_at_end == 0 { ExitCode::SUCCESS } else { ExitCode::from(BROKEN) })
+            }
+            Err(error) => refused(&error),
+        }
+    }
+
+    fn options(&self) -> Options {
+        let trouble = self.trouble.map(|name| {
+            let kind = TroubleKind::from(name);
+            let for_s = if kind == TroubleKind::RestartTenth { 0.0 } else { self.trouble_for };
+            Trouble { kind, at_s: self.trouble_at, for_s }
+        });
+        Options {
+            real: self.real,
+            simulated: self.simulated,
+            workers: self.workers,
+            servers: self.servers,
+            zones: self.zones,
+            requests: self.requests,
+            list_changes: self.list_changes,
+            configurations: self.configurations,
+            length_s: self.length,
+            seed: self.seed,
+            step_wise: self.step_wise,
+            call_cost_us: self.call_cost,
+            entry_cost_us: self.entry_cost,
+            trouble,
+        }
+    }
+}
+
+/// Runs simulated nodes for a run that has started this process.
+pub fn work() -> Code {
+    scale::work()?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Says what the run is reckoned to take, before anything is started; refuses what is too much.
+fn announce(options: &Options) -> Result<(), ScaleError> {
+    options.check()?;
+    let (reckoning, limits) = (Reckoning::of(options), Limits::read()?);
+    reckoning.check(&limits)?;
+    let allowed = limits.memory_kib >> 10;
+    eprintln!("reckoned: {reckoning}; half of this machine's memory is {allowed} MiB");
+    Ok(())
+}
+
+fn refused(error: &ScaleError) -> Code {
+    eprintln!("slatelink: {error}");
+    let unusable = matches!(error, ScaleError::Options(_) | ScaleError::Bounds(_));
+    Ok(ExitCode::from(if unusable { UNUSABLE } else { BROKEN }))
+}
+
+/// Runs it with a progress line, which is not drawn where no terminal is.
+fn watched(
+    options: &Options,
+    programs: &Programs,
+    stop: &Arc<AtomicBool>,
+) -> Result<Result<Report, ScaleError>, Box<dyn Error>> {
+    let progress = Progress::default();
+    let line = ProgressBar::new_spinner();
+    let style = ProgressStyle::with_template("{elapsed} {msg}");
+    line.set_style(style.unwrap_or_else(|_| ProgressStyle::default_spinner()));
+    let ran = thread::scope(|scope| {
+        let running = scope.spawn(|| scale::run(options, programs, stop, &progress));
+        while !running.is_finished() {
+            line.set_message(progress.line());
+            line.tick();
+            thread::sleep(PROGRESS);
+        }
+        running.join()
+    });
+    line.finish_and_clear();
+    ran.map_err(|_| "the run ended in a panic".into())
+}
--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -3,10 +3,10 @@
 //! Each node has two addresses of its own; the second is where a SIGHUP sends it.
 
 use crate::http::{listen, reset, Conn};
+use crate::list_protocol::{ListAnswer, ListCall, ListedHost, NOT_FOUND, REFUSED};
 use crate::record::Told;
 use crate::scenario::Fleet;
 use crate::servers::Floor;
-use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -16,8 +16,6 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-/// The longest wait that a watch may ask for, in milliseconds.
-const LONGEST_WAIT: u64 = 60_000;
 /// After a SIGHUP the old address closes its open connections so much later.
 const OLD_CLOSES: Duration = Duration::from_millis(1500);
 
@@ -30,11 +28,16 @@
     seq: u64,
 }
 
+/// What a message says of servers: for each, whether it is ready.
+type Said = Vec<(usize, bool)>;
+
 /// Discovery.
 pub struct Directory {
     floor: Rc<Floor>,
     fleet: Fleet,
     entries: RefCell<Vec<Entry>>,
+    /// What each server is called.
+    names: Vec<String>,
     /// Where each server listens for each node: `[node][server]`.
     dials: Vec<Vec<SocketAddr>>,
     seq: watch::Sender<u64>,
@@ -57,6 +60,7 @@
             floor,
             fleet: fleet.clone(),
             entries: RefCell::new((0..all).map(entry).collect()),
+            names: (0..all).map(|server| format!("s-{server:03}")).collect(),
             closed: watch::Sender::new(vec![None; dials.len()]),
             dials,
             seq: watch::Sender::new(1),
@@ -137,33 +141,20 @@
     async fn calls(&self, node: usize, conn: &mut Conn) -> Result<(), ()> {
         loop {
             let Ok(asked) = conn.request().await else { return Ok(()) };
-            let (path, query) = asked.path.split_once('?').unwrap_or((&asked.path, ""));
-            let figure = |name: &str| {
-                let pair =
-                    query.split('&').filter_map(|pair| pair.split_once('=')).find(|pair| pair.0 == name);
-                pair.and_then(|pair| pair.1.parse::<u64>().ok())
-            };
-            if path != "/v1/servers" {
-                conn.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await.map_err(drop)?;
+            let Some(call) = ListCall::parse(&asked.path) else {
+                conn.write(NOT_FOUND).await.map_err(drop)?;
                 continue;
-            }
+            };
             if self.refuses.get() {
-                let refused = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-                conn.write(refused).await.map_err(drop)?;
+                conn.write(REFUSED).await.map_err(drop)?;
                 continue;
             }
-            let after = figure("after");
-            if let (Some(after), Some(wait)) = (after, figure("wait_ms")) {
+            if let (Some(after), Some(wait)) = (call.after, call.wait) {
                 let mut seq = self.seq.subscribe();
-                let wait = Duration::from_millis(wait.min(LONGEST_WAIT));
                 let _ = timeout(wait, seq.wait_for(|seq| *seq > after)).await;
             }
-            let (body, told) = self.list(node, after);
-            let head = format!(
-                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
-                body.len()
-            );
-            conn.write(&[head.as_bytes(), body.as_bytes()].concat()).await.map_err(drop)?;
+            let (message, told) = self.list(node, call.after).map_err(drop)?;
+            conn.write(&message).await.map_err(drop)?;
             // It counts as told once it is written.
             let at = self.floor.now().as_micros() as u64;
             let words = told.into_iter().map(|(server, ready)| Told { node, server, ready, at });
@@ -171,8 +162,8 @@
         }
     }
 
-    /// What a node is told, and what that says of each server.
-    fn list(&self, node: usize, after: Option<u64>) -> (String, Vec<(usize, bool)>) {
+    /// What a node is told, as a message, and what that says of each server.
+    fn list(&self, node: usize, after: Option<u64>) -> serde_json::Result<(Vec<u8>, Said)> {
         let entries = self.entries.borrow();
         let seq = *self.seq.borrow();
         let whole = after.is_none_or(|after| after > seq);
@@ -182,18 +173,19 @@
             if whole || after.is_some_and(|after| entry.seq > after) {
                 told.push((server, health == "ready"));
                 if !(whole && health == "gone") {
-                    hosts.push(self.host(server, entry, health, self.dials[node][server]));
+                    hosts.push(ListedHost {
+                        host: &self.names[server],
+                        dial: self.dials[node][server],
+                        site: self.fleet.zone(server),
+                        class: "lab",
+                        block: 0,
+                        health,
+                        share: self.fleet.cores as f64,
+                        born_ms: entry.born_ms,
+                    });
                 }
             }
         }
-        (json!({"seq": seq, "whole": whole, "hosts": hosts}).to_string(), told)
-    }
-
-    fn host(&self, server: usize, entry: &Entry, health: &str, dial: SocketAddr) -> Value {
-        json!({
-            "host": format!("s-{server:03}"), "dial": dial.to_string(), "site": self.fleet.zone(server),
-            "class": "lab", "block": 0, "health": health, "share": self.fleet.cores as f64,
-            "born_ms": entry.born_ms,
-        })
+        Ok((ListAnswer { seq, whole, hosts }.message()?, told))
     }
 }
--- a/crates/lab/src/http.rs
+++ b/crates/lab/src/http.rs
@@ -51,6 +51,8 @@
     pub id: Option<String>,
     /// Bytes of the body.
     pub body: usize,
+    /// Bytes of the whole message.
+    pub bytes: usize,
     /// When its first byte came.
     pub first: Option<Instant>,
 }
@@ -106,6 +108,13 @@
         }
     }
 
+    /// Reads and drops whatever comes, until the peer ends the connection.
+    pub async fn drain(&mut self) {
+        while self.more().await.is_ok() {
+            self.buffer.clear();
+        }
+    }
+
     async fn more(&mut self) -> Result<(), ReadError> {
         let had = !self.buffer.is_empty();
         self.buffer.reserve(CHUNK);
@@ -136,6 +145,7 @@
                         path: head.path.unwrap_or_default().to_owned(),
                         id: text("req-id"),
                         body,
+                        bytes: start + body,
                         first: self.first.take(),
                     };
                     self.buffer.drain(..start + body);
--- /dev/null
+++ b/crates/lab/src/list_protocol.rs
@@ -0,0 +1,100 @@
+//! Discovery's protocol as its stand-ins speak it: a call read from its target, entries and answers as they are written.
+
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The longest wait that a watch may ask for.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+/// Where lists are asked for.
+const PATH: &str = "/v1/servers";
+
+/// The answer to a call that is turned away.
+pub const REFUSED: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+/// The answer to a call for something else.
+pub const NOT_FOUND: &[u8] = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+
+/// A call for the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListCall {
+    /// The version that the caller has; `None` where it asks for the whole list.
+    pub after: Option<u64>,
+    /// How long it waits for something newer.
+    pub wait: Option<Duration>,
+}
+
+impl ListCall {
+    /// Reads a request's target; `None` where that is no call for the list.
+    pub fn parse(target: &str) -> Option<Self> {
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        if path != PATH {
+            return None;
+        }
+        let figure = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|pair| pair.0 == name).and_then(|pair| pair.1.parse::<u64>().ok())
+        };
+        let wait = figure("wait_ms").map(|wait| Duration::from_millis(wait).min(LONGEST_WAIT));
+        Some(Self { after: figure("after"), wait })
+    }
+}
+
+/// An entry, as it is written.
+#[derive(Debug, Serialize)]
+pub struct ListedHost<'a> {
+    /// The server's name, alike at every node.
+    pub host: &'a str,
+    /// Where it listens for this node.
+    pub dial: SocketAddr,
+    /// Its zone.
+    pub site: &'a str,
+    /// Its kind of machine.
+    pub class: &'a str,
+    /// Its group.
+    pub block: u64,
+    /// `ready`, `draining` or `gone`.
+    pub health: &'a str,
+    /// Its weight.
+    pub share: f64,
+    /// Its last start, in Unix time milliseconds; 0 for long ago.
+    pub born_ms: u64,
+}
+
+/// A list, as it is written.
+#[derive(Debug, Serialize)]
+pub struct ListAnswer<'a> {
+    /// Its version.
+    pub seq: u64,
+    /// Whether what it lacks is gone.
+    pub whole: bool,
+    /// The entries, or those that changed.
+    pub hosts: Vec<ListedHost<'a>>,
+}
+
+impl ListAnswer<'_> {
+    /// The whole message.
+    pub fn message(&self) -> serde_json::Result<Vec<u8>> {
+        let body = serde_json::to_vec(self)?;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        Ok([head.into_bytes(), body].concat())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against a stand-in that takes a watch for a call of the whole list, or waits without end.
+    #[test]
+    fn a_call_is_read_with_its_version_and_a_bounded_wait() {
+        let call = |after, wait: Option<u64>| ListCall { after, wait: wait.map(Duration::from_millis) };
+        assert_eq!(ListCall::parse("/v1/servers"), Some(call(None, None)));
+        assert_eq!(ListCall::parse("/v1/servers?after=41&wait_ms=50"), Some(call(Some(41), Some(50))));
+        assert_eq!(ListCall::parse("/v1/servers?wait_ms=99000&after=0"), Some(call(Some(0), Some(60_000))));
+        assert_eq!(ListCall::parse("/v1/servers?after=x"), Some(call(None, None)));
+        assert_eq!(ListCall::parse("/v1/other?after=1"), None);
+    }
+}
--- a/crates/lab/src/nodes.rs
+++ b/crates/lab/src/nodes.rs
@@ -276,19 +276,22 @@
                 self.down().await;
                 self.up().await?;
             }
-            Kind::NodeHup => {
-                let old = self.follows;
-                self.follows = 1 - old;
-                self.config["discovery"] = json!(self.discovery[self.follows].to_string());
-                self.write_config()?;
-                self.signal(Signal::SIGHUP);
-                return Ok(Some(old));
-            }
+            Kind::NodeHup => return self.move_discovery().map(Some),
             _ => {}
         }
         Ok(None)
     }
 
+    /// Gives it a new configuration with discovery at its other address; which one it was before.
+    pub fn move_discovery(&mut self) -> Result<usize, NodeError> {
+        let old = self.follows;
+        self.follows = 1 - old;
+        self.config["discovery"] = json!(self.discovery[self.follows].to_string());
+        self.write_config()?;
+        self.signal(Signal::SIGHUP);
+        Ok(old)
+    }
+
     async fn wait(&mut self) -> Option<ExitStatus> {
         let child = self.child.as_mut()?;
         let status = timeout(ENDING, child.wait()).await.ok()?.ok();
@@ -328,7 +331,7 @@
 }
 
 /// A node's configuration, as the platform writes it.
-fn config(place: usize, scenario: &Scenario, seed: u64, discovery: SocketAddr) -> Value {
+pub(crate) fn config(place: usize, scenario: &Scenario, seed: u64, discovery: SocketAddr) -> Value {
     let fleet = &scenario.fleet;
     let us = |seconds: f64| (seconds * 1e6) as u64;
     let lanes: Vec<_> = scenario
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -85,10 +85,10 @@
 }
 
 /// A folder of this run's own, which goes with it.
-struct Folder(PathBuf);
+pub(crate) struct Folder(pub(crate) PathBuf);
 
 impl Folder {
-    fn new() -> io::Result<Self> {
+    pub(crate) fn new() -> io::Result<Self> {
         let unique = mix(u64::from(std::process::id())
             ^ SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_nanos() as u64));
         let path = std::env::temp_dir().join(format!("slatelink-lab-{unique:016x}"));
--- /dev/null
+++ b/crates/lab/src/scale.rs
@@ -0,0 +1,27 @@
+//! The scale run: a stand-in for discovery, a few real node processes and many simulated nodes, measured together.
+//!
+//! A simulated node is the client of discovery and the decision module of a real one, without listener, connections to
+//! cache servers and clients; many of them share a process. What is counted (messages, bytes) is counted by the stand-in
+//! and is the same for a seed where changes go step by step; times and memory are measured and depend on the machine.
+
+pub mod bounds;
+pub mod convergence;
+pub mod counts;
+pub mod directory;
+pub mod options;
+pub mod processes;
+pub mod protocol;
+pub mod real;
+pub mod report;
+pub mod run;
+pub mod schedule;
+pub mod service;
+pub mod traffic;
+pub mod turns;
+pub mod worker;
+pub mod workers;
+
+pub use options::{Options, Trouble, TroubleKind};
+pub use report::Report;
+pub use run::{run, Progress, ScaleError};
+pub use worker::work;
--- /dev/null
+++ b/crates/lab/src/scale/convergence.rs
@@ -0,0 +1,298 @@
+//! Which node has which version in force, and how long a change takes to the last of them. No I/O and no clock.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::collections::{BTreeMap, VecDeque};
+
+/// What changed, with the version that has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The list.
+    List(u64),
+    /// The fleet's configuration.
+    Configuration(u64),
+}
+
+/// What a change is part of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Occasion {
+    /// The planned changes.
+    Planned,
+    /// The begin of a trouble.
+    TroubleBegins,
+    /// The end of a trouble.
+    TroubleEnds,
+}
+
+/// What a node has in force.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct InForce {
+    list: u64,
+    configuration: u64,
+}
+
+impl InForce {
+    fn has(self, change: Change) -> bool {
+        match change {
+            Change::List(version) => self.list >= version,
+            Change::Configuration(version) => self.configuration >= version,
+        }
+    }
+}
+
+/// A change that some node does not have yet.
+#[derive(Debug)]
+struct Pending {
+    change: Change,
+    occasion: Occasion,
+    at_us: u64,
+    missing: usize,
+    last_us: u64,
+}
+
+/// Times of changes of one kind, in microseconds.
+#[derive(Debug)]
+pub struct Times {
+    /// To the last node, of each change.
+    pub to_last: Histogram<u64>,
+    /// To each node, of each change.
+    pub to_each: Histogram<u64>,
+}
+
+/// Times are kept to three digits, up to an hour; a longer one counts as an hour.
+const DIGITS: u8 = 3;
+const LONGEST_US: u64 = 3_600_000_000;
+
+fn histogram() -> Result<Histogram<u64>, hdrhistogram::CreationError> {
+    Histogram::new_with_max(LONGEST_US, DIGITS)
+}
+
+impl Times {
+    fn new() -> Result<Self, hdrhistogram::CreationError> {
+        Ok(Self { to_last: histogram()?, to_each: histogram()? })
+    }
+}
+
+/// A summary of times, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Spread {
+    /// How many there are.
+    pub count: u64,
+    /// The median.
+    pub p50_ms: f64,
+    /// The 99th percentile.
+    pub p99_ms: f64,
+    /// The longest.
+    pub worst_ms: f64,
+}
+
+impl Spread {
+    /// Of times in microseconds.
+    pub fn of(times: &Histogram<u64>) -> Self {
+        let ms = |us: u64| us as f64 / 1e3;
+        Self {
+            count: times.len(),
+            p50_ms: ms(times.value_at_quantile(0.5)),
+            p99_ms: ms(times.value_at_quantile(0.99)),
+            worst_ms: ms(times.max()),
+        }
+    }
+
+    /// Of times in microseconds.
+    pub fn of_each(times: impl IntoIterator<Item = u64>) -> Result<Self, hdrhistogram::CreationError> {
+        let mut all = histogram()?;
+        times.into_iter().for_each(|time| all.saturating_record(time));
+        Ok(Self::of(&all))
+    }
+}
+
+/// The whole fleet.
+#[derive(Debug)]
+pub struct Convergence {
+    nodes: Vec<InForce>,
+    newest: InForce,
+    pending: VecDeque<Pending>,
+    /// When each node that has no list yet was started.
+    starting: BTreeMap<usize, u64>,
+    started: Vec<(usize, u64)>,
+    lists: Times,
+    configurations: Times,
+    troubles: BTreeMap<Occasion, u64>,
+}
+
+impl Convergence {
+    /// A fleet of so many nodes that have nothing yet, and a list of version 1.
+    pub fn new(nodes: usize) -> Result<Self, hdrhistogram::CreationError> {
+        Ok(Self {
+            nodes: vec![InForce::default(); nodes],
+            newest: InForce { list: 1, configuration: 0 },
+            pending: VecDeque::new(),
+            starting: BTreeMap::new(),
+            started: Vec::new(),
+            lists: Times::new()?,
+            configurations: Times::new()?,
+            troubles: BTreeMap::new(),
+        })
+    }
+
+    /// A node starts, with nothing in force.
+    pub fn starts(&mut self, node: usize, at_us: u64) {
+        let had = std::mem::take(&mut self.nodes[node]);
+        // A restarted node reads the configuration as it is.
+        self.nodes[node].configuration = self.newest.configuration;
+        let has = self.nodes[node];
+        for pending in &mut self.pending {
+            match (had.has(pending.change), has.has(pending.change)) {
+                (true, false) => pending.missing += 1,
+                (false, true) => pending.missing -= 1,
+                _ => {}
+            }
+        }
+        self.starting.insert(node, at_us);
+    }
+
+    /// Something changed.
+    pub fn changed(&mut self, change: Change, occasion: Occasion, at_us: u64) {
+        match change {
+            Change::List(version) => self.newest.list = version,
+            Change::Configuration(version) => self.newest.configuration = version,
+        }
+        let missing = self.nodes.iter().filter(|node| !node.has(change)).count();
+        self.pending.push_back(Pending { change, occasion, at_us, missing, last_us: at_us });
+        self.retire();
+    }
+
+    /// A node has these versions in force; one that is lower than before is no news.
+    pub fn in_force(&mut self, node: usize, list: u64, configuration: u64, at_us: u64) {
+        let had = self.nodes[node];
+        let has = InForce { list: had.list.max(list), configuration: had.configuration.max(configuration) };
+        self.nodes[node] = has;
+        if has.list > 0 {
+            if let Some(since) = self.starting.remove(&node) {
+                self.started.push((node, at_us.saturating_sub(since)));
+            }
+        }
+        for pending in &mut self.pending {
+            if has.has(pending.change) && !had.has(pending.change) {
+                pending.missing -= 1;
+                pending.last_us = pending.last_us.max(at_us);
+                let times = match pending.change {
+                    Change::List(_) => &mut self.lists,
+                    Change::Configuration(_) => &mut self.configurations,
+                };
+                if pending.occasion == Occasion::Planned {
+                    times.to_each.saturating_record(at_us.saturating_sub(pending.at_us));
+                }
+            }
+        }
+        self.retire();
+    }
+
+    /// Notes the times of changes that all nodes have.
+    fn retire(&mut self) {
+        let everywhere = |pending: &Pending| pending.missing == 0;
+        while let Some(place) = self.pending.iter().position(everywhere) {
+            let Some(pending) = self.pending.remove(place) else { return };
+            let took = pending.last_us - pending.at_us;
+            match (pending.occasion, pending.change) {
+                (Occasion::Planned, Change::List(_)) => self.lists.to_last.saturating_record(took),
+                (Occasion::Planned, Change::Configuration(_)) => {
+                    self.configurations.to_last.saturating_record(took);
+                }
+                (occasion, _) => {
+                    self.troubles.insert(occasion, took);
+                }
+            }
+        }
+    }
+
+    /// Nodes that do not have the newest list and configuration in force.
+    pub fn behind(&self) -> usize {
+        let newest = self.newest;
+        let current = |node: &&InForce| {
+            node.has(Change::List(newest.list)) && node.has(Change::Configuration(newest.configuration))
+        };
+        self.nodes.len() - self.nodes.iter().filter(current).count()
+    }
+
+    /// Nodes that were started and have no list yet.
+    pub fn starting(&self) -> usize {
+        self.starting.len()
+    }
+
+    /// Nodes that got their first list, each with its time since the start in microseconds; forgotten with this.
+    pub fn take_started(&mut self) -> Vec<(usize, u64)> {
+        std::mem::take(&mut self.started)
+    }
+
+    /// Times of the planned changes of the list.
+    pub fn lists(&self) -> &Times {
+        &self.lists
+    }
+
+    /// Times of the planned configurations.
+    pub fn configurations(&self) -> &Times {
+        &self.configurations
+    }
+
+    /// Microseconds from the change at this point of a trouble to the last node that had it.
+    pub fn trouble(&self, occasion: Occasion) -> Option<u64> {
+        self.troubles.get(&occasion).copied()
+    }
+
+    /// The configuration that a node has in force.
+    pub fn configuration(&self, node: usize) -> u64 {
+        self.nodes[node].configuration
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const PLANNED: Occasion = Occasion::Planned;
+
+    // Guards against a change that counts as everywhere while a node lacks it, and against times from other moments.
+    #[test]
+    fn a_change_is_over_with_the_last_node_that_has_it() {
+        let mut fleet = Convergence::new(2).unwrap();
+        fleet.starts(0, 0);
+        fleet.starts(1, 0);
+        fleet.in_force(0, 1, 0, 30);
+        assert_eq!((fleet.behind(), fleet.starting()), (1, 1));
+        fleet.in_force(1, 1, 0, 50);
+        assert_eq!((fleet.behind(), fleet.starting()), (0, 0));
+        assert_eq!(fleet.take_started(), [(0, 30), (1, 50)]);
+        fleet.changed(Change::List(2), PLANNED, 100);
+        fleet.changed(Change::List(3), PLANNED, 110);
+        fleet.in_force(1, 3, 0, 190);
+        assert_eq!((fleet.behind(), fleet.lists().to_last.len()), (1, 0));
+        fleet.in_force(0, 2, 0, 120);
+        assert_eq!(fleet.lists().to_last.max(), 90, "the last report is not the last node");
+        fleet.in_force(0, 3, 0, 140);
+        assert_eq!((fleet.behind(), fleet.lists().to_last.len(), fleet.lists().to_each.len()), (0, 2, 4));
+        assert_eq!(fleet.lists().to_last.min(), 80);
+    }
+
+    // Guards against a restarted node that passes for up to date, or that is waited for twice.
+    #[test]
+    fn a_restarted_node_has_nothing_until_it_has_a_list() {
+        let mut fleet = Convergence::new(2).unwrap();
+        fleet.in_force(0, 1, 0, 0);
+        fleet.in_force(1, 1, 0, 0);
+        fleet.changed(Change::List(2), Occasion::TroubleEnds, 10);
+        fleet.in_force(0, 2, 0, 20);
+        fleet.starts(0, 30);
+        fleet.in_force(1, 2, 0, 40);
+        assert_eq!((fleet.behind(), fleet.trouble(Occasion::TroubleEnds)), (1, None));
+        fleet.in_force(0, 2, 0, 60);
+        assert_eq!((fleet.behind(), fleet.trouble(Occasion::TroubleEnds)), (0, Some(50)));
+        assert_eq!(fleet.take_started(), [(0, 30)]);
+        fleet.changed(Change::Configuration(1), PLANNED, 70);
+        fleet.starts(1, 75);
+        fleet.in_force(1, 2, 0, 80);
+        assert_eq!(fleet.configurations().to_last.len(), 0);
+        fleet.in_force(0, 2, 1, 90);
+        assert_eq!((fleet.behind(), fleet.configurations().to_last.max()), (0, 20));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/directory.rs
@@ -0,0 +1,190 @@
+//! The list that discovery's stand-in holds: versions, entries, and answers to calls. No I/O.
+
+use crate::list_protocol::{ListAnswer, ListedHost};
+use crate::scale::options::Options;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// What discovery says of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    /// Takes work.
+    Ready,
+    /// Wants nothing new.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+impl Health {
+    fn word(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+            Self::Gone => "gone",
+        }
+    }
+}
+
+/// A change of one entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EntryChange {
+    /// Which server, by place from 0.
+    pub server: usize,
+    /// What it is now.
+    pub health: Health,
+    /// It starts anew then, in Unix time milliseconds.
+    pub born_ms: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    name: String,
+    zone: String,
+    health: Health,
+    born_ms: u64,
+    /// Version of its last change.
+    changed: u64,
+}
+
+/// An answer, whole.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The HTTP message.
+    pub message: Arc<[u8]>,
+    /// Entries in it.
+    pub entries: usize,
+    /// Whether it is the whole list.
+    pub whole: bool,
+}
+
+/// The list.
+#[derive(Debug)]
+pub struct Directory {
+    version: u64,
+    entries: Vec<Entry>,
+    /// Where each server listens.
+    dial: SocketAddr,
+    /// The latest answer, and to whom: many nodes ask alike.
+    latest: Option<(u64, Option<u64>, Answer)>,
+}
+
+impl Directory {
+    /// A list of ready servers, at version 1.
+    pub fn new(options: &Options, dial: SocketAddr) -> Self {
+        let entry = |server: usize| Entry {
+            name: format!("server-{server:05}"),
+            zone: Options::zone(server % options.zones),
+            health: Health::Ready,
+            born_ms: 0,
+            changed: 1,
+        };
+        Self { version: 1, entries: (0..options.servers).map(entry).collect(), dial, latest: None }
+    }
+
+    /// The present version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Takes in changes, all at once; the version that has them.
+    pub fn change(&mut self, changes: &[EntryChange]) -> u64 {
+        self.version += 1;
+        for change in changes {
+            if let Some(entry) = self.entries.get_mut(change.server) {
+                entry.health = change.health;
+                entry.born_ms = change.born_ms.unwrap_or(entry.born_ms);
+                entry.changed = self.version;
+            }
+        }
+        self.version
+    }
+
+    /// What a node that has this version is told.
+    pub fn answer(&mut self, after: Option<u64>) -> serde_json::Result<Answer> {
+        let fits = |(version, to, _): &&(u64, Option<u64>, Answer)| (*version, *to) == (self.version, after);
+        if let Some((_, _, answer)) = self.latest.as_ref().filter(fits) {
+            return Ok(answer.clone());
+        }
+        // A version that was never given out has no changes after it.
+        let after = after.filter(|after| *after <= self.version);
+        let hosts: Vec<_> = self.entries.iter().filter(|entry| entry.tells(after)).collect();
+        let answer = Answer {
+            entries: hosts.len(),
+            whole: after.is_none(),
+            message: ListAnswer {
+                seq: self.version,
+                whole: after.is_none(),
+                hosts: hosts.iter().map(|entry| entry.listed(self.dial)).collect(),
+            }
+            .message()?
+            .into(),
+        };
+        self.latest = Some((self.version, after, answer.clone()));
+        Ok(answer)
+    }
+}
+
+impl Entry {
+    fn tells(&self, after: Option<u64>) -> bool {
+        match after {
+            Some(after) => self.changed > after,
+            None => self.health != Health::Gone,
+        }
+    }
+
+    fn listed(&self, dial: SocketAddr) -> ListedHost<'_> {
+        ListedHost {
+            host: &self.name,
+            dial,
+            site: &self.zone,
+            class: "lab",
+            block: 0,
+            health: self.health.word(),
+            share: 1.0,
+            born_ms: self.born_ms,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn told(directory: &mut Directory, after: Option<u64>) -> (bool, u64, Vec<(String, String)>) {
+        let answer = directory.answer(after).unwrap();
+        let text = String::from_utf8(answer.message.to_vec()).unwrap();
+        let list: serde_json::Value = serde_json::from_str(text.split_once("\r\n\r\n").unwrap().1).unwrap();
+        let word = |host: &serde_json::Value, name: &str| host[name].as_str().unwrap().to_owned();
+        let hosts = list["hosts"].as_array().unwrap();
+        assert_eq!(hosts.len(), answer.entries);
+        assert_eq!(list["whole"].as_bool(), Some(answer.whole));
+        let hosts = hosts.iter().map(|host| (word(host, "host"), word(host, "health"))).collect();
+        (answer.whole, list["seq"].as_u64().unwrap(), hosts)
+    }
+
+    // Guards against an answer out of date or to another call, and against news that are left out.
+    #[test]
+    fn a_node_is_told_what_is_newer_than_its_version_and_no_more() {
+        let options = Options { servers: 3, ..Options::default() };
+        let mut directory = Directory::new(&options, SocketAddr::from(([127, 0, 0, 1], 7070)));
+        let pair = |server: usize, health: &str| (format!("server-{server:05}"), health.to_owned());
+        let ready = (0..3).map(|server| pair(server, "ready")).collect();
+        assert_eq!(told(&mut directory, None), (true, 1, ready));
+        assert_eq!(told(&mut directory, Some(1)), (false, 1, vec![]));
+        let change = |server, health| EntryChange { server, health, born_ms: None };
+        assert_eq!(directory.change(&[change(1, Health::Draining)]), 2);
+        assert_eq!(told(&mut directory, Some(1)), (false, 2, vec![pair(1, "draining")]));
+        assert_eq!(directory.change(&[change(1, Health::Gone), change(2, Health::Draining)]), 3);
+        let gone = vec![pair(1, "gone"), pair(2, "draining")];
+        assert_eq!(told(&mut directory, Some(1)), (false, 3, gone.clone()));
+        assert_eq!(told(&mut directory, Some(2)), (false, 3, gone));
+        let left = vec![pair(0, "ready"), pair(2, "draining")];
+        assert_eq!(
+            told(&mut directory, None),
+            (true, 3, left.clone()),
+            "what is gone is not in a whole list"
+        );
+        assert_eq!(told(&mut directory, Some(9)), (true, 3, left), "of an unknown version nothing is known");
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/real.rs
@@ -0,0 +1,171 @@
+//! Real nodes of a scale run: processes of the node's binary, each driven by a task.
+
+use crate::client::{Live, Table};
+use crate::nodes::{Lives, Node, NodeError, Program};
+use crate::scale::bounds::REAL_NODE_SOCKETS;
+use crate::scale::options::Options;
+use crate::scale::processes::monotonic_us;
+use crate::scenario::{Scenario, ScenarioError};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::interval;
+
+/// What a real node's task tells.
+#[derive(Debug)]
+pub enum FromReal {
+    /// Its process is started at this moment of the machine's monotonic clock.
+    Starts(u64),
+    /// Its process is ready, and this is its id.
+    Ready(Option<i32>),
+    /// It did not come up, or ended by itself.
+    Failed(String),
+}
+
+enum Order {
+    Restart,
+    Configure,
+    End,
+}
+
+/// The description of the fleet that all nodes' configurations are from.
+pub fn scenario(options: &Options) -> Result<Scenario, ScenarioError> {
+    let text = "about = \"scale\"\nseconds = 3600\n[load]\nrate = 1\n";
+    let mut scenario = Scenario::parse(text, Path::new("scale"))?;
+    scenario.fleet.nodes = options.nodes();
+    scenario.fleet.servers = options.servers;
+    scenario.fleet.zones = (0..options.zones).map(Options::zone).collect();
+    scenario.fleet.sockets = REAL_NODE_SOCKETS;
+    Ok(scenario)
+}
+
+/// Writes the configuration that workers take their nodes' settings from.
+pub fn write_configuration(scenario: &Scenario, seed: u64, folder: &Path) -> Result<PathBuf, NodeError> {
+    let path = folder.join("simulated.json");
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let configuration = crate::nodes::config(0, scenario, seed, nowhere);
+    let written = std::fs::write(&path, configuration.to_string());
+    written.map_err(|error| NodeError::Files { path: path.clone(), error })?;
+    Ok(path)
+}
+
+/// A real node over its lives.
+pub struct RealNode {
+    orders: UnboundedSender<Order>,
+    task: JoinHandle<()>,
+}
+
+/// Where real nodes belong.
+pub struct Surroundings<'a> {
+    /// The fleet.
+    pub scenario: &'a Scenario,
+    /// Of all that is drawn.
+    pub seed: u64,
+    /// The node's binary.
+    pub program: Program,
+    /// Where configurations go.
+    pub folder: &'a Path,
+    /// Where nodes listen, for their clients.
+    pub table: Table,
+    /// What nodes' tasks tell goes there, with the node's number.
+    pub told: UnboundedSender<(usize, FromReal)>,
+}
+
+impl RealNode {
+    /// Starts one that discovery answers at these addresses.
+    pub fn start(number: usize, discovery: [SocketAddr; 2], around: &Surroundings) -> Self {
+        let (orders, inbox) = unbounded_channel();
+        let node = Node::new(
+            number,
+            around.scenario,
+            around.seed,
+            around.program.clone(),
+            discovery,
+            around.folder,
+            around.table.clone(),
+            Lives::default(),
+            Instant::now(),
+            Arc::<Live>::default(),
+        );
+        let task = spawn_local(drive(number, node, inbox, around.told.clone()));
+        Self { orders, task }
+    }
+
+    /// Ends its process as the platform does, and starts it anew.
+    pub fn restart(&self) {
+        self.order(Order::Restart);
+    }
+
+    /// Gives it a new configuration, with the other address of discovery.
+    pub fn configure(&self) {
+        self.order(Order::Configure);
+    }
+
+    /// Ends it.
+    pub async fn end(self) {
+        self.order(Order::End);
+        // A task that panicked has dropped its process, which ends with that.
+        let _ = self.task.await;
+    }
+
+    fn order(&self, order: Order) {
+        // A task that has ended has told why.
+        let _ = self.orders.send(order);
+    }
+}
+
+/// A process is looked at so often for whether it has ended by itself.
+const LOOK: Duration = Duration::from_millis(200);
+
+async fn drive(
+    number: usize,
+    mut node: Node,
+    mut orders: UnboundedReceiver<Order>,
+    told: UnboundedSender<(usize, FromReal)>,
+) {
+    let tell = |what| {
+        // The run may be over.
+        let _ = told.send((number, what));
+    };
+    if let Err(error) = follow(&mut node, &mut orders, &tell).await {
+        tell(FromReal::Failed(error.to_string()));
+    }
+    node.down().await;
+}
+
+async fn follow(
+    node: &mut Node,
+    orders: &mut UnboundedReceiver<Order>,
+    tell: &impl Fn(FromReal),
+) -> Result<(), NodeError> {
+    start(node, tell).await?;
+    let mut looks = interval(LOOK);
+    loop {
+        tokio::select! {
+            order = orders.recv() => match order {
+                Some(Order::Restart) => {
+                    node.down().await;
+                    start(node, tell).await?;
+                }
+                Some(Order::Configure) => {
+                    node.move_discovery()?;
+                }
+                Some(Order::End) | None => return Ok(()),
+            },
+            _ = looks.tick() => if node.died() {
+                tell(FromReal::Failed("it ended by itself".to_owned()));
+                return Ok(());
+            },
+        }
+    }
+}
+
+async fn start(node: &mut Node, tell: &impl Fn(FromReal)) -> Result<(), NodeError> {
+    tell(FromReal::Starts(monotonic_us()));
+    node.up().await?;
+    tell(FromReal::Ready(node.pid()));
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/scale/report.rs
@@ -0,0 +1,291 @@
+//! What a scale run measured: as JSON, and as a table.
+
+use crate::scale::bounds::{Limits, Reckoning};
+use crate::scale::convergence::Spread;
+use crate::scale::counts::ControlCounts;
+use crate::scale::options::{Options, TroubleKind};
+use crate::scale::traffic::TrafficCounts;
+use serde::Serialize;
+use std::fmt;
+
+/// A whole run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// What was asked for.
+    pub options: Options,
+    /// What it was reckoned to take.
+    pub reckoning: Reckoning,
+    /// What this machine allows.
+    pub limits: Limits,
+    /// Seconds that were measured: from the fleet's first being up to date to the end.
+    pub measured_s: f64,
+    /// Nodes that did not have the newest list and configuration at the end.
+    pub behind_at_end: usize,
+    /// Messages and bytes; the same for a seed in a step-wise run in which no watch is renewed.
+    pub counts: Counts,
+    /// Discovery's stand-in, and what nodes need of it.
+    pub discovery: Discovery,
+    /// A real node, on average.
+    pub real_node: Option<Node>,
+    /// A simulated node, on average.
+    pub simulated_node: Option<Node>,
+    /// From a planned change of the list until nodes have it in force.
+    pub list_change: ChangeTimes,
+    /// From a planned configuration until nodes have a list by it in force.
+    pub configuration: ChangeTimes,
+    /// From the start of the whole fleet to a node's first list in force.
+    pub start: StartTimes,
+    /// The trouble, if one was played.
+    pub trouble: Option<Trouble>,
+    /// What clients of real nodes saw.
+    pub clients: TrafficCounts,
+}
+
+/// Messages and bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Changes of the list that were made, those of a trouble with them.
+    pub list_changes: u64,
+    /// Configurations that were given out.
+    pub configurations: u64,
+    /// With real nodes, from the first start on.
+    pub real: ControlCounts,
+    /// With simulated nodes, from the first start on.
+    pub simulated: ControlCounts,
+    /// With real nodes, while it was measured.
+    pub real_measured: ControlCounts,
+    /// With simulated nodes, while it was measured.
+    pub simulated_measured: ControlCounts,
+}
+
+/// Discovery.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Discovery {
+    /// Control with all nodes.
+    pub traffic: Traffic,
+    /// Processor time of its thread, in milliseconds for each second.
+    pub processor_ms_per_s: f64,
+    /// Share of the time that its turns took, by the stated costs.
+    pub busy_share: f64,
+    /// Resident memory of the run's own process, which holds it, in KiB.
+    pub resident_kib: u64,
+    /// Connections that were open at the end.
+    pub connections: usize,
+    /// The most that ever were.
+    pub most_connections: usize,
+}
+
+/// Control a second.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Traffic {
+    /// Messages to discovery.
+    pub calls_per_s: f64,
+    /// Their bytes.
+    pub call_bytes_per_s: f64,
+    /// Messages from discovery.
+    pub answers_per_s: f64,
+    /// Their bytes.
+    pub answer_bytes_per_s: f64,
+}
+
+impl Traffic {
+    /// Of each of so many nodes.
+    pub fn of(counts: &ControlCounts, seconds: f64, nodes: usize) -> Self {
+        let each = |count: u64| count as f64 / seconds / nodes.max(1) as f64;
+        Self {
+            calls_per_s: each(counts.calls()),
+            call_bytes_per_s: each(counts.call_bytes),
+            answers_per_s: each(counts.answers()),
+            answer_bytes_per_s: each(counts.answer_bytes),
+        }
+    }
+}
+
+/// A node, on average over its kind.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Node {
+    /// Control with discovery.
+    pub traffic: Traffic,
+    /// Processor time, in microseconds for each second.
+    pub processor_us_per_s: f64,
+    /// Of that, what is not for requests; unknown for a real node that has requests.
+    pub control_processor_us_per_s: Option<f64>,
+    /// Resident memory at the end, in KiB: of a simulated node its part of the worker's.
+    pub resident_kib: f64,
+    /// Open sockets at the end, listeners with them.
+    pub connections: f64,
+    /// Requests that its decision module handled, a second; a simulated node's.
+    pub requests_per_s: Option<f64>,
+}
+
+/// Times of changes.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct ChangeTimes {
+    /// To the last node.
+    pub to_last_node: Spread,
+    /// To each node.
+    pub to_each_node: Spread,
+}
+
+/// Times of starts; the worst is the whole group's.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct StartTimes {
+    /// Real nodes, from the start of their process.
+    pub real: Spread,
+    /// Simulated nodes.
+    pub simulated: Spread,
+}
+
+/// How a trouble went.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Trouble {
+    /// What was played.
+    pub kind: TroubleKind,
+    /// From its begin until the last node had the change that it is; only a lost zone is one.
+    pub to_last_node_ms: Option<f64>,
+    /// From its end until the last node had the list as it was then.
+    pub recovered_ms: Option<f64>,
+    /// Starts of the restarted nodes.
+    pub restarted: Option<StartTimes>,
+    /// Messages of the whole fleet's control from its begin on.
+    pub counts: ControlCounts,
+    /// Calls of simulated nodes that failed, in the whole run.
+    pub failed_calls: u64,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let options = &self.options;
+        writeln!(
+            f,
+            "{} real and {} simulated nodes in {} workers, {} servers in {} zones, seed {}: {:.1} s measured",
+            options.real,
+            options.simulated,
+            options.used_workers(),
+            options.servers,
+            options.zones,
+            options.seed,
+            self.measured_s
+        )?;
+        self.per_member(f)?;
+        self.times(f)?;
+        self.totals(f)
+    }
+}
+
+impl Report {
+    fn per_member(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "\n{:<16} {:>9} {:>11} {:>9} {:>11} {:>12} {:>13} {:>12} {:>8}",
+            "",
+            "calls/s",
+            "bytes/s",
+            "answers/s",
+            "bytes/s",
+            "CPU us/s",
+            "of control",
+            "memory KiB",
+            "sockets"
+        )?;
+        let node = |f: &mut fmt::Formatter<'_>, name: &str, node: &Node| {
+            line(f, name, &node.traffic)?;
+            let control = node.control_processor_us_per_s;
+            let control = control.map_or_else(|| "-".to_owned(), |time| format!("{time:.0}"));
+            let (processor, memory) = (node.processor_us_per_s, node.resident_kib);
+            writeln!(f, " {processor:>12.0} {control:>13} {memory:>12.0} {:>8.1}", node.connections)
+        };
+        if let Some(real) = &self.real_node {
+            node(f, "a real node", real)?;
+        }
+        if let Some(simulated) = &self.simulated_node {
+            node(f, "a simulated node", simulated)?;
+        }
+        let discovery = &self.discovery;
+        line(f, "discovery", &discovery.traffic)?;
+        let processor = discovery.processor_ms_per_s * 1e3;
+        let (memory, sockets) = (discovery.resident_kib, discovery.connections);
+        writeln!(f, " {processor:>12.0} {processor:>13.0} {memory:>12} {sockets:>8}")?;
+        writeln!(
+            f,
+            "discovery's turns took {:.2} % of the time by the stated costs; {} connections at the most",
+            discovery.busy_share * 100.0,
+            discovery.most_connections
+        )
+    }
+
+    fn times(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "\n{:<44} {:>7} {:>10} {:>10} {:>10}", "time, ms", "count", "p50", "p99", "worst")?;
+        spread(f, "list change, to the last node", &self.list_change.to_last_node)?;
+        spread(f, "list change, to each node", &self.list_change.to_each_node)?;
+        spread(f, "configuration, to the last node", &self.configuration.to_last_node)?;
+        spread(f, "configuration, to each node", &self.configuration.to_each_node)?;
+        spread(f, "fleet's start, simulated nodes", &self.start.simulated)?;
+        spread(f, "fleet's start, real nodes", &self.start.real)?;
+        let Some(trouble) = &self.trouble else { return Ok(()) };
+        if let Some(restarted) = &trouble.restarted {
+            spread(f, "restart, simulated nodes", &restarted.simulated)?;
+            spread(f, "restart, real nodes", &restarted.real)?;
+        }
+        let single = |f: &mut fmt::Formatter<'_>, name: &str, time: Option<f64>| match time {
+            Some(time) => writeln!(f, "{name:<44} {:>7} {:>10} {:>10} {time:>10.1}", 1, "", ""),
+            None => Ok(()),
+        };
+        single(f, "trouble's begin, to the last node", trouble.to_last_node_ms)?;
+        single(f, "trouble's end, to the last node", trouble.recovered_ms)
+    }
+
+    fn totals(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Counts { list_changes, configurations, real, simulated, .. } = &self.counts;
+        writeln!(
+            f,
+            "\n{list_changes} list changes, {configurations} configurations; messages of the whole run:"
+        )?;
+        for (name, counts) in [("real", real), ("simulated", simulated)] {
+            writeln!(
+                f,
+                "{name:<10} {} calls ({} for whole lists), {} bytes; {} answers ({} whole, {} of changes, {} empty, \
+                 {} refused), {} bytes, {} entries; {} connections, {} reset",
+                counts.calls(),
+                counts.whole_calls,
+                counts.call_bytes,
+                counts.answers(),
+                counts.whole_answers,
+                counts.change_answers,
+                counts.empty_answers,
+                counts.refused,
+                counts.answer_bytes,
+                counts.entries,
+                counts.connections,
+                counts.resets
+            )?;
+        }
+        if self.clients.asked > 0 {
+            let TrafficCounts { asked, served, refused, unanswered } = self.clients;
+            writeln!(
+                f,
+                "clients of real nodes asked {asked}: {served} served, {refused} refused, {unanswered} unanswered"
+            )?;
+        }
+        if self.behind_at_end > 0 {
+            writeln!(f, "{} nodes were not up to date at the end", self.behind_at_end)?;
+        }
+        Ok(())
+    }
+}
+
+fn line(f: &mut fmt::Formatter<'_>, name: &str, traffic: &Traffic) -> fmt::Result {
+    let Traffic { calls_per_s, call_bytes_per_s, answers_per_s, answer_bytes_per_s } = traffic;
+    write!(
+        f,
+        "{name:<16} {calls_per_s:>9.3} {call_bytes_per_s:>11.1} {answers_per_s:>9.3} {answer_bytes_per_s:>11.1}"
+    )
+}
+
+fn spread(f: &mut fmt::Formatter<'_>, name: &str, spread: &Spread) -> fmt::Result {
+    let Spread { count, p50_ms, p99_ms, worst_ms } = spread;
+    if *count == 0 {
+        return Ok(());
+    }
+    writeln!(f, "{name:<44} {count:>7} {p50_ms:>10.1} {p99_ms:>10.1} {worst_ms:>10.1}")
+}
--- /dev/null
+++ b/crates/lab/src/scale/schedule.rs
@@ -0,0 +1,189 @@
+//! What happens when in a run: planned changes, new configurations and a trouble. No I/O and no clock.
+
+use crate::scale::directory::{EntryChange, Health};
+use crate::scale::options::{Options, TroubleKind};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// What is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// A change of the list.
+    ListChange,
+    /// A new configuration for the fleet.
+    Configuration,
+}
+
+/// A point of a trouble.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TroubleStep {
+    /// It begins.
+    Begin(TroubleKind),
+    /// It ends.
+    End(TroubleKind),
+}
+
+/// The time line.
+#[derive(Debug)]
+pub struct Schedule {
+    steps: VecDeque<(Duration, Step)>,
+    trouble: VecDeque<(Duration, TroubleStep)>,
+}
+
+impl Schedule {
+    /// Of a run: changes of a kind are evenly apart.
+    pub fn new(options: &Options) -> Self {
+        let lists = evenly(options.planned_list_changes(), options.list_changes, Step::ListChange);
+        let configurations =
+            evenly(options.planned_configurations(), options.configurations, Step::Configuration);
+        let mut steps: Vec<_> = lists.chain(configurations).collect();
+        // Stable: of two at the same time the list's comes first, each time.
+        steps.sort_by_key(|(due, _)| *due);
+        let trouble = options.trouble.map(|trouble| {
+            let begin = (Duration::from_secs_f64(trouble.at_s), TroubleStep::Begin(trouble.kind));
+            let end = Duration::from_secs_f64(trouble.at_s + trouble.for_s);
+            let ends = trouble.kind != TroubleKind::RestartTenth;
+            [begin].into_iter().chain(ends.then_some((end, TroubleStep::End(trouble.kind))))
+        });
+        Self { steps: steps.into(), trouble: trouble.into_iter().flatten().collect() }
+    }
+
+    /// The next change that is due.
+    pub fn next_step(&mut self, now: Duration) -> Option<Step> {
+        next(&mut self.steps, now)
+    }
+
+    /// The next point of the trouble that is due.
+    pub fn next_trouble(&mut self, now: Duration) -> Option<TroubleStep> {
+        next(&mut self.trouble, now)
+    }
+
+    /// Whether nothing is left.
+    pub fn is_over(&self) -> bool {
+        self.steps.is_empty() && self.trouble.is_empty()
+    }
+}
+
+fn evenly(count: usize, rate: f64, step: Step) -> impl Iterator<Item = (Duration, Step)> {
+    // In the middle of its part of the time: the first one leaves the fleet a moment, the last one too.
+    (0..count).map(move |i| (Duration::from_secs_f64((i as f64 + 0.5) / rate), step))
+}
+
+fn next<T>(due: &mut VecDeque<(Duration, T)>, now: Duration) -> Option<T> {
+    if due.front().is_some_and(|(at, _)| *at <= now) {
+        due.pop_front().map(|(_, it)| it)
+    } else {
+        None
+    }
+}
+
+/// Draws what the steps do, from the run's seed.
+#[derive(Debug)]
+pub struct Draws {
+    random: StdRng,
+    health: Vec<Health>,
+    zones: usize,
+    nodes: usize,
+}
+
+/// Of all nodes, this part is restarted.
+const RESTARTED_PART: usize = 10;
+
+impl Draws {
+    /// Of a run.
+    pub fn new(options: &Options) -> Self {
+        Self {
+            random: StdRng::seed_from_u64(options.seed),
+            health: vec![Health::Ready; options.servers],
+            zones: options.zones,
+            nodes: options.nodes(),
+        }
+    }
+
+    /// A change of the list: one server begins to drain, or is ready again. The last one that is ready stays so, and is
+    /// only listed anew.
+    pub fn list_change(&mut self) -> Vec<EntryChange> {
+        let listed: Vec<_> = (0..self.health.len()).filter(|&i| self.health[i] != Health::Gone).collect();
+        let server = listed[self.random.random_range(0..listed.len())];
+        let ready = self.health.iter().filter(|health| **health == Health::Ready).count();
+        let drains = self.health[server] == Health::Ready && ready > 1;
+        self.set(server, if drains { Health::Draining } else { Health::Ready }, None)
+    }
+
+    /// The servers of the first zone are gone.
+    pub fn lose_zone(&mut self) -> Vec<EntryChange> {
+        self.zone().flat_map(|server| self.set(server, Health::Gone, None)).collect()
+    }
+
+    /// The servers of the first zone are back, and start anew at this Unix time in milliseconds.
+    pub fn return_zone(&mut self, now_ms: u64) -> Vec<EntryChange> {
+        self.zone().flat_map(|server| self.set(server, Health::Ready, Some(now_ms))).collect()
+    }
+
+    /// A tenth of the nodes, one at least.
+    pub fn tenth(&mut self) -> Vec<usize> {
+        let mut nodes: Vec<_> = (0..self.nodes).collect();
+        nodes.shuffle(&mut self.random);
+        nodes.truncate(self.nodes.div_ceil(RESTARTED_PART));
+        nodes.sort_unstable();
+        nodes
+    }
+
+    fn zone(&self) -> impl Iterator<Item = usize> {
+        (0..self.health.len()).step_by(self.zones)
+    }
+
+    fn set(&mut self, server: usize, health: Health, born_ms: Option<u64>) -> Vec<EntryChange> {
+        self.health[server] = health;
+        vec![EntryChange { server, health, born_ms }]
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::scale::options::Trouble;
+
+    // Guards against changes that are lost at the run's end, or that come before their time.
+    #[test]
+    fn each_planned_step_is_due_once_in_order() {
+        let trouble = Trouble { kind: TroubleKind::Split, at_s: 1.0, for_s: 0.5 };
+        let options = Options {
+            list_changes: 1.0,
+            configurations: 0.5,
+            length_s: 3.0,
+            trouble: Some(trouble),
+            ..Options::default()
+        };
+        let mut schedule = Schedule::new(&options);
+        let ms = Duration::from_millis;
+        assert_eq!(schedule.next_step(ms(499)), None);
+        assert_eq!(schedule.next_step(ms(500)), Some(Step::ListChange));
+        assert_eq!(schedule.next_step(ms(999)), None);
+        assert_eq!(schedule.next_trouble(ms(1000)), Some(TroubleStep::Begin(TroubleKind::Split)));
+        assert_eq!(schedule.next_trouble(ms(1000)), None);
+        let rest: Vec<_> = std::iter::from_fn(|| schedule.next_step(ms(3000))).collect();
+        assert_eq!(rest, [Step::Configuration, Step::ListChange, Step::ListChange]);
+        assert!(!schedule.is_over());
+        assert_eq!(schedule.next_trouble(ms(1500)), Some(TroubleStep::End(TroubleKind::Split)));
+        assert!(schedule.is_over());
+    }
+
+    // Guards against runs of one seed that differ, and against a lost zone that takes another one with it.
+    #[test]
+    fn draws_of_a_seed_are_the_same_and_a_zone_is_lost_whole() {
+        let options = Options { servers: 7, zones: 3, simulated: 24, real: 1, ..Options::default() };
+        let drawn = || {
+            let mut draws = Draws::new(&options);
+            ((0..9).map(|_| draws.list_change()).collect::<Vec<_>>(), draws.tenth(), draws.lose_zone())
+        };
+        let (_, tenth, lost) = drawn();
+        assert_eq!(drawn(), drawn());
+        assert_eq!(tenth.len(), 3);
+        let lost: Vec<_> = lost.iter().map(|change| (change.server, change.health)).collect();
+        assert_eq!(lost, [0, 3, 6].map(|server| (server, Health::Gone)));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/turns.rs
@@ -0,0 +1,88 @@
+//! Discovery's time: one service that handles calls in turn, each with a stated cost. No I/O and no clock.
+
+use std::time::Duration;
+
+/// A call that would have to wait longer than this for its turn is turned away.
+const LONGEST_QUEUE: Duration = Duration::from_secs(2);
+
+/// What discovery's work costs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Costs {
+    /// A call.
+    pub call: Duration,
+    /// An entry that is written.
+    pub entry: Duration,
+}
+
+/// A place in the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// The work is done then.
+    Done(Duration),
+    /// The call has waited for too long then, and is turned away.
+    Refused(Duration),
+}
+
+/// The queue; times are counted from any origin.
+#[derive(Debug)]
+pub struct Turns {
+    costs: Costs,
+    free_at: Duration,
+    busy: Duration,
+}
+
+impl Turns {
+    /// An empty queue.
+    pub fn new(costs: Costs) -> Self {
+        Self { costs, free_at: Duration::ZERO, busy: Duration::ZERO }
+    }
+
+    /// A call that comes now: its turn, or the end of its patience.
+    pub fn call(&mut self, now: Duration) -> Turn {
+        if self.free_at.saturating_sub(now) > LONGEST_QUEUE {
+            return Turn::Refused(now + LONGEST_QUEUE);
+        }
+        Turn::Done(self.work(now, self.costs.call))
+    }
+
+    /// An answer with so many entries: when it is written. It belongs to a call that has had its turn, so it is not
+    /// turned away.
+    pub fn answer(&mut self, now: Duration, entries: usize) -> Duration {
+        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+        self.work(now, self.costs.entry.saturating_mul(entries))
+    }
+
+    /// All the time that was spent on work, or is to be.
+    pub fn busy(&self) -> Duration {
+        self.busy
+    }
+
+    fn work(&mut self, now: Duration, cost: Duration) -> Duration {
+        self.free_at = self.free_at.max(now) + cost;
+        self.busy += cost;
+        self.free_at
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Duration = Duration::from_millis(1);
+
+    // Guards against a stand-in that serves calls beside each other, for which no herd would ever be too large.
+    #[test]
+    fn calls_are_served_in_turn_and_those_that_wait_for_too_long_are_turned_away() {
+        let mut turns = Turns::new(Costs { call: 900 * MS, entry: 10 * MS });
+        let now = Duration::from_secs(5);
+        assert_eq!(turns.call(now), Turn::Done(now + 900 * MS));
+        assert_eq!(turns.answer(now + 900 * MS, 20), now + 1100 * MS);
+        assert_eq!(turns.call(now), Turn::Done(now + 2000 * MS));
+        assert_eq!(turns.call(now), Turn::Done(now + 2900 * MS), "it waits 2 s, and no longer");
+        assert_eq!(turns.call(now), Turn::Refused(now + 2000 * MS));
+        assert_eq!(turns.call(now + 900 * MS), Turn::Done(now + 3800 * MS));
+        assert_eq!(turns.busy(), 3800 * MS);
+        let later = now + Duration::from_secs(60);
+        assert_eq!(turns.call(later), Turn::Done(later + 900 * MS), "an idle service saves no time up");
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/workers.rs
@@ -0,0 +1,114 @@
+//! The run's side of its workers: processes of this program that run the simulated nodes.
+
+use crate::scale::protocol::{Message, Order};
+use std::io;
+use std::path::Path;
+use std::process::Stdio;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::process::{Child, ChildStdin, ChildStdout, Command};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// A worker whose standard input has ended ends within this, or is ended.
+const ENDING: Duration = Duration::from_secs(3);
+
+/// Why a worker is not there.
+#[derive(Debug, Error)]
+pub enum WorkersError {
+    /// It cannot be started.
+    #[error("cannot start a worker: {0}")]
+    Start(io::Error),
+    /// It cannot be told.
+    #[error("worker {0} takes no orders: {1}")]
+    Order(usize, io::Error),
+}
+
+/// What came of a worker.
+#[derive(Debug)]
+pub enum FromWorker {
+    /// It tells something.
+    Told(Message),
+    /// It told what cannot be read, or ended.
+    Ended(String),
+}
+
+/// A worker's process.
+pub struct Worker {
+    place: usize,
+    child: Child,
+    orders: Option<ChildStdin>,
+}
+
+impl Worker {
+    /// Starts one; what it tells goes to `told`, with its place.
+    pub fn start(
+        place: usize,
+        program: &Path,
+        arguments: &[String],
+        told: UnboundedSender<(usize, FromWorker)>,
+    ) -> Result<Self, WorkersError> {
+        let mut child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .kill_on_drop(true)
+            // Ctrl-C is for the run, which ends its workers itself.
+            .process_group(0)
+            .spawn()
+            .map_err(WorkersError::Start)?;
+        let orders = child.stdin.take();
+        if let Some(output) = child.stdout.take() {
+            spawn_local(listen(place, output, told));
+        }
+        Ok(Self { place, child, orders })
+    }
+
+    /// Its process, while it runs.
+    pub fn pid(&self) -> Option<i32> {
+        self.child.id().and_then(|id| i32::try_from(id).ok())
+    }
+
+    /// Tells it something.
+    pub async fn order(&mut self, order: &Order) -> Result<(), WorkersError> {
+        let place = self.place;
+        let mut line = serde_json::to_vec(order).map_err(|error| WorkersError::Order(place, error.into()))?;
+        line.push(b'\n');
+        let ended = || io::Error::from(io::ErrorKind::BrokenPipe);
+        let written = match &mut self.orders {
+            Some(orders) => orders.write_all(&line).await,
+            None => Err(ended()),
+        };
+        written.map_err(|error| WorkersError::Order(place, error))
+    }
+
+    /// Ends it.
+    pub async fn end(mut self) {
+        self.orders = None;
+        if timeout(ENDING, self.child.wait()).await.is_err() {
+            // It may have ended this moment.
+            let _ = self.child.kill().await;
+        }
+    }
+}
+
+async fn listen(place: usize, output: ChildStdout, told: UnboundedSender<(usize, FromWorker)>) {
+    let mut lines = BufReader::new(output).lines();
+    loop {
+        let from = match lines.next_line().await {
+            Ok(Some(line)) => match serde_json::from_str(&line) {
+                Ok(message) => FromWorker::Told(message),
+                Err(error) => FromWorker::Ended(format!("it told what cannot be read: {error}")),
+            },
+            Ok(None) => FromWorker::Ended("its process has ended".to_owned()),
+            Err(error) => FromWorker::Ended(error.to_string()),
+        };
+        let over = matches!(from, FromWorker::Ended(_));
+        if told.send((place, from)).is_err() || over {
+            return;
+        }
+    }
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -94,7 +94,8 @@
         Self { origin: Instant::now(), unix }
     }
 
-    fn at(&self, instant: Instant) -> Timestamp {
+    /// This instant on it.
+    pub fn at(&self, instant: Instant) -> Timestamp {
         let time = self.unix + instant.saturating_duration_since(self.origin);
         Timestamp::from_micros(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! events go to the decision module, and what the module answers is carried out in order. Whoever watches is told
 //! through an `Observer`.
 
+pub mod control;
 mod discovery;
 mod driver;
 mod multiget;
