Split the scale run by job, and hear a real node's start before its calls

A real node's start could be taken in after its first call, since both came by channels that were read in no order; the node then counted as without a list until its watch was renewed.

Starts are read first, and tell which configuration the process reads. A restarted real node counts as not ready until its new process is, and its processor time is left out of the average. Memory of a simulated node is what its worker grew by.

--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -4,7 +4,7 @@
 use clap::{Args, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
 use slatelink_lab::scale::bounds::{Limits, Reckoning};
-use slatelink_lab::scale::run::Programs;
+use slatelink_lab::scale::run::{Programs, WorkerProgram};
 use slatelink_lab::scale::{self, Options, Progress, Report, ScaleError, Trouble, TroubleKind};
 use std::error::Error;
 use std::io::{self, Write};
@@ -109,7 +109,10 @@
         let options = self.options();
         let programs = Programs {
             node: self.node.program()?,
-            worker: (std::env::current_exe()?, WORKER.map(str::to_owned).to_vec()),
+            worker: WorkerProgram {
+                path: std::env::current_exe()?,
+                arguments: WORKER.map(str::to_owned).to_vec(),
+            },
         };
         if let Err(error) = announce(&options) {
             return refused(&error);
--- a/crates/lab/src/scale/convergence.rs
+++ b/crates/lab/src/scale/convergence.rs
@@ -135,12 +135,10 @@
         })
     }
 
-    /// A node starts, with nothing in force.
-    pub fn starts(&mut self, node: usize, at_us: u64) {
-        let had = std::mem::take(&mut self.nodes[node]);
-        // A restarted node reads the configuration as it is.
-        self.nodes[node].configuration = self.newest.configuration;
-        let has = self.nodes[node];
+    /// A node starts under this configuration, with no list in force.
+    pub fn starts(&mut self, node: usize, configuration: u64, at_us: u64) {
+        let has = InForce { list: 0, configuration };
+        let had = std::mem::replace(&mut self.nodes[node], has);
         for pending in &mut self.pending {
             match (had.has(pending.change), has.has(pending.change)) {
                 (true, false) => pending.missing += 1,
@@ -239,11 +237,6 @@
     pub fn trouble(&self, occasion: Occasion) -> Option<u64> {
         self.troubles.get(&occasion).copied()
     }
-
-    /// The configuration that a node has in force.
-    pub fn configuration(&self, node: usize) -> u64 {
-        self.nodes[node].configuration
-    }
 }
 
 #[cfg(test)]
@@ -256,8 +249,8 @@
     #[test]
     fn a_change_is_over_with_the_last_node_that_has_it() {
         let mut fleet = Convergence::new(2).unwrap();
-        fleet.starts(0, 0);
-        fleet.starts(1, 0);
+        fleet.starts(0, 0, 0);
+        fleet.starts(1, 0, 0);
         fleet.in_force(0, 1, 0, 30);
         assert_eq!((fleet.behind(), fleet.starting()), (1, 1));
         fleet.in_force(1, 1, 0, 50);
@@ -282,14 +275,14 @@
         fleet.in_force(1, 1, 0, 0);
         fleet.changed(Change::List(2), Occasion::TroubleEnds, 10);
         fleet.in_force(0, 2, 0, 20);
-        fleet.starts(0, 30);
+        fleet.starts(0, 0, 30);
         fleet.in_force(1, 2, 0, 40);
         assert_eq!((fleet.behind(), fleet.trouble(Occasion::TroubleEnds)), (1, None));
         fleet.in_force(0, 2, 0, 60);
         assert_eq!((fleet.behind(), fleet.trouble(Occasion::TroubleEnds)), (0, Some(50)));
         assert_eq!(fleet.take_started(), [(0, 30)]);
         fleet.changed(Change::Configuration(1), PLANNED, 70);
-        fleet.starts(1, 75);
+        fleet.starts(1, 1, 75);
         fleet.in_force(1, 2, 0, 80);
         assert_eq!(fleet.configurations().to_last.len(), 0);
         fleet.in_force(0, 2, 1, 90);
--- /dev/null
+++ b/crates/lab/src/scale/fleet.rs
@@ -0,0 +1,203 @@
+//! All that a run starts: discovery, traffic, real nodes and workers, from their start to their end.
+
+use crate::client::Table;
+use crate::run::Folder;
+use crate::scale::convergence::{Change, Occasion};
+use crate::scale::dealing::Dealing;
+use crate::scale::directory::EntryChange;
+use crate::scale::options::Options;
+use crate::scale::processes::monotonic_us;
+use crate::scale::protocol::{NodeSetup, Order, Setup};
+use crate::scale::real::{self, FromReal, RealNode, Surroundings};
+use crate::scale::run::{Programs, ScaleError};
+use crate::scale::service::{Heard, Service};
+use crate::scale::state::{State, Told};
+use crate::scale::traffic::{Traffic, TrafficCounts};
+use crate::scale::workers::{FromWorker, Worker};
+use std::future::pending;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, RwLock};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+use tokio::task::JoinSet;
+
+/// What members tell, as it comes.
+pub struct Inbox {
+    heard: UnboundedReceiver<Heard>,
+    real: UnboundedReceiver<(usize, FromReal)>,
+    workers: UnboundedReceiver<(usize, FromWorker)>,
+}
+
+impl Inbox {
+    /// What comes next.
+    pub async fn next(&mut self) -> Told {
+        tokio::select! {
+            // That a node starts comes before what it then asks.
+            biased;
+            Some((node, from)) = self.real.recv() => Told::Real(node, from),
+            Some(heard) = self.heard.recv() => Told::Heard(heard),
+            Some((worker, from)) = self.workers.recv() => Told::Worker(worker, from),
+            // A run without members of a kind hears nothing of them.
+            else => pending().await,
+        }
+    }
+}
+
+/// All that a run started.
+pub struct Fleet<'a> {
+    /// What was asked for.
+    pub options: &'a Options,
+    /// Discovery.
+    pub service: Service,
+    /// The processes that simulated nodes share.
+    pub workers: Vec<Worker>,
+    /// What is known of the members.
+    pub state: State,
+    /// What they tell.
+    pub inbox: Inbox,
+    traffic: Traffic,
+    real: Vec<RealNode>,
+    dealing: Dealing,
+    /// Its files go with it.
+    _folder: Folder,
+}
+
+impl<'a> Fleet<'a> {
+    /// Starts all processes; simulated nodes wait for their own start.
+    pub async fn start(options: &'a Options, programs: &Programs) -> Result<Self, ScaleError> {
+        let folder = Folder::new()?;
+        let scenario = real::scenario(options)?;
+        let dealing = Dealing::new(options);
+        let table: Table = Arc::new(RwLock::new(vec![None; options.nodes()]));
+        let traffic = Traffic::start(table.clone(), options.real, options.requests, options.seed).await?;
+        let (hears, heard) = unbounded_channel();
+        let service = Service::start(options, traffic.servers, dealing.peers(), hears).await?;
+        let (real_tells, real_told) = unbounded_channel();
+        let around = Surroundings {
+            scenario: &scenario,
+            seed: options.seed,
+            program: programs.node.clone(),
+            folder: &folder.0,
+            table,
+            told: real_tells,
+        };
+        let addresses = &service.addresses;
+        let start_real = |node| RealNode::start(node, dealing.of_real(node, addresses), &around);
+        let real = (0..options.real).map(start_real).collect();
+        let (worker_tells, workers_told) = unbounded_channel();
+        let configuration = real::write_configuration(&scenario, options.seed, &folder.0)?;
+        let mut workers = Vec::with_capacity(dealing.workers());
+        for place in 0..dealing.workers() {
+            let mut worker = Worker::start(place, &programs.worker, worker_tells.clone())?;
+            let setup = setup(options, &dealing, place, addresses, &configuration);
+            worker.order(&Order::SetUp(setup)).await?;
+            workers.push(worker);
+        }
+        Ok(Self {
+            options,
+            service,
+            workers,
+            state: State::new(options)?,
+            inbox: Inbox { heard, real: real_told, workers: workers_told },
+            traffic,
+            real,
+            dealing,
+            _folder: folder,
+        })
+    }
+
+    /// Ends all that was started; what clients saw.
+    pub async fn end(self) -> TrafficCounts {
+        let clients = self.traffic.stop().await;
+        // All at once: each may take a while.
+        let mut ending = JoinSet::new();
+        for node in self.real {
+            ending.spawn_local(node.end());
+        }
+        for worker in self.workers {
+            ending.spawn_local(worker.end());
+        }
+        while ending.join_next().await.is_some() {}
+        clients
+    }
+
+    /// Whether all nodes are up to date, and watch.
+    pub fn is_settled(&self) -> bool {
+        self.state.is_up_to_date() && self.service.waiting() >= self.options.nodes()
+    }
+
+    /// Starts all simulated nodes.
+    pub async fn start_all_simulated(&mut self) -> Result<(), ScaleError> {
+        self.start_simulated((self.options.real..self.options.nodes()).collect()).await
+    }
+
+    /// Starts simulated nodes, in a new life where they run.
+    async fn start_simulated(&mut self, nodes: Vec<usize>) -> Result<(), ScaleError> {
+        let at_us = monotonic_us();
+        for &node in &nodes {
+            self.state.lives[node] += 1;
+            self.state.convergence.starts(node, self.state.configuration, at_us);
+        }
+        for (place, worker) in self.workers.iter_mut().enumerate() {
+            let own = self.dealing.nodes(place);
+            let own: Vec<_> = nodes.iter().copied().filter(|node| own.contains(node)).collect();
+            if !own.is_empty() {
+                worker.order(&Order::Start(own)).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Restarts nodes of both kinds.
+    pub async fn restart(&mut self, nodes: Vec<usize>) -> Result<(), ScaleError> {
+        let first_simulated = self.options.real;
+        let (real, simulated): (Vec<_>, Vec<_>) = nodes.into_iter().partition(|node| *node < first_simulated);
+        for node in real {
+            // Until its new process is ready.
+            self.state.pids[node] = None;
+            self.real[node].restart();
+        }
+        self.start_simulated(simulated).await
+    }
+
+    /// Changes entries of the list, all at once.
+    pub async fn change_list(
+        &mut self,
+        changes: Vec<EntryChange>,
+        occasion: Occasion,
+    ) -> Result<(), ScaleError> {
+        let changed = self.service.change(changes).await?;
+        self.state.list_changes += 1;
+        self.state.convergence.changed(Change::List(changed.version), occasion, changed.at_us);
+        Ok(())
+    }
+
+    /// Gives all nodes a new configuration.
+    pub async fn configure(&mut self) -> Result<(), ScaleError> {
+        let at_us = monotonic_us();
+        self.state.configuration += 1;
+        let configuration = self.state.configuration;
+        self.state.convergence.changed(Change::Configuration(configuration), Occasion::Planned, at_us);
+        self.real.iter().for_each(RealNode::configure);
+        for worker in &mut self.workers {
+            worker.order(&Order::Configure(configuration)).await?;
+        }
+        Ok(())
+    }
+}
+
+fn setup(
+    options: &Options,
+    dealing: &Dealing,
+    worker: usize,
+    addresses: &[SocketAddr],
+    configuration: &Path,
+) -> Setup {
+    let node = |number| NodeSetup { number, discovery: dealing.of_simulated(worker, number, addresses) };
+    Setup {
+        configuration: configuration.to_owned(),
+        nodes: dealing.nodes(worker).map(node).collect(),
+        seed: options.seed,
+        request_rate: options.requests,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/scale/play.rs
@@ -0,0 +1,268 @@
+//! Plays the time line on a fleet and measures it: the start, changes, configurations, a trouble.
+
+use crate::scale::bounds::{Limits, Reckoning};
+use crate::scale::convergence::{Occasion, Spread, Times};
+use crate::scale::counts::ControlCounts;
+use crate::scale::fleet::Fleet;
+use crate::scale::options::TroubleKind;
+use crate::scale::processes::Usage;
+use crate::scale::protocol::Order;
+use crate::scale::report::{self, ChangeTimes, Report, StartTimes};
+use crate::scale::run::{Progress, ScaleError};
+use crate::scale::sample::{workers_usage, Period, Sample};
+use crate::scale::schedule::{Draws, Schedule, Step, TroubleStep};
+use crate::scale::traffic::TrafficCounts;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::{interval, Instant, Interval, MissedTickBehavior};
+
+/// What is due is looked at so often.
+const TICK: Duration = Duration::from_millis(5);
+/// A fleet that is not up to date by then does not get there.
+pub const FLEET_START: Duration = Duration::from_secs(120);
+/// After the last change the fleet has this long to be up to date.
+const SETTLE: Duration = Duration::from_secs(20);
+/// A worker answers within this.
+const WORKER_ANSWER: Duration = Duration::from_secs(20);
+
+/// Plays on a fleet.
+pub struct Player<'a, 'b> {
+    fleet: &'b mut Fleet<'a>,
+    progress: &'b Progress,
+    draws: Draws,
+    /// The trouble that has begun, and all messages before it.
+    trouble: Option<(TroubleKind, ControlCounts)>,
+}
+
+impl<'a, 'b> Player<'a, 'b> {
+    /// On a fleet whose processes are started.
+    pub fn new(fleet: &'b mut Fleet<'a>, progress: &'b Progress) -> Self {
+        let draws = Draws::new(fleet.options);
+        Self { fleet, progress, draws, trouble: None }
+    }
+
+    /// Starts all nodes, plays, and measures; the report lacks what only the end of the fleet tells.
+    pub async fn play(mut self, reckoning: Reckoning, limits: Limits) -> Result<Report, ScaleError> {
+        let empty_workers = self.set_up().await?;
+        let start = self.start_nodes().await?;
+        let before = self.sample().await?;
+        self.follow_schedule().await?;
+        let after = self.sample().await?;
+        let period = Period { options: self.fleet.options, empty_workers, before, after };
+        self.report(start, &period, reckoning, limits)
+    }
+
+    /// Takes in what members tell until something holds, or for so long; whether it holds.
+    async fn until(
+        &mut self,
+        most: Duration,
+        holds: impl Fn(&Fleet<'a>) -> bool,
+    ) -> Result<bool, ScaleError> {
+        let end = Instant::now() + most;
+        let mut ticks = ticks();
+        while !holds(self.fleet) {
+            if Instant::now() > end {
+                return Ok(false);
+            }
+            self.listen(&mut ticks, "waiting").await?;
+        }
+        Ok(true)
+    }
+
+    /// Takes in what a member tells, or waits for a tick.
+    async fn listen(&mut self, ticks: &mut Interval, doing: &str) -> Result<(), ScaleError> {
+        tokio::select! {
+            told = self.fleet.inbox.next() => self.fleet.state.take(told)?,
+            _ = ticks.tick() => self.say(doing),
+        }
+        Ok(())
+    }
+
+    fn say(&self, doing: &str) {
+        let (state, nodes) = (&self.fleet.state, self.fleet.options.nodes());
+        self.progress.say(format!(
+            "{doing}: {} of {nodes} nodes up to date, {} list changes, {} configurations",
+            nodes - state.convergence.behind(),
+            state.list_changes,
+            state.configuration
+        ));
+    }
+
+    /// Waits for the workers; what they use without nodes.
+    async fn set_up(&mut self) -> Result<Usage, ScaleError> {
+        let workers = self.fleet.workers.len();
+        if !self.until(WORKER_ANSWER, |fleet| fleet.state.ready_workers == workers).await? {
+            return Err(ScaleError::Silent);
+        }
+        Ok(workers_usage(&self.fleet.workers)?)
+    }
+
+    /// Waits for the real nodes, and then starts the simulated ones: the real ones' start has no herd beside it.
+    async fn start_nodes(&mut self) -> Result<StartTimes, ScaleError> {
+        let mut well = self.until(FLEET_START, |fleet| fleet.state.real_nodes_ready()).await?;
+        self.fleet.start_all_simulated().await?;
+        well &= self.until(FLEET_START, Fleet::is_settled).await?;
+        if !well {
+            let (behind, nodes) = (self.fleet.state.convergence.behind(), self.fleet.options.nodes());
+            return Err(ScaleError::NoStart { behind, nodes });
+        }
+        self.start_times()
+    }
+
+    /// Times of the nodes that were started since the last time.
+    fn start_times(&mut self) -> Result<StartTimes, ScaleError> {
+        let first_simulated = self.fleet.options.real;
+        let started = self.fleet.state.convergence.take_started();
+        let (real, simulated): (Vec<_>, Vec<_>) =
+            started.into_iter().partition(|(node, _)| *node < first_simulated);
+        let spread = |started: Vec<(usize, u64)>| Spread::of_each(started.into_iter().map(|(_, time)| time));
+        Ok(StartTimes { real: spread(real)?, simulated: spread(simulated)? })
+    }
+
+    /// Makes what is due, until all of it is made and the fleet is up to date, or has had the time for that.
+    async fn follow_schedule(&mut self) -> Result<(), ScaleError> {
+        let mut schedule = Schedule::new(self.fleet.options);
+        let (begun, length) = (Instant::now(), self.fleet.options.length());
+        let mut ticks = ticks();
+        loop {
+            let now = begun.elapsed();
+            while let Some(step) = schedule.next_trouble(now) {
+                self.make_trouble(step).await?;
+            }
+            while !self.fleet.options.step_wise || self.fleet.is_settled() {
+                let Some(step) = schedule.next_step(now) else { break };
+                self.make(step).await?;
+            }
+            let over = now >= length && schedule.is_over() && self.fleet.is_settled();
+            if over || now >= length + SETTLE {
+                return Ok(());
+            }
+            let doing = format!("{:.0} of {:.0} s", now.as_secs_f64(), length.as_secs_f64());
+            self.listen(&mut ticks, &doing).await?;
+        }
+    }
+
+    async fn make(&mut self, step: Step) -> Result<(), ScaleError> {
+        match step {
+            Step::ListChange => {
+                let changes = self.draws.list_change();
+                self.fleet.change_list(changes, Occasion::Planned).await
+            }
+            Step::Configuration => self.fleet.configure().await,
+        }
+    }
+
+    async fn make_trouble(&mut self, step: TroubleStep) -> Result<(), ScaleError> {
+        match step {
+            TroubleStep::Begin(kind) => {
+                let figures = self.fleet.service.figures().await?;
+                self.trouble = Some((kind, figures.real + figures.simulated));
+                self.begin(kind).await
+            }
+            TroubleStep::End(kind) => self.end(kind).await,
+        }
+    }
+
+    async fn begin(&mut self, kind: TroubleKind) -> Result<(), ScaleError> {
+        match kind {
+            TroubleKind::DiscoveryDown => Ok(self.fleet.service.set_down(true)?),
+            TroubleKind::Split => Ok(self.fleet.service.set_cut(true)?),
+            TroubleKind::RestartTenth => {
+                let nodes = self.draws.tenth();
+                self.fleet.restart(nodes).await
+            }
+            TroubleKind::ZoneLost => {
+                let lost = self.draws.lose_zone();
+                self.fleet.change_list(lost, Occasion::TroubleBegins).await
+            }
+        }
+    }
+
+    /// Ends a trouble with a change of the list: that shows when the fleet is up to date again.
+    async fn end(&mut self, kind: TroubleKind) -> Result<(), ScaleError> {
+        let changes = match kind {
+            TroubleKind::DiscoveryDown => {
+                self.fleet.service.set_down(false)?;
+                self.draws.list_change()
+            }
+            TroubleKind::Split => {
+                self.fleet.service.set_cut(false)?;
+                self.draws.list_change()
+            }
+            TroubleKind::ZoneLost => self.draws.return_zone(unix_ms()),
+            // It is over when the nodes are back.
+            TroubleKind::RestartTenth => return Ok(()),
+        };
+        self.fleet.change_list(changes, Occasion::TroubleEnds).await
+    }
+
+    /// What all members used so far.
+    async fn sample(&mut self) -> Result<Sample, ScaleError> {
+        self.fleet.state.counted.iter_mut().for_each(|counted| *counted = None);
+        for worker in &mut self.fleet.workers {
+            worker.order(&Order::Count).await?;
+        }
+        let counted = |fleet: &Fleet<'a>| fleet.state.counted.iter().all(Option::is_some);
+        if !self.until(WORKER_ANSWER, counted).await? {
+            return Err(ScaleError::Silent);
+        }
+        Ok(Sample::take(self.fleet).await?)
+    }
+
+    fn report(
+        mut self,
+        start: StartTimes,
+        period: &Period,
+        reckoning: Reckoning,
+        limits: Limits,
+    ) -> Result<Report, ScaleError> {
+        let trouble = self.trouble_report(period)?;
+        let state = &self.fleet.state;
+        Ok(Report {
+            options: self.fleet.options.clone(),
+            reckoning,
+            limits,
+            measured_s: period.seconds(),
+            behind_at_end: state.convergence.behind(),
+            counts: period.counts(state.list_changes, state.configuration),
+            discovery: period.discovery(),
+            real_node: period.real_node(),
+            simulated_node: period.simulated_node(),
+            empty_worker_kib: period.empty_workers.resident_kib / self.fleet.workers.len().max(1) as u64,
+            list_change: change_times(state.convergence.lists()),
+            configuration: change_times(state.convergence.configurations()),
+            start,
+            trouble,
+            clients: TrafficCounts::default(),
+        })
+    }
+
+    fn trouble_report(&mut self, period: &Period) -> Result<Option<report::Trouble>, ScaleError> {
+        let Some((kind, counts_before)) = self.trouble else { return Ok(None) };
+        let restarted = self.start_times()?;
+        let convergence = &self.fleet.state.convergence;
+        let ms = |occasion| convergence.trouble(occasion).map(|us| us as f64 / 1e3);
+        Ok(Some(report::Trouble {
+            kind,
+            to_last_node_ms: ms(Occasion::TroubleBegins),
+            recovered_ms: ms(Occasion::TroubleEnds),
+            restarted: (kind == TroubleKind::RestartTenth).then_some(restarted),
+            counts: period.after.control() - counts_before,
+            failed_calls: period.after.failed_calls - period.before.failed_calls,
+        }))
+    }
+}
+
+fn change_times(times: &Times) -> ChangeTimes {
+    ChangeTimes { to_last_node: Spread::of(&times.to_last), to_each_node: Spread::of(&times.to_each) }
+}
+
+fn ticks() -> Interval {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    ticks
+}
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/lab/src/scale/processes.rs
+++ b/crates/lab/src/scale/processes.rs
@@ -6,7 +6,6 @@
 use nix::unistd::Pid;
 use std::fs;
 use std::io;
-use std::ops::Sub;
 use std::time::Duration;
 
 /// Microseconds of the machine's monotonic clock, which all processes read alike.
@@ -53,14 +52,6 @@
     }
 }
 
-/// Processor time since then; memory and sockets as they are.
-impl Sub for Usage {
-    type Output = Self;
-    fn sub(self, earlier: Self) -> Self {
-        Self { processor: self.processor.saturating_sub(earlier.processor), ..self }
-    }
-}
-
 fn sockets(pid: i32) -> io::Result<u64> {
     let descriptors = fs::read_dir(format!("/proc/{pid}/fd"))?;
     // One that is closed meanwhile has no link any more.
--- a/crates/lab/src/scale/real.rs
+++ b/crates/lab/src/scale/real.rs
@@ -17,8 +17,13 @@
 /// What a real node's task tells.
 #[derive(Debug)]
 pub enum FromReal {
-    /// Its process is started at this moment of the machine's monotonic clock.
-    Starts(u64),
+    /// Its process is about to be started.
+    Starts {
+        /// The version of the configuration that it reads.
+        configuration: u64,
+        /// When, on the machine's monotonic clock.
+        at_us: u64,
+    },
     /// Its process is ready, and this is its id.
     Ready(Option<i32>),
     /// It did not come up, or ended by itself.
@@ -141,16 +146,18 @@
     orders: &mut UnboundedReceiver<Order>,
     tell: &impl Fn(FromReal),
 ) -> Result<(), NodeError> {
-    start(node, tell).await?;
+    let mut configuration = 0;
+    start(node, configuration, tell).await?;
     let mut looks = interval(LOOK);
     loop {
         tokio::select! {
             order = orders.recv() => match order {
                 Some(Order::Restart) => {
                     node.down().await;
-                    start(node, tell).await?;
+                    start(node, configuration, tell).await?;
                 }
                 Some(Order::Configure) => {
+                    configuration += 1;
                     node.move_discovery()?;
                 }
                 Some(Order::End) | None => return Ok(()),
@@ -163,8 +170,8 @@
     }
 }
 
-async fn start(node: &mut Node, tell: &impl Fn(FromReal)) -> Result<(), NodeError> {
-    tell(FromReal::Starts(monotonic_us()));
+async fn start(node: &mut Node, configuration: u64, tell: &impl Fn(FromReal)) -> Result<(), NodeError> {
+    tell(FromReal::Starts { configuration, at_us: monotonic_us() });
     node.up().await?;
     tell(FromReal::Ready(node.pid()));
     Ok(())
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -29,6 +29,8 @@
     pub real_node: Option<Node>,
     /// A simulated node, on average.
     pub simulated_node: Option<Node>,
+    /// Resident memory of a worker without nodes, in KiB.
+    pub empty_worker_kib: u64,
     /// From a planned change of the list until nodes have it in force.
     pub list_change: ChangeTimes,
     /// From a planned configuration until nodes have a list by it in force.
@@ -63,8 +65,8 @@
 pub struct Discovery {
     /// Control with all nodes.
     pub traffic: Traffic,
-    /// Processor time of its thread, in milliseconds for each second.
-    pub processor_ms_per_s: f64,
+    /// Processor time of its thread, in microseconds for each second.
+    pub processor_us_per_s: f64,
     /// Share of the time that its turns took, by the stated costs.
     pub busy_share: f64,
     /// Resident memory of the run's own process, which holds it, in KiB.
@@ -110,9 +112,9 @@
     pub processor_us_per_s: f64,
     /// Of that, what is not for requests; unknown for a real node that has requests.
     pub control_processor_us_per_s: Option<f64>,
-    /// Resident memory at the end, in KiB: of a simulated node its part of the worker's.
+    /// Resident memory at the end, in KiB: of a simulated node its part of what its worker grew by with its nodes.
     pub resident_kib: f64,
-    /// Open sockets at the end, listeners with them.
+    /// Open sockets at the end, of a real node with its listener.
     pub connections: f64,
     /// Requests that its decision module handled, a second; a simulated node's.
     pub requests_per_s: Option<f64>,
@@ -203,14 +205,16 @@
         }
         let discovery = &self.discovery;
         line(f, "discovery", &discovery.traffic)?;
-        let processor = discovery.processor_ms_per_s * 1e3;
+        let processor = discovery.processor_us_per_s;
         let (memory, sockets) = (discovery.resident_kib, discovery.connections);
         writeln!(f, " {processor:>12.0} {processor:>13.0} {memory:>12} {sockets:>8}")?;
         writeln!(
             f,
-            "discovery's turns took {:.2} % of the time by the stated costs; {} connections at the most",
+            "discovery's turns took {:.2} % of the time by the stated costs; {} connections at the most; \
+             a worker without nodes takes {} KiB",
             discovery.busy_share * 100.0,
-            discovery.most_connections
+            discovery.most_connections,
+            self.empty_worker_kib
         )
     }
 
--- a/crates/lab/src/scale/worker.rs
+++ b/crates/lab/src/scale/worker.rs
@@ -9,6 +9,7 @@
 use slatelink_observe::{Format, Log, Observers};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
@@ -18,9 +19,9 @@
 use tokio::io::{AsyncBufReadExt, BufReader, Lines};
 use tokio::net::unix::pipe::Receiver;
 use tokio::runtime;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
-use tokio::time::interval;
+use tokio::time::{interval, sleep_until, Instant};
 
 /// What came into force is told of so often.
 const REPORT: Duration = Duration::from_millis(20);
@@ -72,19 +73,34 @@
     let Order::SetUp(setup) = serde_json::from_str(&first)? else { return Err(WorkerError::NotSetUp) };
     let mut worker = Worker::new(setup)?;
     tell(&Message::Ready)?;
-    let (mut reports, mut log_turns) = (interval(REPORT), interval(LOG_TURN));
+    let mut log_turns = interval(LOG_TURN);
+    // When what is news is told of.
+    let mut report_at = None;
     loop {
+        let tally = worker.tally.clone();
         tokio::select! {
             order = orders.next_line() => match order? {
                 Some(order) => worker.follow(serde_json::from_str(&order)?)?,
                 None => return Ok(()),
             },
-            _ = reports.tick() => worker.report()?,
+            () = tally.news.notified(), if report_at.is_none() => report_at = Some(Instant::now() + REPORT),
+            () = at(report_at) => {
+                report_at = None;
+                worker.report()?;
+            }
             _ = log_turns.tick() => worker.observers.log.turn(),
         }
     }
 }
 
+/// Waits until this time; for ever where there is none.
+async fn at(time: Option<Instant>) {
+    match time {
+        Some(time) => sleep_until(time).await,
+        None => pending().await,
+    }
+}
+
 fn tell(message: &Message) -> Result<(), WorkerError> {
     let mut line = serde_json::to_vec(message)?;
     line.push(b'\n');
@@ -96,6 +112,8 @@
 struct Tally {
     in_force: RefCell<Vec<InForce>>,
     counts: RefCell<WorkerCounts>,
+    /// Something came into force.
+    news: Notify,
 }
 
 struct Worker {
@@ -229,6 +247,7 @@
             configuration: self.in_force.get(),
             at_us: monotonic_us(),
         });
+        self.tally.news.notify_one();
     }
 
     fn discovery_failed(&self) {
--- a/crates/lab/src/scale/workers.rs
+++ b/crates/lab/src/scale/workers.rs
@@ -1,8 +1,8 @@
 //! The run's side of its workers: processes of this program that run the simulated nodes.
 
 use crate::scale::protocol::{Message, Order};
+use crate::scale::run::WorkerProgram;
 use std::io;
-use std::path::Path;
 use std::process::Stdio;
 use std::time::Duration;
 use thiserror::Error;
@@ -46,12 +46,11 @@
     /// Starts one; what it tells goes to `told`, with its place.
     pub fn start(
         place: usize,
-        program: &Path,
-        arguments: &[String],
+        program: &WorkerProgram,
         told: UnboundedSender<(usize, FromWorker)>,
     ) -> Result<Self, WorkersError> {
-        let mut child = Command::new(program)
-            .args(arguments)
+        let mut child = Command::new(&program.path)
+            .args(&program.arguments)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
