--- a/crates/lab/src/scale/protocol.rs
+++ b/crates/lab/src/scale/protocol.rs
@@ -74,6 +74,8 @@
 pub struct WorkerCounts {
     /// Requests that were drawn.
     pub requests: u64,
+    /// Of those, the ones that the decision module chose a server for.
+    pub sent: u64,
     /// Processor time of the decision module for them, in nanoseconds.
     pub request_processor_ns: u64,
     /// Calls to discovery that failed.
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -118,6 +118,8 @@
     pub connections: f64,
     /// Requests that its decision module handled, a second; a simulated node's.
     pub requests_per_s: Option<f64>,
+    /// Of those, the ones that it chose a server for; the others it refused.
+    pub sent_per_s: Option<f64>,
 }
 
 /// Times of changes.
@@ -264,6 +266,15 @@
                 counts.resets
             )?;
         }
+        if let Some(Node { requests_per_s: Some(handled), sent_per_s: Some(sent), .. }) = self.simulated_node
+        {
+            if handled > 0.0 {
+                writeln!(
+                    f,
+                    "a simulated node handled {handled:.1} requests/s, and chose a server for {sent:.1}"
+                )?;
+            }
+        }
         if self.clients.asked > 0 {
             let TrafficCounts { asked, served, refused, unanswered } = self.clients;
             writeln!(
--- a/crates/lab/src/scale/sample.rs
+++ b/crates/lab/src/scale/sample.rs
@@ -23,6 +23,7 @@
     real: BTreeMap<i32, Usage>,
     workers: Usage,
     requests: u64,
+    sent: u64,
     request_processor: Duration,
     /// Calls of simulated nodes that failed.
     pub failed_calls: u64,
@@ -42,6 +43,7 @@
             real: real.collect::<io::Result<_>>()?,
             workers: workers_usage(&fleet.workers)?,
             requests: counted().map(|counts| counts.requests).sum(),
+            sent: counted().map(|counts| counts.sent).sum(),
             request_processor: Duration::from_nanos(request_processor_ns),
             failed_calls: counted().map(|counts| counts.failed_calls).sum(),
         })
@@ -121,6 +123,7 @@
             resident_kib: used.resident_kib as f64 / all,
             connections: used.sockets as f64 / all,
             requests_per_s: None,
+            sent_per_s: None,
         })
     }
 
@@ -132,6 +135,7 @@
         let processor = after.workers.processor.saturating_sub(before.workers.processor);
         let requests = after.request_processor.saturating_sub(before.request_processor);
         let each = |time: Duration| micros(time) / self.seconds() / nodes;
+        let rate = |count: u64| count as f64 / self.seconds() / nodes;
         let own = |after: u64, empty: u64| after.saturating_sub(empty) as f64 / nodes;
         (self.options.simulated > 0).then(|| Node {
             traffic: Traffic::of(&counts, self.seconds(), self.options.simulated),
@@ -139,7 +143,8 @@
             control_processor_us_per_s: Some(each(processor.saturating_sub(requests))),
             resident_kib: own(after.workers.resident_kib, self.empty_workers.resident_kib),
             connections: own(after.workers.sockets, self.empty_workers.sockets),
-            requests_per_s: Some((after.requests - before.requests) as f64 / self.seconds() / nodes),
+            requests_per_s: Some(rate(after.requests - before.requests)),
+            sent_per_s: Some(rate(after.sent - before.sent)),
         })
     }
 }
--- a/crates/lab/src/scale/worker.rs
+++ b/crates/lab/src/scale/worker.rs
@@ -254,9 +254,10 @@
         self.tally.counts.borrow_mut().failed_calls += 1;
     }
 
-    fn request_handled(&self, processor: Duration) {
+    fn request_handled(&self, sent: bool, processor: Duration) {
         let mut counts = self.tally.counts.borrow_mut();
         counts.requests += 1;
+        counts.sent += u64::from(sent);
         counts.request_processor_ns += processor.as_nanos() as u64;
     }
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -34,8 +34,8 @@
     /// A call to discovery has failed.
     fn discovery_failed(&self) {}
 
-    /// The module has handled a drawn request, in so much processor time.
-    fn request_handled(&self, _processor: Duration) {}
+    /// The module has handled a drawn request, in so much processor time; `sent` if it chose a server for it.
+    fn request_handled(&self, _sent: bool, _processor: Duration) {}
 }
 
 /// What a control plane is made of.
@@ -79,6 +79,7 @@
         follow,
         wakes: BTreeSet::new(),
         due: VecDeque::new(),
+        sent: 0,
         processor_clock,
         observer,
     };
@@ -93,6 +94,8 @@
     wakes: BTreeSet<Instant>,
     due: VecDeque<Event>,
     requests: Requests,
+    /// Attempts so far.
+    sent: u64,
     processor_clock: fn() -> Duration,
     observer: Rc<dyn ControlObserver>,
 }
@@ -154,9 +157,11 @@
             key: Some(key),
             ..Request::new(id.as_str(), self.clock.at(now + patience))
         };
+        let sent_before = self.sent;
         self.due.push_back(Event::Request(request));
         self.handle_due();
-        self.observer.request_handled((self.processor_clock)().saturating_sub(begun));
+        let processor = (self.processor_clock)().saturating_sub(begun);
+        self.observer.request_handled(self.sent > sent_before, processor);
     }
 
     fn handle_due(&mut self) {
@@ -171,7 +176,10 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, .. } => self.due.push_back(served(id, server)),
+            Action::Send { id, server, .. } => {
+                self.sent += 1;
+                self.due.push_back(served(id, server));
+            }
             Action::Wake { after } => {
                 self.wakes.insert(Instant::now() + after);
             }
