Give a call at discovery one turn with the entries that answer it

The stand-in gave a call a turn and its answer another one at the end of the queue: a call for the whole list could wait twice for up to 2 s, longer than a node's 2.25 s, so that under a herd discovery worked only for calls that were given up. Seen: 500 simulated nodes, 1000 servers, 2 list changes/s and 0.2 configurations/s at 2 ms a call: 501 of 501 nodes behind 20 s after the last change.

A call now has one turn for itself and the entries that answer it at once; only news for a waiting watch has a turn of its own. The reckoning of an entry at a node is 1 KiB: 0.55 to 0.6 KiB were measured (1000 entries, with requests; peak of a worker with 125 nodes 88 to 99 MiB).

--- a/crates/cli/tests/scale.rs
+++ b/crates/cli/tests/scale.rs
@@ -4,7 +4,7 @@
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -73,7 +73,7 @@
 /// Whether a process runs that has this command's binary: a number may be used again.
 fn runs(pid: u32) -> bool {
     let binary = fs::read_link(format!("/proc/{pid}/exe"));
-    binary.is_ok_and(|binary| binary == PathBuf::from(env!("CARGO_BIN_EXE_slatelink")))
+    binary.is_ok_and(|binary| binary == Path::new(env!("CARGO_BIN_EXE_slatelink")))
 }
 
 /// A run of its own, with so many processes up.
--- a/crates/lab/src/scale/bounds.rs
+++ b/crates/lab/src/scale/bounds.rs
@@ -21,7 +21,7 @@
 /// A simulated node without servers, in KiB.
 const SIMULATED_NODE_KIB: u64 = 96;
 /// An entry at a node, with the message it came in, in bytes.
-const ENTRY_BYTES: u64 = 2 << 10;
+const ENTRY_BYTES: u64 = 1 << 10;
 
 /// A node's connections to discovery at once: the watch, the one that takes its place, and one that goes.
 const NODE_CONNECTIONS: u64 = 3;
--- a/crates/lab/src/scale/service.rs
+++ b/crates/lab/src/scale/service.rs
@@ -1,7 +1,7 @@
 //! The stand-in for discovery: one service on a thread of its own that handles calls in turn, each at a stated cost.
 //!
-//! A call has its turn when it comes, and an answer with entries has one when it is written; what waits between the two
-//! holds up nobody. A call that would wait for its turn for more than 2 s is answered 503.
+//! A call has its turn when it comes, with the entries that answer it at once; a watch that waits holds up nobody, and has
+//! another turn for its news. A call that would wait for its turn for more than 2 s is answered 503.
 
 use crate::http::{listen, reset, Conn};
 use crate::list_protocol::{ListCall, NOT_FOUND, REFUSED};
@@ -306,31 +306,51 @@
                 continue;
             };
             self.called(peer, call, asked.bytes);
-            let turn = self.turns.borrow_mut().call(self.origin.elapsed());
-            match turn {
-                Turn::Done(at) => sleep_until(self.origin + at).await,
-                Turn::Refused(at) => {
-                    sleep_until(self.origin + at).await;
-                    conn.write(REFUSED).await?;
-                    self.count(peer, |counts| {
-                        counts.refused += 1;
-                        counts.answer_bytes += REFUSED.len() as u64;
-                    });
-                    continue;
-                }
+            if !self.turn(call).await? {
+                conn.write(REFUSED).await?;
+                self.refused(peer);
+                continue;
             }
-            if let (Some(after), Some(wait)) = (call.after, call.wait) {
-                let mut version = self.version.subscribe();
-                let _waiting = Waiting::begin(&self.waiting);
-                // Without news by then, the answer says so.
-                let _ = timeout(wait, version.wait_for(|version| *version > after)).await;
+            if self.waits(call) {
+                self.wait_for_news(call).await?;
             }
-            let answer = self.answer(call.after).await?;
+            // What came meanwhile is in it.
+            let answer = self.directory.borrow_mut().answer(call.after)?;
             conn.write(&answer.message).await?;
             self.answered(peer, &answer);
         }
     }
 
+    /// Whether a call is a watch with nothing to tell yet.
+    fn waits(&self, call: ListCall) -> bool {
+        call.wait.is_some() && call.after == Some(*self.version.borrow())
+    }
+
+    /// A call's turn; whether it got one.
+    async fn turn(&self, call: ListCall) -> io::Result<bool> {
+        let entries = match self.waits(call) {
+            true => 0,
+            false => self.directory.borrow_mut().answer(call.after)?.entries,
+        };
+        let turn = self.turns.borrow_mut().call(self.origin.elapsed(), entries);
+        let (Turn::Done(at) | Turn::Refused(at)) = turn;
+        sleep_until(self.origin + at).await;
+        Ok(matches!(turn, Turn::Done(_)))
+    }
+
+    /// Waits until there is news for a watch and it has its turn, or the watch's time is over.
+    async fn wait_for_news(&self, call: ListCall) -> io::Result<()> {
+        let (Some(after), Some(wait)) = (call.after, call.wait) else { return Ok(()) };
+        let mut version = self.version.subscribe();
+        let _waiting = Waiting::begin(&self.waiting);
+        // Without news by then, the answer says so.
+        let _ = timeout(wait, version.wait_for(|version| *version > after)).await;
+        let entries = self.directory.borrow_mut().answer(call.after)?.entries;
+        let at = self.turns.borrow_mut().news(self.origin.elapsed(), entries);
+        sleep_until(self.origin + at).await;
+        Ok(())
+    }
+
     /// Counts a call that has come.
     fn called(&self, peer: Peer, call: ListCall, bytes: usize) {
         self.count(peer, |counts| {
@@ -347,13 +367,12 @@
         }
     }
 
-    /// The answer, when its turn has come.
-    async fn answer(&self, after: Option<u64>) -> io::Result<Answer> {
-        let entries = self.directory.borrow_mut().answer(after)?.entries;
-        let at = self.turns.borrow_mut().answer(self.origin.elapsed(), entries);
-        sleep_until(self.origin + at).await;
-        // What came meanwhile is in it.
-        Ok(self.directory.borrow_mut().answer(after)?)
+    /// Counts a call that is turned away.
+    fn refused(&self, peer: Peer) {
+        self.count(peer, |counts| {
+            counts.refused += 1;
+            counts.answer_bytes += REFUSED.len() as u64;
+        });
     }
 
     /// Counts an answer that is written.
--- a/crates/lab/src/scale/turns.rs
+++ b/crates/lab/src/scale/turns.rs
@@ -37,19 +37,18 @@
         Self { costs, free_at: Duration::ZERO, busy: Duration::ZERO }
     }
 
-    /// A call that comes now: its turn, or the end of its patience.
-    pub fn call(&mut self, now: Duration) -> Turn {
+    /// A call that comes now and that so many entries answer at once: its turn, or the end of its patience.
+    pub fn call(&mut self, now: Duration, entries: usize) -> Turn {
         if self.free_at.saturating_sub(now) > LONGEST_QUEUE {
             return Turn::Refused(now + LONGEST_QUEUE);
         }
-        Turn::Done(self.work(now, self.costs.call))
+        Turn::Done(self.work(now, self.costs.call + self.entries(entries)))
     }
 
-    /// An answer with so many entries: when it is written. It belongs to a call that has had its turn, so it is not
+    /// News of so many entries for a watch: when it is written. The watch has had its turn as a call, so it is not
     /// turned away.
-    pub fn answer(&mut self, now: Duration, entries: usize) -> Duration {
-        let entries = u32::try_from(entries).unwrap_or(u32::MAX);
-        self.work(now, self.costs.entry.saturating_mul(entries))
+    pub fn news(&mut self, now: Duration, entries: usize) -> Duration {
+        self.work(now, self.entries(entries))
     }
 
     /// All the time that was spent on work, or is to be.
@@ -57,6 +56,10 @@
         self.busy
     }
 
+    fn entries(&self, count: usize) -> Duration {
+        self.costs.entry.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX))
+    }
+
     fn work(&mut self, now: Duration, cost: Duration) -> Duration {
         self.free_at = self.free_at.max(now) + cost;
         self.busy += cost;
@@ -75,14 +78,14 @@
     fn calls_are_served_in_turn_and_those_that_wait_for_too_long_are_turned_away() {
         let mut turns = Turns::new(Costs { call: 900 * MS, entry: 10 * MS });
         let now = Duration::from_secs(5);
-        assert_eq!(turns.call(now), Turn::Done(now + 900 * MS));
-        assert_eq!(turns.answer(now + 900 * MS, 20), now + 1100 * MS);
-        assert_eq!(turns.call(now), Turn::Done(now + 2000 * MS));
-        assert_eq!(turns.call(now), Turn::Done(now + 2900 * MS), "it waits 2 s, and no longer");
-        assert_eq!(turns.call(now), Turn::Refused(now + 2000 * MS));
-        assert_eq!(turns.call(now + 900 * MS), Turn::Done(now + 3800 * MS));
-        assert_eq!(turns.busy(), 3800 * MS);
+        assert_eq!(turns.call(now, 0), Turn::Done(now + 900 * MS));
+        assert_eq!(turns.news(now + 900 * MS, 20), now + 1100 * MS);
+        assert_eq!(turns.call(now, 0), Turn::Done(now + 2000 * MS));
+        assert_eq!(turns.call(now, 5), Turn::Done(now + 2950 * MS), "it waits 2 s, and no longer");
+        assert_eq!(turns.call(now, 5), Turn::Refused(now + 2000 * MS));
+        assert_eq!(turns.call(now + 950 * MS, 0), Turn::Done(now + 3850 * MS));
+        assert_eq!(turns.busy(), 3850 * MS);
         let later = now + Duration::from_secs(60);
-        assert_eq!(turns.call(later), Turn::Done(later + 900 * MS), "an idle service saves no time up");
+        assert_eq!(turns.call(later, 0), Turn::Done(later + 900 * MS), "an idle service saves no time up");
     }
 }
