--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -19,8 +19,8 @@
 use std::time::Duration;
 
 /// What does not hold, and what cannot be played.
-const BROKEN: u8 = 1;
-const UNUSABLE: u8 = 2;
+pub const BROKEN: u8 = 1;
+pub const UNUSABLE: u8 = 2;
 
 #[derive(Subcommand)]
 pub enum Command {
@@ -183,7 +183,7 @@
     }
 }
 
-fn unusable(error: impl std::fmt::Display) -> Code {
+pub fn unusable(error: impl std::fmt::Display) -> Code {
     eprintln!("slatelink: {error}");
     Ok(ExitCode::from(UNUSABLE))
 }
--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -1,12 +1,13 @@
 //! `slatelink lab scale`: real nodes and many simulated ones against a stand-in for discovery, measured.
 
-use crate::lab::{Code, Node};
+use crate::lab::{unusable, Code, Node, BROKEN, UNUSABLE};
 use clap::{Args, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
 use slatelink_lab::scale::bounds::{Limits, Reckoning};
 use slatelink_lab::scale::run::{Programs, WorkerProgram};
 use slatelink_lab::scale::{self, Options, Progress, Report, ScaleError, Trouble, TroubleKind};
 use std::error::Error;
+use std::fs::File;
 use std::io::{self, Write};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -15,9 +16,6 @@
 use std::thread;
 use std::time::Duration;
 
-/// The run could not be finished, and cannot be played.
-const BROKEN: u8 = 1;
-const UNUSABLE: u8 = 2;
 /// The progress line is written anew this often.
 const PROGRESS: Duration = Duration::from_millis(200);
 /// The hidden command that makes a process a worker.
@@ -117,12 +115,19 @@
         if let Err(error) = announce(&options) {
             return refused(&error);
         }
+        // A path that cannot be written is told before the run, not after it.
+        let json = match self.json.as_ref().map(|path| (path, File::create(path))) {
+            None => None,
+            Some((_, Ok(file))) => Some(file),
+            Some((path, Err(error))) => {
+                return unusable(format!("cannot write {}: {error}", path.display()));
+            }
+        };
         let stop = crate::stop_at_interrupt()?;
         match watched(&options, &programs, &stop)? {
             Ok(report) => {
-                if let Some(path) = &self.json {
-                    let written = std::fs::write(path, serde_json::to_vec_pretty(&report)?);
-                    written.map_err(|error| format!("cannot write {}: {error}", path.display()))?;
+                if let Some(file) = json {
+                    serde_json::to_writer_pretty(file, &report)?;
                 }
                 write!(io::stdout().lock(), "{report}")?;
                 Ok(if report.behind_at_end == 0 { ExitCode::SUCCESS } else { ExitCode::from(BROKEN) })
--- a/crates/cli/tests/scale.rs
+++ b/crates/cli/tests/scale.rs
@@ -269,6 +269,7 @@
     refused(&["--trouble=split", "--trouble-at=25"], "does not end within the run's 30 s");
     refused(&["--trouble-at=3"], "--trouble");
     refused(&["--trouble=flood"], "discovery-down");
+    refused(&["--json=/nowhere/report.json"], "cannot write /nowhere/report.json: ");
 }
 
 // Guards against processes that outlive a run which is interrupted.
