Name the parts of the scale run by the field's terms: queue, assignment, events

The queue of calls, the assignment of nodes to workers, events of members, acknowledged versions and the estimate of resources are named so now; the report's `reckoning` is `estimate`, and the line before the start begins with `estimated:`. No behaviour changes.

--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -3,7 +3,7 @@
 use crate::lab::{unusable, Code, Node, BROKEN, UNUSABLE};
 use clap::{Args, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
-use slatelink_lab::scale::bounds::{Limits, Reckoning};
+use slatelink_lab::scale::bounds::{Estimate, Limits};
 use slatelink_lab::scale::run::{Programs, WorkerProgram};
 use slatelink_lab::scale::{self, Options, Progress, Report, ScaleError, Trouble, TroubleKind};
 use std::error::Error;
@@ -115,7 +115,7 @@
         if let Err(error) = announce(&options) {
             return refused(&error);
         }
-        // A path that cannot be written is told before the run, not after it.
+        // A path that cannot be written is an error before the run, not after it.
         let json = match self.json.as_ref().map(|path| (path, File::create(path))) {
             None => None,
             Some((_, Ok(file))) => Some(file),
@@ -167,13 +167,13 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Says what the run is reckoned to take, before anything is started; refuses what is too much.
+/// Says what the run is estimated to take, before anything is started; refuses what is too much.
 fn announce(options: &Options) -> Result<(), ScaleError> {
     options.check()?;
-    let (reckoning, limits) = (Reckoning::of(options), Limits::read()?);
-    reckoning.check(&limits)?;
+    let (estimate, limits) = (Estimate::of(options), Limits::read()?);
+    estimate.check(&limits)?;
     let allowed = limits.memory_kib >> 10;
-    eprintln!("reckoned: {reckoning}; half of this machine's memory is {allowed} MiB");
+    eprintln!("estimated: {estimate}; half of this machine's memory is {allowed} MiB");
     Ok(())
 }
 
--- a/crates/cli/tests/scale.rs
+++ b/crates/cli/tests/scale.rs
@@ -147,7 +147,7 @@
     let table = text(&output.stdout);
     assert!(table.contains("a real node ") && table.contains("a simulated node "), "{table}");
     let said = text(&output.stderr);
-    assert!(said.starts_with("reckoned: 4 processes, "), "the bounds are stated first: {said}");
+    assert!(said.starts_with("estimated: 4 processes, "), "the bounds are stated first: {said}");
 }
 
 // Guards against a restart or a new configuration that asks discovery more than once.
--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -4,16 +4,17 @@
 //! cache servers and clients; many of them share a process. What is counted (messages, bytes) is counted by the stand-in
 //! and is the same for a seed where changes go step by step; times and memory are measured and depend on the machine.
 
+pub mod assignment;
 pub mod bounds;
 pub mod convergence;
 pub mod counts;
-pub mod dealing;
 pub mod directory;
 pub mod fleet;
 pub mod options;
 pub mod play;
 pub mod processes;
 pub mod protocol;
+pub mod queue;
 pub mod real;
 pub mod report;
 pub mod run;
@@ -22,7 +23,6 @@
 pub mod service;
 pub mod state;
 pub mod traffic;
-pub mod turns;
 pub mod worker;
 pub mod workers;
 
--- a/crates/lab/src/scale/dealing.rs
+++ b/crates/lab/src/scale/assignment.rs
@@ -7,13 +7,13 @@
 
 /// How nodes are dealt out over workers. Nodes are numbered from 0, the real ones first.
 #[derive(Clone, Debug)]
-pub struct Dealing {
+pub struct Assignment {
     real: usize,
     /// The first node of each worker, and the end.
     bounds: Vec<usize>,
 }
 
-impl Dealing {
+impl Assignment {
     /// Of a run: workers differ by one node at most.
     pub fn new(options: &Options) -> Self {
         let workers = options.used_workers();
@@ -68,21 +68,22 @@
     #[test]
     fn each_node_has_one_worker_and_addresses_of_its_side() {
         let options = Options { real: 3, simulated: 8, workers: 3, ..Options::default() };
-        let dealing = Dealing::new(&options);
-        let dealt: Vec<_> = (0..dealing.workers()).flat_map(|worker| dealing.nodes(worker)).collect();
+        let assignment = Assignment::new(&options);
+        let dealt: Vec<_> = (0..assignment.workers()).flat_map(|worker| assignment.nodes(worker)).collect();
         assert_eq!(dealt, (3..11).collect::<Vec<_>>());
-        let peers = dealing.peers();
+        let peers = assignment.peers();
         let addresses: Vec<_> =
             (0..peers.len()).map(|port| SocketAddr::from(([127, 0, 0, 1], port as u16))).collect();
         let at = |address: SocketAddr| peers[usize::from(address.port())];
         for node in 0..3 {
-            let pair = dealing.of_real(node, &addresses).map(at);
+            let pair = assignment.of_real(node, &addresses).map(at);
             let peer = |address| Peer { real: Some(node), address, far: is_far(node) };
             assert_eq!(pair, [peer(0), peer(1)]);
         }
-        for (worker, node) in (0..3).flat_map(|worker| dealing.nodes(worker).map(move |node| (worker, node)))
+        for (worker, node) in
+            (0..3).flat_map(|worker| assignment.nodes(worker).map(move |node| (worker, node)))
         {
-            let pair = dealing.of_simulated(worker, node, &addresses).map(at);
+            let pair = assignment.of_simulated(worker, node, &addresses).map(at);
             let peer = |address| Peer { real: None, address, far: is_far(node) };
             assert_eq!(pair, [peer(0), peer(1)]);
         }
--- a/crates/lab/src/scale/bounds.rs
+++ b/crates/lab/src/scale/bounds.rs
@@ -1,4 +1,4 @@
-//! What a run will take, reckoned before it starts, and refused where that is too much.
+//! What a run will take, estimated before it starts, and refused where that is too much.
 
 use crate::scale::options::Options;
 use crate::scale::processes::{descriptor_limit, machine_memory_kib};
@@ -33,14 +33,14 @@
 const PIPES: u64 = 3;
 /// Descriptors of a process besides.
 const SPARE_DESCRIPTORS: u64 = 64;
-/// Descriptors of a real node. It is told so as its limit.
+/// Descriptors of a real node: the limit in its configuration.
 pub const REAL_NODE_SOCKETS: usize = 1024;
 /// Connections of clients to a real node.
 pub const CLIENT_CONNECTIONS: usize = 4;
 
 /// What a run will take at the most.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-pub struct Reckoning {
+pub struct Estimate {
     /// Processes, the run's own with them.
     pub processes: u64,
     /// Memory of all of them, in KiB.
@@ -85,7 +85,7 @@
     Unknown(#[from] io::Error),
 }
 
-impl Reckoning {
+impl Estimate {
     /// Of a run.
     pub fn of(options: &Options) -> Self {
         let (real, simulated) = (options.real as u64, options.simulated as u64);
@@ -133,7 +133,7 @@
     }
 }
 
-impl fmt::Display for Reckoning {
+impl fmt::Display for Estimate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { processes, memory_kib, descriptors } = self;
         write!(
@@ -151,7 +151,7 @@
     const LIMITS: Limits = Limits { memory_kib: 1 << 20, descriptors: 1 << 14 };
 
     fn refused(options: Options) -> Option<String> {
-        Reckoning::of(&options).check(&LIMITS).err().map(|error| error.to_string())
+        Estimate::of(&options).check(&LIMITS).err().map(|error| error.to_string())
     }
 
     // Guards against a run that takes the machine down, for want of any one of the three.
--- a/crates/lab/src/scale/convergence.rs
+++ b/crates/lab/src/scale/convergence.rs
@@ -75,7 +75,7 @@
 
 /// A summary of times, in milliseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
-pub struct Spread {
+pub struct TimeSummary {
     /// How many there are.
     pub count: u64,
     /// The median.
@@ -86,7 +86,7 @@
     pub worst_ms: f64,
 }
 
-impl Spread {
+impl TimeSummary {
     /// Of times in microseconds.
     pub fn of(times: &Histogram<u64>) -> Self {
         let ms = |us: u64| us as f64 / 1e3;
--- a/crates/lab/src/scale/directory.rs
+++ b/crates/lab/src/scale/directory.rs
@@ -100,7 +100,7 @@
         self.version
     }
 
-    /// What a node that has this version is told.
+    /// The answer for a node that has this version.
     pub fn answer(&mut self, after: Option<u64>) -> serde_json::Result<Answer> {
         let fits = |(version, to, _): &&(u64, Option<u64>, Answer)| (*version, *to) == (self.version, after);
         if let Some((_, _, answer)) = self.latest.as_ref().filter(fits) {
@@ -108,7 +108,7 @@
         }
         // A version that was never given out has no changes after it.
         let after = after.filter(|after| *after <= self.version);
-        let hosts: Vec<_> = self.entries.iter().filter(|entry| entry.tells(after)).collect();
+        let hosts: Vec<_> = self.entries.iter().filter(|entry| entry.is_newer_than(after)).collect();
         let answer = Answer {
             entries: hosts.len(),
             whole: after.is_none(),
@@ -126,7 +126,7 @@
 }
 
 impl Entry {
-    fn tells(&self, after: Option<u64>) -> bool {
+    fn is_newer_than(&self, after: Option<u64>) -> bool {
         match after {
             Some(after) => self.changed > after,
             None => self.health != Health::Gone,
@@ -151,7 +151,7 @@
 mod tests {
     use super::*;
 
-    fn told(directory: &mut Directory, after: Option<u64>) -> (bool, u64, Vec<(String, String)>) {
+    fn listed(directory: &mut Directory, after: Option<u64>) -> (bool, u64, Vec<(String, String)>) {
         let answer = directory.answer(after).unwrap();
         let text = String::from_utf8(answer.message.to_vec()).unwrap();
         let list: serde_json::Value = serde_json::from_str(text.split_once("\r\n\r\n").unwrap().1).unwrap();
@@ -170,21 +170,25 @@
         let mut directory = Directory::new(&options, SocketAddr::from(([127, 0, 0, 1], 7070)));
         let pair = |server: usize, health: &str| (format!("server-{server:05}"), health.to_owned());
         let ready = (0..3).map(|server| pair(server, "ready")).collect();
-        assert_eq!(told(&mut directory, None), (true, 1, ready));
-        assert_eq!(told(&mut directory, Some(1)), (false, 1, vec![]));
+        assert_eq!(listed(&mut directory, None), (true, 1, ready));
+        assert_eq!(listed(&mut directory, Some(1)), (false, 1, vec![]));
         let change = |server, health| EntryChange { server, health, born_ms: None };
         assert_eq!(directory.change(&[change(1, Health::Draining)]), 2);
-        assert_eq!(told(&mut directory, Some(1)), (false, 2, vec![pair(1, "draining")]));
+        assert_eq!(listed(&mut directory, Some(1)), (false, 2, vec![pair(1, "draining")]));
         assert_eq!(directory.change(&[change(1, Health::Gone), change(2, Health::Draining)]), 3);
         let gone = vec![pair(1, "gone"), pair(2, "draining")];
-        assert_eq!(told(&mut directory, Some(1)), (false, 3, gone.clone()));
-        assert_eq!(told(&mut directory, Some(2)), (false, 3, gone));
+        assert_eq!(listed(&mut directory, Some(1)), (false, 3, gone.clone()));
+        assert_eq!(listed(&mut directory, Some(2)), (false, 3, gone));
         let left = vec![pair(0, "ready"), pair(2, "draining")];
         assert_eq!(
-            told(&mut directory, None),
+            listed(&mut directory, None),
             (true, 3, left.clone()),
             "what is gone is not in a whole list"
         );
-        assert_eq!(told(&mut directory, Some(9)), (true, 3, left), "of an unknown version nothing is known");
+        assert_eq!(
+            listed(&mut directory, Some(9)),
+            (true, 3, left),
+            "of an unknown version nothing is known"
+        );
     }
 }
--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -2,18 +2,18 @@
 
 use crate::client::Table;
 use crate::run::Folder;
+use crate::scale::assignment::Assignment;
 use crate::scale::convergence::{Change, Occasion};
-use crate::scale::dealing::Dealing;
 use crate::scale::directory::EntryChange;
 use crate::scale::options::Options;
 use crate::scale::processes::monotonic_us;
 use crate::scale::protocol::{NodeSetup, Order, Setup};
-use crate::scale::real::{self, FromReal, RealNode, Surroundings};
+use crate::scale::real::{self, RealNode, RealNodeEvent, Surroundings};
 use crate::scale::run::{Programs, ScaleError};
-use crate::scale::service::{Heard, Service};
-use crate::scale::state::{State, Told};
+use crate::scale::service::{Acknowledged, Service};
+use crate::scale::state::{FleetEvent, FleetState};
 use crate::scale::traffic::{Traffic, TrafficCounts};
-use crate::scale::workers::{FromWorker, Worker};
+use crate::scale::workers::{Worker, WorkerEvent};
 use std::future::pending;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -21,22 +21,22 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 use tokio::task::JoinSet;
 
-/// What members tell, as it comes.
+/// Events of the members, as they come.
 pub struct Inbox {
-    heard: UnboundedReceiver<Heard>,
-    real: UnboundedReceiver<(usize, FromReal)>,
-    workers: UnboundedReceiver<(usize, FromWorker)>,
+    acknowledged: UnboundedReceiver<Acknowledged>,
+    real: UnboundedReceiver<(usize, RealNodeEvent)>,
+    workers: UnboundedReceiver<(usize, WorkerEvent)>,
 }
 
 impl Inbox {
     /// What comes next.
-    pub async fn next(&mut self) -> Told {
+    pub async fn next(&mut self) -> FleetEvent {
         tokio::select! {
             // That a node starts comes before what it then asks.
             biased;
-            Some((node, from)) = self.real.recv() => Told::Real(node, from),
-            Some(heard) = self.heard.recv() => Told::Heard(heard),
-            Some((worker, from)) = self.workers.recv() => Told::Worker(worker, from),
+            Some((node, event)) = self.real.recv() => FleetEvent::Real(node, event),
+            Some(acknowledged) = self.acknowledged.recv() => FleetEvent::Acknowledged(acknowledged),
+            Some((worker, event)) = self.workers.recv() => FleetEvent::Worker(worker, event),
             // A run without members of a kind hears nothing of them.
             else => pending().await,
         }
@@ -52,12 +52,12 @@
     /// The processes that simulated nodes share.
     pub workers: Vec<Worker>,
     /// What is known of the members.
-    pub state: State,
-    /// What they tell.
+    pub state: FleetState,
+    /// Their events.
     pub inbox: Inbox,
     traffic: Traffic,
     real: Vec<RealNode>,
-    dealing: Dealing,
+    assignment: Assignment,
     /// Its files go with it.
     _folder: Folder,
 }
@@ -67,29 +67,29 @@
     pub async fn start(options: &'a Options, programs: &Programs) -> Result<Self, ScaleError> {
         let folder = Folder::new()?;
         let scenario = real::scenario(options)?;
-        let dealing = Dealing::new(options);
+        let assignment = Assignment::new(options);
         let table: Table = Arc::new(RwLock::new(vec![None; options.nodes()]));
         let traffic = Traffic::start(table.clone(), options.real, options.requests, options.seed).await?;
-        let (hears, heard) = unbounded_channel();
-        let service = Service::start(options, traffic.servers, dealing.peers(), hears).await?;
-        let (real_tells, real_told) = unbounded_channel();
+        let (version_sender, acknowledged) = unbounded_channel();
+        let service = Service::start(options, traffic.servers, assignment.peers(), version_sender).await?;
+        let (real_sender, real_events) = unbounded_channel();
         let around = Surroundings {
             scenario: &scenario,
             seed: options.seed,
             program: programs.node.clone(),
             folder: &folder.0,
             table,
-            told: real_tells,
+            events: real_sender,
         };
         let addresses = &service.addresses;
-        let start_real = |node| RealNode::start(node, dealing.of_real(node, addresses), &around);
+        let start_real = |node| RealNode::start(node, assignment.of_real(node, addresses), &around);
         let real = (0..options.real).map(start_real).collect();
-        let (worker_tells, workers_told) = unbounded_channel();
+        let (worker_sender, worker_events) = unbounded_channel();
         let configuration = real::write_configuration(&scenario, options.seed, &folder.0)?;
-        let mut workers = Vec::with_capacity(dealing.workers());
-        for place in 0..dealing.workers() {
-            let mut worker = Worker::start(place, &programs.worker, worker_tells.clone())?;
-            let setup = setup(options, &dealing, place, addresses, &configuration);
+        let mut workers = Vec::with_capacity(assignment.workers());
+        for place in 0..assignment.workers() {
+            let mut worker = Worker::start(place, &programs.worker, worker_sender.clone())?;
+            let setup = setup(options, &assignment, place, addresses, &configuration);
             worker.order(&Order::SetUp(setup)).await?;
             workers.push(worker);
         }
@@ -97,11 +97,11 @@
             options,
             service,
             workers,
-            state: State::new(options)?,
-            inbox: Inbox { heard, real: real_told, workers: workers_told },
+            state: FleetState::new(options)?,
+            inbox: Inbox { acknowledged, real: real_events, workers: worker_events },
             traffic,
             real,
-            dealing,
+            assignment,
             _folder: folder,
         })
     }
@@ -139,7 +139,7 @@
             self.state.convergence.starts(node, self.state.configuration, at_us);
         }
         for (place, worker) in self.workers.iter_mut().enumerate() {
-            let own = self.dealing.nodes(place);
+            let own = self.assignment.nodes(place);
             let own: Vec<_> = nodes.iter().copied().filter(|node| own.contains(node)).collect();
             if !own.is_empty() {
                 worker.order(&Order::Start(own)).await?;
@@ -188,15 +188,15 @@
 
 fn setup(
     options: &Options,
-    dealing: &Dealing,
+    assignment: &Assignment,
     worker: usize,
     addresses: &[SocketAddr],
     configuration: &Path,
 ) -> Setup {
-    let node = |number| NodeSetup { number, discovery: dealing.of_simulated(worker, number, addresses) };
+    let node = |number| NodeSetup { number, discovery: assignment.of_simulated(worker, number, addresses) };
     Setup {
         configuration: configuration.to_owned(),
-        nodes: dealing.nodes(worker).map(node).collect(),
+        nodes: assignment.nodes(worker).map(node).collect(),
         seed: options.seed,
         request_rate: options.requests,
     }
--- a/crates/lab/src/scale/play.rs
+++ b/crates/lab/src/scale/play.rs
@@ -1,7 +1,7 @@
 //! Plays the time line on a fleet and measures it: the start, changes, configurations, a trouble.
 
-use crate::scale::bounds::{Limits, Reckoning};
-use crate::scale::convergence::{Occasion, Spread, Times};
+use crate::scale::bounds::{Estimate, Limits};
+use crate::scale::convergence::{Occasion, TimeSummary, Times};
 use crate::scale::counts::ControlCounts;
 use crate::scale::fleet::Fleet;
 use crate::scale::options::TroubleKind;
@@ -10,7 +10,7 @@
 use crate::scale::report::{self, ChangeTimes, Report, StartTimes};
 use crate::scale::run::{Progress, ScaleError};
 use crate::scale::sample::{workers_usage, Period, Sample};
-use crate::scale::schedule::{Draws, Schedule, Step, TroubleStep};
+use crate::scale::schedule::{ChangeGenerator, Schedule, Step, TroubleStep};
 use crate::scale::traffic::TrafficCounts;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::{interval, Instant, Interval, MissedTickBehavior};
@@ -28,7 +28,7 @@
 pub struct Player<'a, 'b> {
     fleet: &'b mut Fleet<'a>,
     progress: &'b Progress,
-    draws: Draws,
+    generator: ChangeGenerator,
     /// The trouble that has begun, and all messages before it.
     trouble: Option<(TroubleKind, ControlCounts)>,
 }
@@ -36,22 +36,22 @@
 impl<'a, 'b> Player<'a, 'b> {
     /// On a fleet whose processes are started.
     pub fn new(fleet: &'b mut Fleet<'a>, progress: &'b Progress) -> Self {
-        let draws = Draws::new(fleet.options);
-        Self { fleet, progress, draws, trouble: None }
+        let generator = ChangeGenerator::new(fleet.options);
+        Self { fleet, progress, generator, trouble: None }
     }
 
-    /// Starts all nodes, plays, and measures; the report lacks what only the end of the fleet tells.
-    pub async fn play(mut self, reckoning: Reckoning, limits: Limits) -> Result<Report, ScaleError> {
+    /// Starts all nodes, plays, and measures; the report lacks what is known only at the fleet's end.
+    pub async fn play(mut self, estimate: Estimate, limits: Limits) -> Result<Report, ScaleError> {
         let empty_workers = self.set_up().await?;
         let start = self.start_nodes().await?;
         let before = self.sample().await?;
         self.follow_schedule().await?;
         let after = self.sample().await?;
         let period = Period { options: self.fleet.options, empty_workers, before, after };
-        self.report(start, &period, reckoning, limits)
+        self.report(start, &period, estimate, limits)
     }
 
-    /// Takes in what members tell until something holds, or for so long; whether it holds.
+    /// Takes events in until something holds, or for so long; whether it holds.
     async fn until(
         &mut self,
         most: Duration,
@@ -68,10 +68,10 @@
         Ok(true)
     }
 
-    /// Takes in what a member tells, or waits for a tick.
+    /// Takes one event in, or waits for a tick.
     async fn listen(&mut self, ticks: &mut Interval, doing: &str) -> Result<(), ScaleError> {
         tokio::select! {
-            told = self.fleet.inbox.next() => self.fleet.state.take(told)?,
+            event = self.fleet.inbox.next() => self.fleet.state.take(event)?,
             _ = ticks.tick() => self.say(doing),
         }
         Ok(())
@@ -114,7 +114,8 @@
         let started = self.fleet.state.convergence.take_started();
         let (real, simulated): (Vec<_>, Vec<_>) =
             started.into_iter().partition(|(node, _)| *node < first_simulated);
-        let spread = |started: Vec<(usize, u64)>| Spread::of_each(started.into_iter().map(|(_, time)| time));
+        let spread =
+            |started: Vec<(usize, u64)>| TimeSummary::of_each(started.into_iter().map(|(_, time)| time));
         Ok(StartTimes { real: spread(real)?, simulated: spread(simulated)? })
     }
 
@@ -144,7 +145,7 @@
     async fn make(&mut self, step: Step) -> Result<(), ScaleError> {
         match step {
             Step::ListChange => {
-                let changes = self.draws.list_change();
+                let changes = self.generator.list_change();
                 self.fleet.change_list(changes, Occasion::Planned).await
             }
             Step::Configuration => self.fleet.configure().await,
@@ -167,11 +168,11 @@
             TroubleKind::DiscoveryDown => Ok(self.fleet.service.set_down(true)?),
             TroubleKind::Split => Ok(self.fleet.service.set_cut(true)?),
             TroubleKind::RestartTenth => {
-                let nodes = self.draws.tenth();
+                let nodes = self.generator.tenth();
                 self.fleet.restart(nodes).await
             }
             TroubleKind::ZoneLost => {
-                let lost = self.draws.lose_zone();
+                let lost = self.generator.lose_zone();
                 self.fleet.change_list(lost, Occasion::TroubleBegins).await
             }
         }
@@ -182,13 +183,13 @@
         let changes = match kind {
             TroubleKind::DiscoveryDown => {
                 self.fleet.service.set_down(false)?;
-                self.draws.list_change()
+                self.generator.list_change()
             }
             TroubleKind::Split => {
                 self.fleet.service.set_cut(false)?;
-                self.draws.list_change()
+                self.generator.list_change()
             }
-            TroubleKind::ZoneLost => self.draws.return_zone(unix_ms()),
+            TroubleKind::ZoneLost => self.generator.return_zone(unix_ms()),
             // It is over when the nodes are back.
             TroubleKind::RestartTenth => return Ok(()),
         };
@@ -212,14 +213,14 @@
         mut self,
         start: StartTimes,
         period: &Period,
-        reckoning: Reckoning,
+        estimate: Estimate,
         limits: Limits,
     ) -> Result<Report, ScaleError> {
         let trouble = self.trouble_report(period)?;
         let state = &self.fleet.state;
         Ok(Report {
             options: self.fleet.options.clone(),
-            reckoning,
+            estimate,
             limits,
             measured_s: period.seconds(),
             behind_at_end: state.convergence.behind(),
@@ -253,7 +254,10 @@
 }
 
 fn change_times(times: &Times) -> ChangeTimes {
-    ChangeTimes { to_last_node: Spread::of(&times.to_last), to_each_node: Spread::of(&times.to_each) }
+    ChangeTimes {
+        to_last_node: TimeSummary::of(&times.to_last),
+        to_each_node: TimeSummary::of(&times.to_each),
+    }
 }
 
 fn ticks() -> Interval {
--- a/crates/lab/src/scale/protocol.rs
+++ b/crates/lab/src/scale/protocol.rs
@@ -1,4 +1,4 @@
-//! What the run and its workers tell each other: JSON lines on a worker's standard input and output.
+//! Messages between the run and its workers: JSON lines on a worker's standard input and output.
 
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -26,7 +26,7 @@
     pub request_rate: f64,
 }
 
-/// What a worker is told.
+/// An order for a worker.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Order {
@@ -40,7 +40,7 @@
     Count,
 }
 
-/// What a worker tells.
+/// A message from a worker.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Message {
--- a/crates/lab/src/scale/turns.rs
+++ b/crates/lab/src/scale/queue.rs
@@ -16,33 +16,33 @@
 
 /// A place in the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Turn {
+pub enum Admission {
     /// The work is done then.
-    Done(Duration),
+    Served(Duration),
     /// The call has waited for too long then, and is turned away.
     Refused(Duration),
 }
 
 /// The queue; times are counted from any origin.
 #[derive(Debug)]
-pub struct Turns {
+pub struct CallQueue {
     costs: Costs,
     free_at: Duration,
     busy: Duration,
 }
 
-impl Turns {
+impl CallQueue {
     /// An empty queue.
     pub fn new(costs: Costs) -> Self {
         Self { costs, free_at: Duration::ZERO, busy: Duration::ZERO }
     }
 
     /// A call that comes now and that so many entries answer at once: its turn, or the end of its patience.
-    pub fn call(&mut self, now: Duration, entries: usize) -> Turn {
+    pub fn call(&mut self, now: Duration, entries: usize) -> Admission {
         if self.free_at.saturating_sub(now) > LONGEST_QUEUE {
-            return Turn::Refused(now + LONGEST_QUEUE);
+            return Admission::Refused(now + LONGEST_QUEUE);
         }
-        Turn::Done(self.work(now, self.costs.call + self.entries(entries)))
+        Admission::Served(self.work(now, self.costs.call + self.entries(entries)))
     }
 
     /// News of so many entries for a watch: when it is written. The watch has had its turn as a call, so it is not
@@ -76,16 +76,20 @@
     // Guards against a stand-in that serves calls beside each other, for which no herd would ever be too large.
     #[test]
     fn calls_are_served_in_turn_and_those_that_wait_for_too_long_are_turned_away() {
-        let mut turns = Turns::new(Costs { call: 900 * MS, entry: 10 * MS });
+        let mut queue = CallQueue::new(Costs { call: 900 * MS, entry: 10 * MS });
         let now = Duration::from_secs(5);
-        assert_eq!(turns.call(now, 0), Turn::Done(now + 900 * MS));
-        assert_eq!(turns.news(now + 900 * MS, 20), now + 1100 * MS);
-        assert_eq!(turns.call(now, 0), Turn::Done(now + 2000 * MS));
-        assert_eq!(turns.call(now, 5), Turn::Done(now + 2950 * MS), "it waits 2 s, and no longer");
-        assert_eq!(turns.call(now, 5), Turn::Refused(now + 2000 * MS));
-        assert_eq!(turns.call(now + 950 * MS, 0), Turn::Done(now + 3850 * MS));
-        assert_eq!(turns.busy(), 3850 * MS);
+        assert_eq!(queue.call(now, 0), Admission::Served(now + 900 * MS));
+        assert_eq!(queue.news(now + 900 * MS, 20), now + 1100 * MS);
+        assert_eq!(queue.call(now, 0), Admission::Served(now + 2000 * MS));
+        assert_eq!(queue.call(now, 5), Admission::Served(now + 2950 * MS), "it waits 2 s, and no longer");
+        assert_eq!(queue.call(now, 5), Admission::Refused(now + 2000 * MS));
+        assert_eq!(queue.call(now + 950 * MS, 0), Admission::Served(now + 3850 * MS));
+        assert_eq!(queue.busy(), 3850 * MS);
         let later = now + Duration::from_secs(60);
-        assert_eq!(turns.call(later, 0), Turn::Done(later + 900 * MS), "an idle service saves no time up");
+        assert_eq!(
+            queue.call(later, 0),
+            Admission::Served(later + 900 * MS),
+            "an idle service saves no time up"
+        );
     }
 }
--- a/crates/lab/src/scale/real.rs
+++ b/crates/lab/src/scale/real.rs
@@ -14,9 +14,9 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::interval;
 
-/// What a real node's task tells.
+/// Something that happened to a real node.
 #[derive(Debug)]
-pub enum FromReal {
+pub enum RealNodeEvent {
     /// Its process is about to be started.
     Starts {
         /// The version of the configuration that it reads.
@@ -75,8 +75,8 @@
     pub folder: &'a Path,
     /// Where nodes listen, for their clients.
     pub table: Table,
-    /// What nodes' tasks tell goes there, with the node's number.
-    pub told: UnboundedSender<(usize, FromReal)>,
+    /// Events of nodes go there, with the node's number.
+    pub events: UnboundedSender<(usize, RealNodeEvent)>,
 }
 
 impl RealNode {
@@ -95,7 +95,7 @@
             Instant::now(),
             Arc::<Live>::default(),
         );
-        let task = spawn_local(drive(number, node, inbox, around.told.clone()));
+        let task = spawn_local(drive(number, node, inbox, around.events.clone()));
         Self { orders, task }
     }
 
@@ -117,7 +117,7 @@
     }
 
     fn order(&self, order: Order) {
-        // A task that has ended has told why.
+        // A task that has ended has reported why.
         let _ = self.orders.send(order);
     }
 }
@@ -129,14 +129,14 @@
     number: usize,
     mut node: Node,
     mut orders: UnboundedReceiver<Order>,
-    told: UnboundedSender<(usize, FromReal)>,
+    events: UnboundedSender<(usize, RealNodeEvent)>,
 ) {
-    let tell = |what| {
+    let report = |event| {
         // The run may be over.
-        let _ = told.send((number, what));
+        let _ = events.send((number, event));
     };
-    if let Err(error) = follow(&mut node, &mut orders, &tell).await {
-        tell(FromReal::Failed(error.to_string()));
+    if let Err(error) = follow(&mut node, &mut orders, &report).await {
+        report(RealNodeEvent::Failed(error.to_string()));
     }
     node.down().await;
 }
@@ -144,17 +144,17 @@
 async fn follow(
     node: &mut Node,
     orders: &mut UnboundedReceiver<Order>,
-    tell: &impl Fn(FromReal),
+    report: &impl Fn(RealNodeEvent),
 ) -> Result<(), NodeError> {
     let mut configuration = 0;
-    start(node, configuration, tell).await?;
+    start(node, configuration, report).await?;
     let mut looks = interval(LOOK);
     loop {
         tokio::select! {
             order = orders.recv() => match order {
                 Some(Order::Restart) => {
                     node.down().await;
-                    start(node, configuration, tell).await?;
+                    start(node, configuration, report).await?;
                 }
                 Some(Order::Configure) => {
                     configuration += 1;
@@ -163,16 +163,20 @@
                 Some(Order::End) | None => return Ok(()),
             },
             _ = looks.tick() => if node.died() {
-                tell(FromReal::Failed("it ended by itself".to_owned()));
+                report(RealNodeEvent::Failed("it ended by itself".to_owned()));
                 return Ok(());
             },
         }
     }
 }
 
-async fn start(node: &mut Node, configuration: u64, tell: &impl Fn(FromReal)) -> Result<(), NodeError> {
-    tell(FromReal::Starts { configuration, at_us: monotonic_us() });
+async fn start(
+    node: &mut Node,
+    configuration: u64,
+    report: &impl Fn(RealNodeEvent),
+) -> Result<(), NodeError> {
+    report(RealNodeEvent::Starts { configuration, at_us: monotonic_us() });
     node.up().await?;
-    tell(FromReal::Ready(node.pid()));
+    report(RealNodeEvent::Ready(node.pid()));
     Ok(())
 }
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -1,7 +1,7 @@
 //! What a scale run measured: as JSON, and as a table.
 
-use crate::scale::bounds::{Limits, Reckoning};
-use crate::scale::convergence::Spread;
+use crate::scale::bounds::{Estimate, Limits};
+use crate::scale::convergence::TimeSummary;
 use crate::scale::counts::ControlCounts;
 use crate::scale::options::{Options, TroubleKind};
 use crate::scale::traffic::TrafficCounts;
@@ -13,8 +13,8 @@
 pub struct Report {
     /// What was asked for.
     pub options: Options,
-    /// What it was reckoned to take.
-    pub reckoning: Reckoning,
+    /// What it was estimated to take.
+    pub estimate: Estimate,
     /// What this machine allows.
     pub limits: Limits,
     /// Seconds that were measured: from the fleet's first being up to date to the end.
@@ -126,18 +126,18 @@
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct ChangeTimes {
     /// To the last node.
-    pub to_last_node: Spread,
+    pub to_last_node: TimeSummary,
     /// To each node.
-    pub to_each_node: Spread,
+    pub to_each_node: TimeSummary,
 }
 
 /// Times of starts; the worst is the whole group's.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct StartTimes {
     /// Real nodes, from the start of their process.
-    pub real: Spread,
+    pub real: TimeSummary,
     /// Simulated nodes.
-    pub simulated: Spread,
+    pub simulated: TimeSummary,
 }
 
 /// How a trouble went.
@@ -297,8 +297,8 @@
     )
 }
 
-fn spread(f: &mut fmt::Formatter<'_>, name: &str, spread: &Spread) -> fmt::Result {
-    let Spread { count, p50_ms, p99_ms, worst_ms } = spread;
+fn spread(f: &mut fmt::Formatter<'_>, name: &str, spread: &TimeSummary) -> fmt::Result {
+    let TimeSummary { count, p50_ms, p99_ms, worst_ms } = spread;
     if *count == 0 {
         return Ok(());
     }
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -1,7 +1,7 @@
 //! A scale run from its first process to its report.
 
 use crate::nodes::{NodeError, Program};
-use crate::scale::bounds::{BoundsError, Limits, Reckoning};
+use crate::scale::bounds::{BoundsError, Estimate, Limits};
 use crate::scale::fleet::Fleet;
 use crate::scale::options::{Options, OptionsError};
 use crate::scale::play::{Player, FLEET_START};
@@ -115,14 +115,14 @@
     progress: &Progress,
 ) -> Result<Report, ScaleError> {
     options.check()?;
-    let (reckoning, limits) = (Reckoning::of(options), Limits::read()?);
-    reckoning.check(&limits)?;
+    let (estimate, limits) = (Estimate::of(options), Limits::read()?);
+    estimate.check(&limits)?;
     let one = runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&one, async {
         progress.say("starting".to_owned());
         let mut fleet = Fleet::start(options, programs).await?;
         let played = tokio::select! {
-            played = Player::new(&mut fleet, progress).play(reckoning, limits) => played,
+            played = Player::new(&mut fleet, progress).play(estimate, limits) => played,
             () = stopped(stop) => Err(ScaleError::Stopped),
         };
         progress.say("ending".to_owned());
--- a/crates/lab/src/scale/schedule.rs
+++ b/crates/lab/src/scale/schedule.rs
@@ -82,7 +82,7 @@
 
 /// Draws what the steps do, from the run's seed.
 #[derive(Debug)]
-pub struct Draws {
+pub struct ChangeGenerator {
     random: StdRng,
     health: Vec<Health>,
     zones: usize,
@@ -92,7 +92,7 @@
 /// Of all nodes, this part is restarted.
 const RESTARTED_PART: usize = 10;
 
-impl Draws {
+impl ChangeGenerator {
     /// Of a run.
     pub fn new(options: &Options) -> Self {
         Self {
@@ -177,8 +177,12 @@
     fn draws_of_a_seed_are_the_same_and_a_zone_is_lost_whole() {
         let options = Options { servers: 7, zones: 3, simulated: 24, real: 1, ..Options::default() };
         let drawn = || {
-            let mut draws = Draws::new(&options);
-            ((0..9).map(|_| draws.list_change()).collect::<Vec<_>>(), draws.tenth(), draws.lose_zone())
+            let mut generator = ChangeGenerator::new(&options);
+            (
+                (0..9).map(|_| generator.list_change()).collect::<Vec<_>>(),
+                generator.tenth(),
+                generator.lose_zone(),
+            )
         };
         let (_, tenth, lost) = drawn();
         assert_eq!(drawn(), drawn());
--- a/crates/lab/src/scale/service.rs
+++ b/crates/lab/src/scale/service.rs
@@ -9,7 +9,7 @@
 use crate::scale::directory::{Answer, Directory, EntryChange};
 use crate::scale::options::Options;
 use crate::scale::processes::{monotonic_us, thread_processor_time};
-use crate::scale::turns::{Costs, Turn, Turns};
+use crate::scale::queue::{Admission, CallQueue, Costs};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -36,7 +36,7 @@
 
 /// A real node has asked for what is newer than a version: it has that one in force.
 #[derive(Clone, Copy, Debug)]
-pub struct Heard {
+pub struct Acknowledged {
     /// Which node.
     pub node: usize,
     /// At which of its addresses.
@@ -101,7 +101,7 @@
         options: &Options,
         dial: SocketAddr,
         peers: Vec<Peer>,
-        heard: UnboundedSender<Heard>,
+        acknowledged: UnboundedSender<Acknowledged>,
     ) -> io::Result<Self> {
         let one = runtime::Builder::new_current_thread().enable_all().build()?;
         let (orders, inbox) = unbounded_channel();
@@ -114,7 +114,7 @@
         let directory = Directory::new(options, dial);
         let thread = thread::Builder::new().name("discovery".to_owned()).spawn(move || {
             LocalSet::new().block_on(&one, async {
-                let stand_in = Rc::new(StandIn::new(directory, costs, waits, heard));
+                let stand_in = Rc::new(StandIn::new(directory, costs, waits, acknowledged));
                 let addresses = stand_in.clone().listen(&peers).await;
                 // The other end goes only with the run.
                 let _ = listens.send(addresses);
@@ -127,9 +127,9 @@
 
     /// Changes entries, all in one version.
     pub async fn change(&self, changes: Vec<EntryChange>) -> Result<Changed, ServiceEnded> {
-        let (made, told) = oneshot::channel();
+        let (made, changed) = oneshot::channel();
         self.orders.send(Order::Change(changes, made)).map_err(|_| ServiceEnded)?;
-        told.await.map_err(|_| ServiceEnded)
+        changed.await.map_err(|_| ServiceEnded)
     }
 
     /// Goes away, with connections reset, or comes back.
@@ -157,14 +157,14 @@
 
 struct StandIn {
     directory: RefCell<Directory>,
-    turns: RefCell<Turns>,
+    queue: RefCell<CallQueue>,
     origin: Instant,
     /// The list's version.
     version: watch::Sender<u64>,
     down: watch::Sender<bool>,
     cut: watch::Sender<bool>,
     waiting: watch::Sender<usize>,
-    heard: UnboundedSender<Heard>,
+    acknowledged: UnboundedSender<Acknowledged>,
     real: Cell<ControlCounts>,
     simulated: Cell<ControlCounts>,
     open: Cell<usize>,
@@ -192,17 +192,17 @@
         directory: Directory,
         costs: Costs,
         waiting: watch::Sender<usize>,
-        heard: UnboundedSender<Heard>,
+        acknowledged: UnboundedSender<Acknowledged>,
     ) -> Self {
         Self {
             version: watch::Sender::new(directory.version()),
             directory: RefCell::new(directory),
-            turns: RefCell::new(Turns::new(costs)),
+            queue: RefCell::new(CallQueue::new(costs)),
             origin: Instant::now(),
             down: watch::Sender::new(false),
             cut: watch::Sender::new(false),
             waiting,
-            heard,
+            acknowledged,
             real: Cell::default(),
             simulated: Cell::default(),
             open: Cell::default(),
@@ -247,7 +247,7 @@
             real: self.real.get(),
             simulated: self.simulated.get(),
             processor: thread_processor_time(),
-            busy: self.turns.borrow().busy(),
+            busy: self.queue.borrow().busy(),
             open: self.open.get(),
             most_open: self.most_open.get(),
         }
@@ -321,7 +321,7 @@
         }
     }
 
-    /// Whether a call is a watch with nothing to tell yet.
+    /// Whether a call is a watch without news yet.
     fn waits(&self, call: ListCall) -> bool {
         call.wait.is_some() && call.after == Some(*self.version.borrow())
     }
@@ -332,10 +332,10 @@
             true => 0,
             false => self.directory.borrow_mut().answer(call.after)?.entries,
         };
-        let turn = self.turns.borrow_mut().call(self.origin.elapsed(), entries);
-        let (Turn::Done(at) | Turn::Refused(at)) = turn;
+        let turn = self.queue.borrow_mut().call(self.origin.elapsed(), entries);
+        let (Admission::Served(at) | Admission::Refused(at)) = turn;
         sleep_until(self.origin + at).await;
-        Ok(matches!(turn, Turn::Done(_)))
+        Ok(matches!(turn, Admission::Served(_)))
     }
 
     /// Waits until there is news for a watch and it has its turn, or the watch's time is over.
@@ -346,7 +346,7 @@
         // Without news by then, the answer says so.
         let _ = timeout(wait, version.wait_for(|version| *version > after)).await;
         let entries = self.directory.borrow_mut().answer(call.after)?.entries;
-        let at = self.turns.borrow_mut().news(self.origin.elapsed(), entries);
+        let at = self.queue.borrow_mut().news(self.origin.elapsed(), entries);
         sleep_until(self.origin + at).await;
         Ok(())
     }
@@ -361,9 +361,9 @@
             counts.call_bytes += bytes as u64;
         });
         if let (Some(node), Some(after)) = (peer.real, call.after) {
-            let heard = Heard { node, address: peer.address, after, at_us: monotonic_us() };
+            let acknowledged = Acknowledged { node, address: peer.address, after, at_us: monotonic_us() };
             // The run may be over.
-            let _ = self.heard.send(heard);
+            let _ = self.acknowledged.send(acknowledged);
         }
     }
 
--- a/crates/lab/src/scale/state.rs
+++ b/crates/lab/src/scale/state.rs
@@ -1,27 +1,27 @@
-//! What a run knows of its fleet, from what the members tell. No I/O.
+//! What a run knows of its fleet, from the members' events. No I/O.
 
 use crate::scale::convergence::Convergence;
 use crate::scale::options::Options;
 use crate::scale::protocol::{InForce, Message, WorkerCounts};
-use crate::scale::real::FromReal;
+use crate::scale::real::RealNodeEvent;
 use crate::scale::run::ScaleError;
-use crate::scale::service::Heard;
-use crate::scale::workers::FromWorker;
+use crate::scale::service::Acknowledged;
+use crate::scale::workers::WorkerEvent;
 
-/// Something that a member of the fleet tells.
+/// Something that happened to a member of the fleet.
 #[derive(Debug)]
-pub enum Told {
+pub enum FleetEvent {
     /// A call of a real node, as discovery heard it.
-    Heard(Heard),
+    Acknowledged(Acknowledged),
     /// A real node's task, with the node's number.
-    Real(usize, FromReal),
+    Real(usize, RealNodeEvent),
     /// A worker, by its place.
-    Worker(usize, FromWorker),
+    Worker(usize, WorkerEvent),
 }
 
 /// What is known of the fleet.
 #[derive(Debug)]
-pub struct State {
+pub struct FleetState {
     /// Which node has what in force.
     pub convergence: Convergence,
     /// Each simulated node's life, from 1.
@@ -38,7 +38,7 @@
     pub counted: Vec<Option<WorkerCounts>>,
 }
 
-impl State {
+impl FleetState {
     /// Of a fleet that is about to be started.
     pub fn new(options: &Options) -> Result<Self, ScaleError> {
         Ok(Self {
@@ -52,17 +52,21 @@
         })
     }
 
-    /// Takes in what a member tells; an error where that is its end.
-    pub fn take(&mut self, told: Told) -> Result<(), ScaleError> {
-        match told {
-            Told::Heard(heard) => self.heard(heard),
-            Told::Real(node, FromReal::Starts { configuration, at_us }) => {
+    /// Takes an event in; an error where a member cannot go on.
+    pub fn take(&mut self, event: FleetEvent) -> Result<(), ScaleError> {
+        match event {
+            FleetEvent::Acknowledged(acknowledged) => self.acknowledged(acknowledged),
+            FleetEvent::Real(node, RealNodeEvent::Starts { configuration, at_us }) => {
                 self.convergence.starts(node, configuration, at_us);
             }
-            Told::Real(node, FromReal::Ready(pid)) => self.pids[node] = pid,
-            Told::Real(node, FromReal::Failed(why)) => return Err(ScaleError::RealNode(node, why)),
-            Told::Worker(worker, FromWorker::Told(message)) => return self.worker(worker, message),
-            Told::Worker(worker, FromWorker::Ended(why)) => return Err(ScaleError::Worker(worker, why)),
+            FleetEvent::Real(node, RealNodeEvent::Ready(pid)) => self.pids[node] = pid,
+            FleetEvent::Real(node, RealNodeEvent::Failed(why)) => {
+                return Err(ScaleError::RealNode(node, why))
+            }
+            FleetEvent::Worker(worker, WorkerEvent::Message(message)) => return self.worker(worker, message),
+            FleetEvent::Worker(worker, WorkerEvent::Ended(why)) => {
+                return Err(ScaleError::Worker(worker, why))
+            }
         }
         Ok(())
     }
@@ -85,13 +89,13 @@
         }
     }
 
-    /// A real node's next call tells what it has in force.
-    fn heard(&mut self, heard: Heard) {
+    /// A real node's next call names the version that it has in force.
+    fn acknowledged(&mut self, acknowledged: Acknowledged) {
         let newest = self.configuration;
         // Configurations alternate between a node's two addresses.
-        let current = newest % 2 == heard.address as u64;
+        let current = newest % 2 == acknowledged.address as u64;
         let configuration = if current { newest } else { newest.saturating_sub(1) };
-        self.convergence.in_force(heard.node, heard.after, configuration, heard.at_us);
+        self.convergence.in_force(acknowledged.node, acknowledged.after, configuration, acknowledged.at_us);
     }
 
     /// Whether all real nodes are ready and have a list.
--- a/crates/lab/src/scale/traffic.rs
+++ b/crates/lab/src/scale/traffic.rs
@@ -18,7 +18,7 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-/// How long a client waits for an answer, as it tells the node.
+/// How long a client waits for an answer; the node knows it from the request.
 const DEADLINE: Duration = Duration::from_millis(500);
 /// A client without a node or a connection tries again after this.
 const AGAIN: Duration = Duration::from_millis(50);
@@ -63,8 +63,8 @@
                     let (table, counts) = (table.clone(), counts.clone());
                     spawn_local(ask(client, client % nodes, each, random, table, counts));
                 }
-                if let Ok(told) = stopped.await {
-                    let _ = told.send(counts.get());
+                if let Ok(reply) = stopped.await {
+                    let _ = reply.send(counts.get());
                 }
             });
         })?;
@@ -74,9 +74,9 @@
 
     /// Ends clients and servers; what clients saw.
     pub async fn stop(self) -> TrafficCounts {
-        let (told, counts) = oneshot::channel();
+        let (reply, counts) = oneshot::channel();
         // A thread that has ended has counted nothing.
-        let _ = self.stop.send(told);
+        let _ = self.stop.send(reply);
         counts.await.unwrap_or_default()
     }
 }
--- a/crates/lab/src/scale/worker.rs
+++ b/crates/lab/src/scale/worker.rs
@@ -23,7 +23,7 @@
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{interval, sleep_until, Instant};
 
-/// What came into force is told of so often.
+/// Lists that came into force are reported this long after the first of them.
 const REPORT: Duration = Duration::from_millis(20);
 /// The log is asked for what it left out so often.
 const LOG_TURN: Duration = Duration::from_secs(1);
@@ -37,7 +37,7 @@
     /// An order that it does not know.
     #[error("an order cannot be read: {0}")]
     Order(#[from] serde_json::Error),
-    /// It was told to do something before it was set up.
+    /// It got another order before it was set up.
     #[error("the first order was not to set up")]
     NotSetUp,
     /// An order for a node of another worker.
@@ -63,7 +63,7 @@
         follow_orders(BufReader::new(input).lines()).await
     });
     if let Err(error) = &worked {
-        tell(&Message::Failed(error.to_string()))?;
+        send(&Message::Failed(error.to_string()))?;
     }
     worked
 }
@@ -72,9 +72,9 @@
     let Some(first) = orders.next_line().await? else { return Ok(()) };
     let Order::SetUp(setup) = serde_json::from_str(&first)? else { return Err(WorkerError::NotSetUp) };
     let mut worker = Worker::new(setup)?;
-    tell(&Message::Ready)?;
+    send(&Message::Ready)?;
     let mut log_turns = interval(LOG_TURN);
-    // When what is news is told of.
+    // When lists that came into force are to be reported.
     let mut report_at = None;
     loop {
         let tally = worker.tally.clone();
@@ -101,7 +101,7 @@
     }
 }
 
-fn tell(message: &Message) -> Result<(), WorkerError> {
+fn send(message: &Message) -> Result<(), WorkerError> {
     let mut line = serde_json::to_vec(message)?;
     line.push(b'\n');
     Ok(io::stdout().lock().write_all(&line)?)
@@ -152,9 +152,9 @@
             }
             Order::Configure(version) => self.nodes.values_mut().for_each(|node| node.configure(version)),
             Order::Count => {
-                // What came into force before is told before.
+                // Lists that came into force before are reported before.
                 self.report()?;
-                tell(&Message::Counted(*self.tally.counts.borrow()))?;
+                send(&Message::Counted(*self.tally.counts.borrow()))?;
             }
         }
         Ok(())
@@ -167,11 +167,11 @@
         Ok(())
     }
 
-    /// Tells what came into force since the last time.
+    /// Reports lists that came into force since the last time.
     fn report(&self) -> Result<(), WorkerError> {
         let in_force = self.tally.in_force.take();
         if !in_force.is_empty() {
-            tell(&Message::InForce(in_force))?;
+            send(&Message::InForce(in_force))?;
         }
         Ok(())
     }
@@ -227,7 +227,7 @@
 struct NodeObserver {
     node: usize,
     life: u32,
-    /// The configuration that the node was told last.
+    /// The newest configuration that the node was given.
     ordered: Rc<Cell<u64>>,
     /// The one it has a list from.
     in_force: Cell<u64>,
--- a/crates/lab/src/scale/workers.rs
+++ b/crates/lab/src/scale/workers.rs
@@ -21,17 +21,17 @@
     /// It cannot be started.
     #[error("cannot start a worker: {0}")]
     Start(io::Error),
-    /// It cannot be told.
+    /// An order cannot be sent to it.
     #[error("worker {0} takes no orders: {1}")]
     Order(usize, io::Error),
 }
 
-/// What came of a worker.
+/// Something that happened to a worker.
 #[derive(Debug)]
-pub enum FromWorker {
-    /// It tells something.
-    Told(Message),
-    /// It told what cannot be read, or ended.
+pub enum WorkerEvent {
+    /// It says something.
+    Message(Message),
+    /// It said what cannot be read, or ended.
     Ended(String),
 }
 
@@ -43,11 +43,11 @@
 }
 
 impl Worker {
-    /// Starts one; what it tells goes to `told`, with its place.
+    /// Starts one; its events go to `events`, with its place.
     pub fn start(
         place: usize,
         program: &WorkerProgram,
-        told: UnboundedSender<(usize, FromWorker)>,
+        events: UnboundedSender<(usize, WorkerEvent)>,
     ) -> Result<Self, WorkersError> {
         let mut child = Command::new(&program.path)
             .args(&program.arguments)
@@ -61,7 +61,7 @@
             .map_err(WorkersError::Start)?;
         let orders = child.stdin.take();
         if let Some(output) = child.stdout.take() {
-            spawn_local(listen(place, output, told));
+            spawn_local(listen(place, output, events));
         }
         Ok(Self { place, child, orders })
     }
@@ -71,7 +71,7 @@
         self.child.id().and_then(|id| i32::try_from(id).ok())
     }
 
-    /// Tells it something.
+    /// Sends it an order.
     pub async fn order(&mut self, order: &Order) -> Result<(), WorkersError> {
         let place = self.place;
         let mut line = serde_json::to_vec(order).map_err(|error| WorkersError::Order(place, error.into()))?;
@@ -94,19 +94,19 @@
     }
 }
 
-async fn listen(place: usize, output: ChildStdout, told: UnboundedSender<(usize, FromWorker)>) {
+async fn listen(place: usize, output: ChildStdout, events: UnboundedSender<(usize, WorkerEvent)>) {
     let mut lines = BufReader::new(output).lines();
     loop {
-        let from = match lines.next_line().await {
+        let event = match lines.next_line().await {
             Ok(Some(line)) => match serde_json::from_str(&line) {
-                Ok(message) => FromWorker::Told(message),
-                Err(error) => FromWorker::Ended(format!("it told what cannot be read: {error}")),
+                Ok(message) => WorkerEvent::Message(message),
+                Err(error) => WorkerEvent::Ended(format!("it said what cannot be read: {error}")),
             },
-            Ok(None) => FromWorker::Ended("its process has ended".to_owned()),
-            Err(error) => FromWorker::Ended(error.to_string()),
+            Ok(None) => WorkerEvent::Ended("its process has ended".to_owned()),
+            Err(error) => WorkerEvent::Ended(error.to_string()),
         };
-        let over = matches!(from, FromWorker::Ended(_));
-        if told.send((place, from)).is_err() || over {
+        let over = matches!(event, WorkerEvent::Ended(_));
+        if events.send((place, event)).is_err() || over {
             return;
         }
     }
