--- /dev/null
+++ b/crates/lab/src/scale/queue.rs
@@ -0,0 +1,95 @@
+//! Discovery's time: one service that handles calls in turn, each with a stated cost. No I/O and no clock.
+
+use std::time::Duration;
+
+/// A call that would have to wait longer than this for its turn is turned away.
+const LONGEST_QUEUE: Duration = Duration::from_secs(2);
+
+/// What discovery's work costs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Costs {
+    /// A call.
+    pub call: Duration,
+    /// An entry that is written.
+    pub entry: Duration,
+}
+
+/// A place in the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// The work is done then.
+    Served(Duration),
+    /// The call has waited for too long then, and is turned away.
+    Refused(Duration),
+}
+
+/// The queue; times are counted from any origin.
+#[derive(Debug)]
+pub struct CallQueue {
+    costs: Costs,
+    free_at: Duration,
+    busy: Duration,
+}
+
+impl CallQueue {
+    /// An empty queue.
+    pub fn new(costs: Costs) -> Self {
+        Self { costs, free_at: Duration::ZERO, busy: Duration::ZERO }
+    }
+
+    /// A call that comes now and that so many entries answer at once: its turn, or the end of its patience.
+    pub fn call(&mut self, now: Duration, entries: usize) -> Admission {
+        if self.free_at.saturating_sub(now) > LONGEST_QUEUE {
+            return Admission::Refused(now + LONGEST_QUEUE);
+        }
+        Admission::Served(self.work(now, self.costs.call + self.entries(entries)))
+    }
+
+    /// News of so many entries for a watch: when it is written. The watch has had its turn as a call, so it is not
+    /// turned away.
+    pub fn news(&mut self, now: Duration, entries: usize) -> Duration {
+        self.work(now, self.entries(entries))
+    }
+
+    /// All the time that was spent on work, or is to be.
+    pub fn busy(&self) -> Duration {
+        self.busy
+    }
+
+    fn entries(&self, count: usize) -> Duration {
+        self.costs.entry.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX))
+    }
+
+    fn work(&mut self, now: Duration, cost: Duration) -> Duration {
+        self.free_at = self.free_at.max(now) + cost;
+        self.busy += cost;
+        self.free_at
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Duration = Duration::from_millis(1);
+
+    // Guards against a stand-in that serves calls beside each other, for which no herd would ever be too large.
+    #[test]
+    fn calls_are_served_in_turn_and_those_that_wait_for_too_long_are_turned_away() {
+        let mut queue = CallQueue::new(Costs { call: 900 * MS, entry: 10 * MS });
+        let now = Duration::from_secs(5);
+        assert_eq!(queue.call(now, 0), Admission::Served(now + 900 * MS));
+        assert_eq!(queue.news(now + 900 * MS, 20), now + 1100 * MS);
+        assert_eq!(queue.call(now, 0), Admission::Served(now + 2000 * MS));
+        assert_eq!(queue.call(now, 5), Admission::Served(now + 2950 * MS), "it waits 2 s, and no longer");
+        assert_eq!(queue.call(now, 5), Admission::Refused(now + 2000 * MS));
+        assert_eq!(queue.call(now + 950 * MS, 0), Admission::Served(now + 3850 * MS));
+        assert_eq!(queue.busy(), 3850 * MS);
+        let later = now + Duration::from_secs(60);
+        assert_eq!(
+            queue.call(later, 0),
+            Admission::Served(later + 900 * MS),
+            "an idle service saves no time up"
+        );
+    }
+}
