Move the unit tests of lab and observe into test files

Ten source files of the two crates still ended in an inline test module. Each module is now NAME/tests.rs beside its file, as in the node crate.

--- /dev/null
+++ b/crates/observe/src/audit/tests.rs
@@ -0,0 +1,219 @@
+use super::*;
+use std::path::PathBuf;
+
+fn file(name: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("slatelink-audit-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_file(&path);
+    path
+}
+
+fn stderr() -> File {
+    File::options().write(true).open("/dev/null").unwrap()
+}
+
+fn health(host: &str) -> Event {
+    Event::Health { host: host.to_owned(), from: "ready".to_owned(), to: "draining".to_owned() }
+}
+
+fn trail(name: &str, records: usize) -> (PathBuf, Vec<u8>) {
+    let path = file(name);
+    let (mut trail, torn) = Trail::open(&path).unwrap();
+    assert!(torn.is_none());
+    for i in 0..records {
+        trail.append(&mut stderr(), 1_718_000_000_123, &health(&format!("s-\u{e9}{i}"))).unwrap();
+    }
+    let bytes = std::fs::read(&path).unwrap();
+    (path, bytes)
+}
+
+// Guards against a hash of anything but the line without it, or in another form than the operators' own tools
+// would make it.
+#[test]
+fn a_record_is_as_the_operators_describe_it() {
+    let (path, bytes) = trail("form", 2);
+    let lines: Vec<_> = std::str::from_utf8(&bytes).unwrap().lines().collect();
+    let mut prev = NONE_BEFORE.to_owned();
+    for (i, line) in lines.iter().enumerate() {
+        let body = format!(
+            "{{\"seq\":{},\"at_ms\":1718000000123,\"event\":\"health\",\"host\":\"s-\u{e9}{i}\",\
+             \"from\":\"ready\",\"to\":\"draining\",\"prev\":\"{prev}\"}}",
+            i + 1
+        );
+        prev = digest(body.as_bytes());
+        let body = body.strip_suffix('}').unwrap();
+        assert_eq!(*line, format!("{body},\"hash\":\"{prev}\"}}"));
+    }
+    assert_eq!(digest(b""), "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855");
+    std::fs::remove_file(path).unwrap();
+}
+
+// The operators' own check, for each byte of a trail and several edits of it.
+#[test]
+fn any_edited_byte_is_broken_at_its_line() {
+    let (path, bytes) = trail("edits", 3);
+    assert_eq!(verify(&bytes[..]).unwrap(), Verdict::Ok(3));
+    let mut line = 1;
+    for (i, &byte) in bytes.iter().enumerate() {
+        if byte == b'\n' {
+            line += 1;
+            continue;
+        }
+        for new in [byte ^ 1, byte ^ 0x20, byte.wrapping_add(1), b' ', b'\n', 0, 0xff] {
+            let mut edited = bytes.clone();
+            edited[i] = new;
+            let verdict = verify(&edited[..]).unwrap();
+            let expected = if new == byte { Verdict::Ok(3) } else { Verdict::Broken(line) };
+            assert_eq!(verdict, expected, "byte {i} from {byte} to {new}");
+        }
+    }
+    std::fs::remove_file(path).unwrap();
+}
+
+// Guards against a crash in mid-write that reads as an edit, and against an edit that hides behind one.
+#[test]
+fn a_last_line_without_its_end_is_torn_unless_one_before_it_is_broken() {
+    let (path, bytes) = trail("torn", 3);
+    let start = bytes[..bytes.len() - 1].iter().rposition(|&byte| byte == b'\n').unwrap() + 1;
+    for end in start + 1..bytes.len() {
+        assert_eq!(verify(&bytes[..end]).unwrap(), Verdict::Torn(3));
+    }
+    assert_eq!(verify(&bytes[..start]).unwrap(), Verdict::Ok(2));
+    let mut edited = bytes[..bytes.len() - 1].to_vec();
+    edited[5] ^= 1;
+    assert_eq!(verify(&edited[..]).unwrap(), Verdict::Broken(1));
+    assert_eq!(verify(&b""[..]).unwrap(), Verdict::Ok(0));
+    assert_eq!(verify(&b"\n"[..]).unwrap(), Verdict::Broken(1));
+    let long = vec![b' '; 3 * LONGEST];
+    assert_eq!(verify(&long[..]).unwrap(), Verdict::Torn(1));
+    assert_eq!(verify(&[&long[..], b"\n"].concat()[..]).unwrap(), Verdict::Broken(1));
+    // A line taken out breaks the one that came after it.
+    assert_eq!(
+        verify(&bytes[bytes.iter().position(|&b| b == b'\n').unwrap() + 1..]).unwrap(),
+        Verdict::Broken(1)
+    );
+    std::fs::remove_file(path).unwrap();
+}
+
+// Guards against a record glued to half a line, and against a tail that vanishes without a word.
+#[test]
+fn a_start_cuts_a_torn_tail_off_and_says_so_in_the_trail() {
+    let (path, bytes) = trail("tail", 2);
+    let half = &bytes[..bytes.len() - 20];
+    std::fs::write(&path, half).unwrap();
+    let (mut trail, torn) = Trail::open(&path).unwrap();
+    let torn = torn.expect("word of the tail");
+    trail.append(&mut stderr(), 1, &torn).unwrap();
+    let text = std::fs::read_to_string(&path).unwrap();
+    assert_eq!(verify(text.as_bytes()).unwrap(), Verdict::Ok(2));
+    let last: serde_json::Value = serde_json::from_str(text.lines().last().unwrap()).unwrap();
+    let start = half.iter().rposition(|&byte| byte == b'\n').unwrap() + 1;
+    assert_eq!((&last["event"], &last["seq"]), (&"torn".into(), &2.into()));
+    assert_eq!(last["text"], std::str::from_utf8(&half[start..]).unwrap());
+    assert_eq!(last["sha256"], digest(&half[start..]));
+    std::fs::remove_file(path).unwrap();
+}
+
+// Guards against two nodes in one trail, and against a trail written into a file that is none.
+#[test]
+fn a_trail_that_is_in_use_or_is_none_is_not_opened() {
+    let (path, bytes) = trail("use", 1);
+    let held = Trail::open(&path).unwrap();
+    assert_eq!(Trail::open(&path).err().unwrap(), "another node writes there");
+    drop(held);
+    for other in [&b"some words"[..], b"a line\n", &bytes[1..], &[&bytes[..], b"x\n"].concat()] {
+        std::fs::write(&path, other).unwrap();
+        assert!(Trail::open(&path).is_err(), "{other:?}");
+        assert_eq!(std::fs::read(&path).unwrap(), other, "left as it was");
+    }
+    std::fs::remove_file(path).unwrap();
+}
+
+// Guards against a failed write that breaks the chain for all that follow.
+#[test]
+fn what_a_failed_write_left_goes_before_the_next_record() {
+    let (path, _) = trail("spoiled", 1);
+    let (mut trail, _) = Trail::open(&path).unwrap();
+    trail.file.as_mut().unwrap().write_all(b"{\"seq\":2,\"at").unwrap();
+    trail.spoiled = true;
+    trail.append(&mut stderr(), 1, &Event::Lost { records: 1 }).unwrap();
+    assert_eq!(verify(&std::fs::read(&path).unwrap()[..]).unwrap(), Verdict::Ok(2));
+    std::fs::remove_file(path).unwrap();
+}
+
+// Guards against a trail that goes on in a file which nobody can find, without a word.
+#[test]
+fn a_trail_whose_file_lost_its_name_begins_anew_and_says_where_it_was() {
+    let (path, _) = trail("vanished", 2);
+    let (mut trail, _) = Trail::open(&path).unwrap();
+    let moved = path.with_extension("1");
+    std::fs::rename(&path, &moved).unwrap();
+    trail.take(&mut stderr(), 1, &health("s-1")).unwrap();
+    let [old, new] = [&moved, &path].map(|path| std::fs::read_to_string(path).unwrap());
+    assert_eq!(verify(old.as_bytes()).unwrap(), Verdict::Ok(2));
+    assert_eq!(verify(new.as_bytes()).unwrap(), Verdict::Ok(2));
+    let record = |text: &str, i: usize| -> serde_json::Value {
+        serde_json::from_str(text.lines().nth(i).unwrap()).unwrap()
+    };
+    assert_eq!((&record(&new, 0)["event"], &record(&new, 0)["records"]), (&"vanished".into(), &2.into()));
+    assert_eq!(record(&new, 0)["last"], record(&old, 1)["hash"]);
+    [path, moved].iter().for_each(|path| std::fs::remove_file(path).unwrap());
+}
+
+// Guards against a record glued to half of one that a FIFO's full buffer has cut.
+#[test]
+fn a_fifo_that_was_full_gets_the_rest_of_the_record_that_it_has_begun() {
+    let path = file("fifo");
+    assert!(std::process::Command::new("mkfifo").arg(&path).status().unwrap().success());
+    let mut reader = File::options().read(true).write(true).open(&path).unwrap();
+    let (mut trail, _) = Trail::open(&path).unwrap();
+    // Longer than what a pipe takes whole or not at all: it is cut in the middle.
+    let long = health(&"h".repeat(5_000));
+    let mut lost = 0;
+    while lost < 3 {
+        if trail.take(&mut stderr(), 1, &long).is_err() {
+            trail.lost += 1;
+            lost += 1;
+        }
+    }
+    let (mut text, mut bytes) = (Vec::new(), [0; 1 << 16]);
+    let n = reader.read(&mut bytes).unwrap();
+    text.extend_from_slice(&bytes[..n]);
+    trail.take(&mut stderr(), 1, &health("after")).unwrap();
+    while !text.ends_with(b"\n") || !String::from_utf8_lossy(&text).contains("after") {
+        let n = reader.read(&mut bytes).unwrap();
+        text.extend_from_slice(&bytes[..n]);
+    }
+    assert!(matches!(verify(&text[..]).unwrap(), Verdict::Ok(_)), "{}", verify(&text[..]).unwrap());
+    assert!(String::from_utf8_lossy(&text).contains("\"event\":\"lost\",\"records\":3,"));
+    std::fs::remove_file(path).unwrap();
+}
+
+// Guards against records that are lost behind a stuck disk without a word, or break the chain.
+#[test]
+fn records_past_those_that_may_wait_are_counted_in_the_trail() {
+    let path = file("lost");
+    let writer = Writer::start().unwrap();
+    let audit = Audit::open(Some(&path), &writer).unwrap();
+    let (release, held) = std::sync::mpsc::channel::<()>();
+    assert!(writer.lane(1).put(move |_| held.recv().unwrap_or_default()));
+    (0..RECORDS + 5).for_each(|i| audit.record(health(&i.to_string())));
+    release.send(()).unwrap();
+    let lines = || std::fs::read_to_string(&path).unwrap().lines().count();
+    let start = std::time::Instant::now();
+    let wait = |count| {
+        while lines() < count {
+            assert!(start.elapsed().as_secs() < 60, "{} lines", lines());
+            std::thread::sleep(std::time::Duration::from_millis(5));
+        }
+    };
+    wait(RECORDS);
+    audit.stop(Stop::TERMINATE);
+    audit.record(health("after the stop"));
+    wait(RECORDS + 2);
+    let text = std::fs::read_to_string(&path).unwrap();
+    assert_eq!(verify(text.as_bytes()).unwrap(), Verdict::Ok(RECORDS as u64 + 2));
+    let last: Vec<_> = text.lines().skip(RECORDS).collect();
+    assert!(last[0].contains("\"event\":\"lost\",\"records\":5,"), "{}", last[0]);
+    assert!(last[1].contains("\"event\":\"stop\",\"signal\":\"SIGTERM\""), "{}", last[1]);
+    std::fs::remove_file(path).unwrap();
+}
--- /dev/null
+++ b/crates/observe/src/figures/tests.rs
@@ -0,0 +1,211 @@
+use super::*;
+use std::net::Ipv4Addr;
+use std::sync::mpsc::channel;
+
+fn figures(text: &str, writer: &Writer) -> (Figures, UnboundedReceiver<bool>) {
+    let settings: Settings = toml::from_str(text).unwrap();
+    Figures::open(&settings, &["look up".into(), "put".into()], writer, Log::new(writer, crate::Format::Text))
+        .unwrap()
+}
+
+/// The lines that `events` come to, sent in one datagram or more.
+fn lines(format: &str, events: impl Fn(&Figures)) -> Vec<String> {
+    let receiver = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let target = receiver.local_addr().unwrap();
+    let writer = Writer::start().unwrap();
+    let (figures, _) = figures(&format!("format = \"{format}\"\ntarget = \"udp:{target}\""), &writer);
+    events(&figures);
+    figures.flush();
+    let (mut lines, mut buffer) = (Vec::new(), [0; 2000]);
+    receiver.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
+    while !lines.iter().any(|line: &String| line.starts_with("slatelink.req.open") && line.contains("put")) {
+        let n = receiver.recv(&mut buffer).unwrap();
+        assert!(n <= 1400, "{n} bytes in a datagram");
+        lines.extend(std::str::from_utf8(&buffer[..n]).unwrap().lines().map(str::to_owned));
+    }
+    lines
+}
+
+fn some_events(figures: &Figures) {
+    let host = ServerId::from("s,=1 x");
+    figures.taken(ClassId(0));
+    figures.taken(ClassId(0));
+    figures.sent(&host);
+    figures.ended(ClassId(0), &host, Status::TimedOut);
+    figures.answered(ClassId(0), None, Duration::from_micros(411_600), End::Refused);
+}
+
+// Guards against lines that a StatsD server reads as something else.
+#[test]
+fn statsd_lines_carry_their_tags_with_what_the_format_reserves_replaced() {
+    assert_eq!(
+        lines("statsd", some_events),
+        [
+            "slatelink.req.time:412|ms|#kind:look_up,host:none",
+            "slatelink.attempt.count:1|c|#kind:look_up,host:s_=1_x,outcome:timeout",
+            "slatelink.req.count:1|c|#kind:look_up,host:none,status:503",
+            "slatelink.req.open:1|g|#kind:look_up",
+            "slatelink.req.open:0|g|#kind:put",
+        ]
+    );
+}
+
+// Guards against points that InfluxDB cannot read, or that replace each other.
+#[test]
+fn influx_lines_are_escaped_and_no_two_are_of_one_instant() {
+    let lines = lines("influx", some_events);
+    let (texts, stamps): (Vec<_>, Vec<_>) = lines.iter().map(|line| line.rsplit_once(' ').unwrap()).unzip();
+    assert_eq!(
+        texts,
+        [
+            "slatelink.req.time,kind=look\\ up,host=none value=412i",
+            "slatelink.attempt.count,kind=look\\ up,host=s\\,\\=1\\ x,outcome=timeout value=1i",
+            "slatelink.req.count,kind=look\\ up,host=none,status=503 value=1i",
+            "slatelink.req.open,kind=look\\ up value=1i",
+            "slatelink.req.open,kind=put value=0i",
+        ]
+    );
+    let stamps: Vec<u64> = stamps.iter().map(|stamp| stamp.parse().unwrap()).collect();
+    assert!(stamps.windows(2).all(|pair| pair[0] < pair[1]), "{stamps:?}");
+}
+
+// Guards against memory that grows behind a writer that is stuck, and against losing the newest lines.
+#[test]
+fn the_buffer_keeps_its_bound_and_the_oldest_lines_go_first() {
+    let writer = Writer::start().unwrap();
+    let (figures, mut landed) = figures("target = \"file:/dev/null\"", &writer);
+    let stuck = writer.lane(1);
+    let (release, held) = channel::<()>();
+    assert!(stuck.put(move |_| held.recv().unwrap_or_default()));
+    // The first batch is handed over and stays; what follows must share the rest of the room.
+    for i in 0..20_000 {
+        let state = &mut *figures.state.borrow_mut();
+        for name in ["req.count", "req.time"] {
+            figures.add(state, name, &[("kind", "put"), ("host", "h")], i, Measure::Timer);
+        }
+        assert!(state.lines.len() + state.flight.unwrap_or_default().bytes <= BUFFER);
+        assert!(state.lines.capacity() <= BUFFER);
+    }
+    let state = figures.state.borrow();
+    let text = String::from_utf8(state.lines.iter().copied().collect()).unwrap();
+    assert!(state.lines.len() > BUFFER - CARRIED - 2 * figures.batch, "{} used", state.lines.len());
+    assert!(text.starts_with("slatelink.") && text.ends_with("\n"), "whole lines only");
+    assert!(text.lines().last().unwrap().starts_with("slatelink.req.time:19999|ms|"));
+    let kept = text.lines().count() as u64;
+    let flown = state.flight.unwrap().bytes as u64;
+    assert!(state.pushed_out > 0 && state.pushed_out + kept < 40_000 && flown > 0);
+    assert!(40_000 - state.pushed_out - kept <= flown / 40, "no line is uncounted");
+    drop(state);
+    drop(release);
+    assert_eq!(landed.blocking_recv(), Some(true));
+}
+
+// Guards against figures that become the load, and against counts that are lost where lines are merged or stuck.
+#[test]
+fn counters_are_exact_and_timers_bounded_however_many_requests_there_are() {
+    let writer = Writer::start().unwrap();
+    let path = std::env::temp_dir().join(format!("slatelink-merged-{}", std::process::id()));
+    let _ = std::fs::remove_file(&path);
+    let (figures, mut landed) = figures(&format!("target = \"file:{}\"", path.display()), &writer);
+    let stuck = writer.lane(1);
+    let (release, held) = channel::<()>();
+    assert!(stuck.put(move |_| held.recv().unwrap_or_default()));
+    let (host, start) = (ServerId::from("h"), std::time::Instant::now());
+    for i in 0..100_000 {
+        figures.taken(ClassId(1));
+        figures.ended(ClassId(1), &host, Status::Ok);
+        figures.answered(ClassId(1), Some(&host), Duration::from_millis(5), End::Served);
+        if i % 1_000 == 0 {
+            figures.flush();
+        }
+    }
+    let seconds = start.elapsed().as_secs() + 1;
+    drop(release);
+    let ended = |state: &State| state.flight.is_none() && state.lines.is_empty() && state.counts.is_empty();
+    while !ended(&figures.state.borrow()) {
+        if figures.state.borrow().flight.is_some() {
+            let well = landed.blocking_recv().unwrap();
+            let state = &mut *figures.state.borrow_mut();
+            figures.landed(state, well);
+            figures.send_on(state);
+        } else {
+            figures.flush();
+        }
+    }
+    let text = std::fs::read_to_string(&path).unwrap();
+    let sum = |name: &str| -> u64 {
+        let values = text.lines().filter_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
+        values.map(|rest| rest.split('|').next().unwrap().parse::<u64>().unwrap()).sum()
+    };
+    assert_eq!(sum("slatelink.req.count"), 100_000);
+    assert_eq!(sum("slatelink.attempt.count"), 100_000);
+    let timers = text.matches("slatelink.req.time:").count() as u64;
+    assert!(timers <= u64::from(TIMES) * seconds, "{timers} timers in {seconds} s");
+    assert_eq!(sum("slatelink.figures.times_left_out") + timers, 100_000);
+    std::fs::remove_file(&path).unwrap();
+}
+
+// Guards against figures that go on into a file which has lost its name.
+#[test]
+fn a_file_that_was_moved_away_is_made_anew() {
+    let path = std::env::temp_dir().join(format!("slatelink-moved-{}", std::process::id()));
+    let mut sink = Sink { path: path.clone(), file: None, torn: false };
+    sink.write(b"one\n").unwrap();
+    let moved = path.with_extension("1");
+    std::fs::rename(&path, &moved).unwrap();
+    sink.write(b"two\n").unwrap();
+    assert_eq!(
+        (std::fs::read(&moved).unwrap(), std::fs::read(&path).unwrap()),
+        (b"one\n".to_vec(), b"two\n".to_vec())
+    );
+    [path, moved].iter().for_each(|path| std::fs::remove_file(path).unwrap());
+}
+
+// Guards against a count of lost batches that is lost with the next batch.
+#[test]
+fn what_was_dropped_is_told_by_the_first_batch_that_gets_out() {
+    let writer = Writer::start().unwrap();
+    let (figures, _landed) = figures("target = \"file:/dev/null\"", &writer);
+    let state = &mut *figures.state.borrow_mut();
+    for _ in 0..3 {
+        figures.next_batch(state);
+        figures.landed(state, false);
+    }
+    let batch = figures.next_batch(state);
+    assert_eq!(batch, b"slatelink.figures.dropped:3|c\n");
+    figures.landed(state, true);
+    assert_eq!((state.dropped, state.dropped_ever), (0, 3));
+    assert_eq!(figures.next_batch(state), b"");
+}
+
+// Guards against a line that no batch can take: it would never leave.
+#[test]
+fn the_longest_line_fits_the_smallest_batch() {
+    let writer = Writer::start().unwrap();
+    let (figures, _landed) = figures("format = \"influx\"\nmax_batch_bytes = 512", &writer);
+    let long = tag(Format::Influx, &"=".repeat(1000)).into_owned();
+    assert_eq!(long.len(), 2 * LONGEST_TAG);
+    let state = &mut State::default();
+    let mut size =
+        |name, tags: &[(&str, &str)], value, measure| figures.line(state, name, tags, value, measure).len();
+    let tags = [("kind", &*long), ("host", &long), ("outcome", "canceled")];
+    let attempt = size("attempt.count", &tags, 1, Measure::Counter);
+    let time = size("req.time", &tags[..2], u64::MAX, Measure::Timer);
+    let carried = size("figures.dropped", &[], u64::MAX, Measure::Counter)
+        + size("figures.pushed_out", &[], u64::MAX, Measure::Counter);
+    assert!(carried + attempt.max(time) <= figures.batch, "{carried} {attempt} {time}");
+    assert!(carried <= CARRIED);
+}
+
+// Guards against a file whose line broke off and swallows the next one, and against a FIFO's reader that is
+// waited for.
+#[test]
+fn a_line_that_broke_off_does_not_take_the_next_one_with_it() {
+    let path = std::env::temp_dir().join(format!("slatelink-torn-{}", std::process::id()));
+    let mut sink = Sink { path: path.clone(), file: None, torn: false };
+    sink.write(b"half").unwrap();
+    sink.torn = true;
+    sink.write(b"whole\n").unwrap();
+    assert_eq!(std::fs::read(&path).unwrap(), b"half\nwhole\n");
+    std::fs::remove_file(&path).unwrap();
+}
--- /dev/null
+++ b/crates/observe/src/hotlist/tests.rs
@@ -0,0 +1,119 @@
+use super::*;
+use std::collections::HashMap;
+
+fn list(capacity: usize) -> List {
+    List { class: "look\nup".into(), total: 0, entries: Vec::with_capacity(capacity) }
+}
+
+fn printed(list: List, capacity: u64) -> Vec<String> {
+    let mut out = Vec::new();
+    print(&mut out, list, capacity, |entry| entry.recent).unwrap();
+    String::from_utf8(out).unwrap().lines().map(str::to_owned).collect()
+}
+
+// Guards against a count outside its bound, and against a hot key that is missing: the method's promises.
+#[test]
+fn each_count_is_over_by_no_more_than_total_by_capacity_and_no_hot_key_is_missing() {
+    const CAPACITY: usize = 16;
+    let (mut list, mut tally) = (list(CAPACITY), HashMap::<String, u64>::new());
+    let (mut random, now) = (fastrand::Rng::with_seed(7), Instant::now());
+    for i in 1..=20_000 {
+        let key = match random.f64() {
+            x if x < 0.3 => "hot".to_owned(),
+            x if x < 0.5 => format!("warm{}", random.u8(..4)),
+            _ => format!("{:x}", random.u16(..2000)),
+        };
+        list.count(&key, CAPACITY, 60.0, now);
+        *tally.entry(key).or_default() += 1;
+        let least = list.entries.iter().map(|entry| entry.count).min().unwrap();
+        assert!(least <= i / CAPACITY as u64 || i < CAPACITY as u64);
+    }
+    let bound = list.total / CAPACITY as u64;
+    assert_eq!((list.entries.len(), list.total), (CAPACITY, 20_000));
+    assert_eq!(
+        list.entries.iter().map(|entry| entry.count).sum::<u64>(),
+        list.total,
+        "a newcomer adds to the least"
+    );
+    for entry in &list.entries {
+        let real = tally[&*entry.key];
+        assert!(real <= entry.count && entry.count - real <= bound, "{entry:?} {real}");
+    }
+    let held = |key: &str| list.entries.iter().any(|entry| *entry.key == *key);
+    assert!(tally.iter().filter(|(_, &count)| count > bound).all(|(key, _)| held(key)));
+    let lines = printed(list, CAPACITY as u64);
+    let counts: Vec<u64> = lines
+        .iter()
+        .map(|line| line.split("count=").nth(1).unwrap().split(' ').next().unwrap().parse().unwrap())
+        .collect();
+    assert!(counts.is_sorted_by(|a, b| a >= b), "{counts:?}");
+    assert!(
+        lines[0].starts_with("hot look\\u{a}up hot rate=") && lines[0].ends_with(" err<=1250"),
+        "{}",
+        lines[0]
+    );
+}
+
+// Guards against a class that is missing where it had no traffic.
+#[test]
+fn a_class_without_traffic_says_so() {
+    assert_eq!(printed(list(4), 4), ["hot look\\u{a}up none"]);
+}
+
+// Guards against keys that take more than their share, break within a character or forge lines of the log.
+#[test]
+fn keys_are_cut_on_a_character_and_escaped() {
+    for (key, held) in [
+        ("k".repeat(128), "k".repeat(128)),
+        ("k".repeat(129), "k".repeat(125) + "…"),
+        ("é".repeat(65), "é".repeat(62) + "…"),
+        (format!("k{}", "é".repeat(64)), format!("k{}…", "é".repeat(62))),
+    ] {
+        let mut list = list(4);
+        list.count(&key, 4, 60.0, Instant::now());
+        list.count(&key.clone(), 4, 60.0, Instant::now());
+        assert_eq!((&*list.entries[0].key, list.entries[0].count), (&*held, 2));
+        assert!(held.len() <= LONGEST_KEY);
+    }
+    assert_eq!(
+        escaped("a\\b\nhot lookup x\u{1b}[2K\u{2028}\u{202e}'\"é"),
+        "a\\\\b\\u{a}hot\\u{20}lookup\\u{20}x\\u{1b}[2K\\u{2028}\\u{202e}'\"é"
+    );
+}
+
+// Guards against memory over what the operators allow, at the largest capacity and with the longest keys.
+#[test]
+fn the_largest_lists_and_their_copy_stay_under_a_megabyte() {
+    let writer = Writer::start().unwrap();
+    let classes: Vec<Name> = ["a", "b", "c"].map(Name::from).into();
+    let window = Duration::from_secs(60);
+    let most = MEMORY / (ENTRY * classes.len());
+    assert!(most >= 256, "{most}");
+    assert!(HotList::new(most + 1, window, &classes, &writer).is_err());
+    let hot = HotList::new(most, window, &classes, &writer).unwrap();
+    for i in 0..3 * most {
+        for class in 0..3 {
+            hot.taken(ClassId(class), &format!("{i}{}", "k".repeat(200)));
+        }
+    }
+    let lists = hot.lists.borrow();
+    let held = |list: &List| {
+        let keys: usize = list.entries.iter().map(|entry| entry.key.len() + OVERHEAD).sum();
+        list.entries.capacity() * size_of::<Entry>() + keys
+    };
+    let all: usize = lists.iter().map(held).sum();
+    assert!(lists.iter().all(|list| list.entries.len() == most));
+    assert!(2 * all <= MEMORY, "{all}");
+}
+
+// Guards against a rate that never falls, or a count that does.
+#[test]
+fn rates_decay_over_the_window_and_counts_do_not() {
+    let (mut list, start) = (list(4), Instant::now());
+    (0..600).for_each(|i| list.count("k", 4, 60.0, start + Duration::from_secs(i)));
+    let recent = list.entries[0].recent;
+    assert!((recent / 60.0 - 1.0).abs() < 0.02, "one a second: {recent}");
+    let later = faded(recent, Duration::from_secs(60), 60.0);
+    assert!((later / recent - (-1.0f64).exp()).abs() < 1e-9);
+    assert_eq!(list.entries[0].count, 600);
+}
