Split the scenario module of lab by subject

scenario.rs held five subjects in 583 lines. It is now scenario.rs (the file, its errors and its checks, 160 lines), fault.rs (107), fleet.rs (118), load.rs (177) and number.rs (47). All public paths stay, by re-export.

--- /dev/null
+++ b/crates/lab/src/scenario/load.rs
@@ -0,0 +1,177 @@
+//! The load: its rate, its changes over time, how clients retry, and the classes of requests.
+
+use super::number::{share, Millis, Seconds, Share, Times, Within};
+use serde::{Deserialize, Serialize};
+
+/// What is asked, and how clients behave.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// First tries a second.
+    pub rate: Within<1, 200_000_000>,
+    /// Keys there are.
+    #[serde(default = "Load::usual_keys")]
+    pub keys: u32,
+    /// Exponent of their Zipf distribution.
+    #[serde(default = "Load::usual_zipf")]
+    pub zipf: Within<1, 5_000>,
+    /// Tries a client makes after the first.
+    #[serde(default = "Load::usual_retries")]
+    pub retries: u8,
+    /// It waits so long before each.
+    #[serde(default = "Load::usual_wait")]
+    pub retry_wait_ms: Millis,
+    /// A try is given up after this share of its class's deadline.
+    #[serde(default = "Load::usual_patience")]
+    pub patience: Share,
+    /// Share of the clients that heed `Retry-After`.
+    #[serde(default = "Load::usual_heed")]
+    pub heed: Share,
+    /// Changes of the load on the time line.
+    #[serde(default, rename = "change")]
+    pub changes: Vec<Change>,
+}
+
+impl Load {
+    fn usual_keys() -> u32 {
+        20_000
+    }
+    fn usual_zipf() -> Within<1, 5_000> {
+        Within(1.0)
+    }
+    fn usual_retries() -> u8 {
+        2
+    }
+    fn usual_wait() -> Millis {
+        Within(20.0)
+    }
+    fn usual_patience() -> Share {
+        share(0.5)
+    }
+    fn usual_heed() -> Share {
+        share(0.0)
+    }
+}
+
+/// A change of the load. Several at once multiply.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, tag = "kind", rename_all = "snake_case")]
+pub enum Change {
+    /// A sine over the whole time: the rate goes up and down by this share.
+    Wave {
+        /// Seconds from crest to crest.
+        period_s: Within<10, 3_600_000>,
+        /// Of the rate.
+        depth: Share,
+    },
+    /// So many times the rate.
+    Burst {
+        /// From.
+        at_s: Seconds,
+        /// For.
+        for_s: Seconds,
+        /// Of the rate.
+        times: Times,
+    },
+    /// Evenly from the rate at the start to this multiple at the end.
+    Ramp {
+        /// At the end.
+        to: Times,
+    },
+    /// A few keys draw a share of the reads.
+    HotKey {
+        /// From.
+        at_s: Seconds,
+        /// For.
+        for_s: Seconds,
+        /// Of the reads.
+        share: Share,
+        /// How many keys.
+        keys: u32,
+    },
+    /// A share of the reads asks for keys that are wanted only once.
+    Scan {
+        /// From.
+        at_s: Seconds,
+        /// For.
+        for_s: Seconds,
+        /// Of the reads.
+        share: Share,
+    },
+}
+
+impl Change {
+    /// Its name, beginning and length in seconds, where it has one.
+    pub fn span(&self) -> Option<(&'static str, f64, f64)> {
+        match self {
+            Self::Burst { at_s, for_s, .. } => Some(("burst", at_s.get(), for_s.get())),
+            Self::HotKey { at_s, for_s, .. } => Some(("hot_key", at_s.get(), for_s.get())),
+            Self::Scan { at_s, for_s, .. } => Some(("scan", at_s.get(), for_s.get())),
+            Self::Wave { .. } | Self::Ramp { .. } => None,
+        }
+    }
+}
+
+/// What a repeat of a request does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Effect {
+    /// No harm.
+    Safe,
+    /// No harm within the window: servers drop repeats.
+    Keyed,
+    /// Harm.
+    Unsafe,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Of all requests.
+    pub share: Share,
+    /// What a repeat does.
+    pub effect: Effect,
+    /// For a keyed class: servers drop repeats for so many seconds.
+    #[serde(default = "Class::usual_window")]
+    pub window_s: Seconds,
+    /// Whether it goes on to the database and voids kept copies.
+    #[serde(default)]
+    pub write: bool,
+    /// Mean work on a standard core.
+    pub work_ms: Within<1, 60_000_000>,
+    /// Answers within this time count.
+    pub aim_ms: Within<1_000, 60_000_000>,
+    /// The client's last word.
+    pub deadline_ms: Within<1_000, 60_000_000>,
+    /// What one is worth.
+    pub worth: Within<0, 1_000_000>,
+}
+
+impl Class {
+    fn usual_window() -> Seconds {
+        Within(4.0)
+    }
+}
+
+/// Lookups, queue-joins and entry fees, as the operators' fleet has them, a quarter of the times.
+pub fn usual_classes() -> Vec<Class> {
+    let class = |name: &str, part, effect, write, work, aim, deadline, worth| Class {
+        name: name.into(),
+        share: share(part),
+        effect,
+        window_s: Within(4.0),
+        write,
+        work_ms: Within(work),
+        aim_ms: Within(aim),
+        deadline_ms: Within(deadline),
+        worth: Within(worth),
+    };
+    vec![
+        class("lookup", 0.95, Effect::Safe, false, 6.0, 250.0, 625.0, 1.0),
+        class("queue-join", 0.027, Effect::Keyed, true, 5.0, 200.0, 500.0, 3.0),
+        class("entry-fee", 0.023, Effect::Unsafe, true, 2.0, 250.0, 750.0, 10.0),
+    ]
+}
