--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -182,3 +182,21 @@
     /// Requests to servers that bore an id which no client had sent.
     pub strangers: Vec<(usize, String, u64)>,
 }
+
+impl Record {
+    /// Counts the time of stand-ins and nodes from `zero`, as the clients do theirs.
+    pub(crate) fn shift(&mut self, zero: u64) {
+        let less = |at: &mut u64| *at = at.saturating_sub(zero);
+        self.attempts.iter_mut().for_each(|one| [&mut one.first, &mut one.got].into_iter().for_each(less));
+        self.told.iter_mut().for_each(|one| less(&mut one.at));
+        self.changed.iter_mut().for_each(|one| less(&mut one.2));
+        self.fell.iter_mut().for_each(|one| less(&mut one.at));
+        self.lives.iter_mut().for_each(|one| less(&mut one.2));
+        self.samples.iter_mut().for_each(|one| less(&mut one.at));
+        self.strangers.iter_mut().for_each(|one| less(&mut one.2));
+        for (_, from, until, _) in &mut self.faults {
+            less(from);
+            until.iter_mut().for_each(less);
+        }
+    }
+}
