Split the audit trail into its file, its check and its signals

It is now audit.rs (the node's side, 123), trail.rs (the file and its records, 212), verify.rs (the check of a trail, 76) and signals.rs (49). Public paths stay, by re-export.

--- a/crates/observe/src/audit/tests.rs
+++ b/crates/observe/src/audit/tests.rs
@@ -1,4 +1,8 @@
+use super::trail::{LONGEST, NONE_BEFORE};
 use super::*;
+use slatelink_config::digest;
+use std::fs::File;
+use std::io::Read;
 use std::path::PathBuf;
 
 fn file(name: &str) -> PathBuf {
