Split the figures into lines, batches and where they go

It is now figures.rs (what is counted, 301), figures/line.rs (a figure as text, 92), figures/batch.rs (73) and figures/output.rs (93); opening the target is a function of Output.

--- a/crates/observe/src/figures.rs
+++ b/crates/observe/src/figures.rs
@@ -1,33 +1,30 @@
 //! Counters, gauges and timers of requests and attempts, in batches to a file, standard error or UDP.
 
+mod batch;
+mod line;
+mod output;
+
 use crate::log::Log;
-use crate::writer::{has_vanished, write_part, Lane, Writer};
+use crate::writer::Writer;
 use crate::End;
-use slatelink_config::operators::{Figures as Settings, Format, Target};
+use batch::Flight;
+use line::{outcome, tag, Measure};
+use output::Output;
+use slatelink_config::operators::{Figures as Settings, Format};
 use slatelink_config::{Host, Listing};
 use slatelink_decide::{Availability, ClassId, Name, ServerId, Status};
 use slatelink_front::{Cause, Figures as Connections, Phase};
-use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
-use std::fmt::Write as _;
-use std::fs::File;
-use std::io::{self, Write as _};
-use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, UdpSocket};
-use std::os::unix::fs::OpenOptionsExt;
-use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use std::time::Duration;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 use tokio::time::{interval, timeout, Instant, MissedTickBehavior};
 
 /// What waits to go out, the batch that is being written included, is never more bytes than this.
 const BUFFER: usize = 256 << 10;
 /// Of these, kept free for the counters of what was lost, which a batch gets as it goes out.
 const CARRIED: usize = 256;
-/// A longer name of a class or host is cut.
-const LONGEST_TAG: usize = 64;
 /// So many series of counters are merged between two flushes; one more, and they go out before the flush.
 const SERIES: usize = 2048;
 /// So many timers are written whole each second; what is past them is counted.
@@ -35,80 +32,6 @@
 /// Stands for the host where none was picked.
 const NO_HOST: &str = "none";
 
-const fn outcome(status: Status) -> &'static str {
-    match status {
-        Status::Ok => "ok",
-        Status::Failed => "failed",
-        Status::QueueFull => "full",
-        Status::TimedOut => "timeout",
-        Status::ConnectError => "connect",
-        Status::Reset => "reset",
-        Status::Canceled => "canceled",
-        Status::Ignored => "unsent",
-        Status::Miss => "miss",
-    }
-}
-
-#[derive(Clone, Copy)]
-enum Measure {
-    Counter,
-    Gauge,
-    Timer,
-}
-
-/// Where batches go.
-enum Output {
-    Udp(UdpSocket),
-    /// By the writer's thread, one batch at a time: what waits here can still give way to what is newer.
-    Queue {
-        lane: Lane,
-        /// `None` for standard error.
-        sink: Option<Arc<Mutex<Sink>>>,
-        results: UnboundedSender<bool>,
-    },
-}
-
-/// A file that batches are appended to.
-struct Sink {
-    path: PathBuf,
-    /// `None` while it cannot be opened: a FIFO that nobody reads.
-    file: Option<File>,
-    /// The last write broke off within a line.
-    torn: bool,
-}
-
-impl Sink {
-    fn open(path: &Path) -> io::Result<File> {
-        // Neither opening nor writing waits for a FIFO's reader.
-        File::options().append(true).create(true).custom_flags(libc::O_NONBLOCK).open(path)
-    }
-
-    fn write(&mut self, batch: &[u8]) -> io::Result<()> {
-        if self.file.as_ref().is_some_and(|file| has_vanished(file, &self.path).unwrap_or(false)) {
-            (self.file, self.torn) = (None, false);
-        }
-        let file = match &mut self.file {
-            Some(file) => file,
-            none => none.insert(Self::open(&self.path)?),
-        };
-        if self.torn {
-            file.write_all(b"\n")?;
-            self.torn = false;
-        }
-        let (taken, written) = write_part(file, batch);
-        self.torn = taken > 0 && taken < batch.len();
-        written
-    }
-}
-
-/// A batch on its way to the writer.
-#[derive(Clone, Copy, Default)]
-struct Flight {
-    bytes: usize,
-    dropped: u64,
-    pushed_out: u64,
-}
-
 /// A counter's name, class, host and last tag.
 type Series = (&'static str, usize, ServerId, &'static str);
 
@@ -164,33 +87,7 @@
         log: Log,
     ) -> Result<(Self, UnboundedReceiver<bool>), String> {
         let (results, landed) = unbounded_channel();
-        // A second place: the first is given back only after its batch's result is told.
-        let queue = |sink| Output::Queue { lane: writer.lane(2), sink, results };
-        let output = match &settings.target {
-            Target::Stderr => queue(None),
-            Target::File(path) => {
-                let file = match Sink::open(path) {
-                    Ok(file) => Some(file),
-                    // A FIFO without a reader: one may come.
-                    Err(error) if error.raw_os_error() == Some(libc::ENXIO) => None,
-                    Err(error) => return Err(format!("figures: cannot open {}: {error}", path.display())),
-                };
-                queue(Some(Arc::new(Mutex::new(Sink { path: path.clone(), file, torn: false }))))
-            }
-            Target::Udp(address) => {
-                let any = match address.ip() {
-                    IpAddr::V4(_) => IpAddr::V4(Ipv4Addr::UNSPECIFIED),
-                    IpAddr::V6(_) => IpAddr::V6(Ipv6Addr::UNSPECIFIED),
-                };
-                let socket = UdpSocket::bind((any, 0)).and_then(|socket| {
-                    socket.set_nonblocking(true)?;
-                    // Connected, it hears that nobody listens there.
-                    socket.connect(address)?;
-                    Ok(socket)
-                });
-                Output::Udp(socket.map_err(|error| format!("figures: cannot send to {address}: {error}"))?)
-            }
-        };
+        let output = Output::open(&settings.target, writer, results)?;
         let format = settings.format;
         let figures = Self {
             format,
@@ -398,120 +295,6 @@
         state.lines.extend(line.as_bytes());
         self.send_on(state);
     }
-
-    fn line(
-        &self,
-        state: &mut State,
-        name: &str,
-        tags: &[(&str, &str)],
-        value: u64,
-        measure: Measure,
-    ) -> String {
-        let mut line = format!("slatelink.{name}");
-        // Writing to a string does not fail.
-        let _ = match self.format {
-            Format::Statsd => {
-                let unit = match measure {
-                    Measure::Counter => "c",
-                    Measure::Gauge => "g",
-                    Measure::Timer => "ms",
-                };
-                let _ = write!(line, ":{value}|{unit}");
-                for (i, (name, value)) in tags.iter().enumerate() {
-                    let _ = write!(line, "{}{name}:{value}", if i == 0 { "|#" } else { "," });
-                }
-                writeln!(line)
-            }
-            Format::Influx => {
-                let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos();
-                state.stamp = now.max(state.stamp + 1);
-                for (name, value) in tags {
-                    let _ = write!(line, ",{name}={value}");
-                }
-                writeln!(line, " value={value}i {}", state.stamp)
-            }
-        };
-        line
-    }
-
-    /// Sends batches while one is full or due and none is on its way.
-    fn send_on(&self, state: &mut State) {
-        while state.flight.is_none() && (state.lines.len() >= self.batch || state.due > 0) {
-            let batch = self.next_batch(state);
-            match &self.output {
-                Output::Udp(socket) => {
-                    let sent = socket.send(batch.trim_ascii_end());
-                    self.landed(state, sent.is_ok());
-                }
-                Output::Queue { lane, sink, results } => {
-                    let (sink, results) = (sink.clone(), results.clone());
-                    let put = lane.put(move |stderr| {
-                        let written = match &sink {
-                            None => stderr.write_all(&batch),
-                            Some(sink) => sink.lock().unwrap_or_else(PoisonError::into_inner).write(&batch),
-                        };
-                        // The node may have stopped meanwhile.
-                        let _ = results.send(written.is_ok());
-                    });
-                    if !put {
-                        self.landed(state, false);
-                    }
-                }
-            }
-        }
-    }
-
-    /// The oldest lines that make a batch, and before them what was lost so far.
-    fn next_batch(&self, state: &mut State) -> Vec<u8> {
-        let mut batch = Vec::with_capacity(self.batch);
-        let (dropped, pushed_out) = (state.dropped, state.pushed_out);
-        for (name, count) in [("figures.dropped", dropped), ("figures.pushed_out", pushed_out)] {
-            if count > 0 {
-                batch.extend(self.line(state, name, &[], count, Measure::Counter).bytes());
-            }
-        }
-        let room = self.batch - batch.len();
-        let mut ends = state.lines.iter().enumerate().take(room).filter(|(_, &byte)| byte == b'\n');
-        let taken = ends.next_back().map_or(0, |(end, _)| end + 1);
-        batch.extend(state.lines.drain(..taken));
-        state.due = state.due.saturating_sub(taken);
-        state.flight = Some(Flight { bytes: batch.len(), dropped, pushed_out });
-        batch
-    }
-
-    fn landed(&self, state: &mut State, well: bool) {
-        let flight = state.flight.take().unwrap_or_default();
-        if well {
-            state.dropped -= flight.dropped;
-            state.pushed_out -= flight.pushed_out;
-        } else {
-            state.dropped += 1;
-            state.dropped_ever += 1;
-        }
-    }
-}
-
-/// A tag's value as the format takes it. StatsD has no escapes: what it would read otherwise is replaced.
-fn tag(format: Format, text: &str) -> Cow<'_, str> {
-    let cut = &text[..text.floor_char_boundary(LONGEST_TAG)];
-    if cut.is_empty() {
-        return "_".into();
-    }
-    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    if cut.chars().all(plain) {
-        return cut.into();
-    }
-    let mut value = String::with_capacity(2 * cut.len());
-    for c in cut.chars() {
-        match (format, c) {
-            (_, c) if c.is_control() || c == '\\' => value.push('_'),
-            (Format::Influx, ',' | '=' | ' ') => value.extend(['\\', c]),
-            (Format::Statsd, ',' | ':' | '|' | '#' | '@') => value.push('_'),
-            (_, c) if c.is_whitespace() => value.push('_'),
-            (_, c) => value.push(c),
-        }
-    }
-    value.into()
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/observe/src/figures/batch.rs
@@ -0,0 +1,73 @@
+//! Batches of lines on their way out, one at a time, and the count of those that got lost.
+
+use super::line::Measure;
+use super::output::Output;
+use super::{Figures, State};
+use std::io::Write as _;
+use std::sync::PoisonError;
+
+/// A batch on its way to the writer.
+#[derive(Clone, Copy, Default)]
+pub(super) struct Flight {
+    pub(super) bytes: usize,
+    dropped: u64,
+    pushed_out: u64,
+}
+
+impl Figures {
+    /// Sends batches while one is full or due and none is on its way.
+    pub(super) fn send_on(&self, state: &mut State) {
+        while state.flight.is_none() && (state.lines.len() >= self.batch || state.due > 0) {
+            let batch = self.next_batch(state);
+            match &self.output {
+                Output::Udp(socket) => {
+                    let sent = socket.send(batch.trim_ascii_end());
+                    self.landed(state, sent.is_ok());
+                }
+                Output::Queue { lane, sink, results } => {
+                    let (sink, results) = (sink.clone(), results.clone());
+                    let put = lane.put(move |stderr| {
+                        let written = match &sink {
+                            None => stderr.write_all(&batch),
+                            Some(sink) => sink.lock().unwrap_or_else(PoisonError::into_inner).write(&batch),
+                        };
+                        // The node may have stopped meanwhile.
+                        let _ = results.send(written.is_ok());
+                    });
+                    if !put {
+                        self.landed(state, false);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The oldest lines that make a batch, and before them what was lost so far.
+    pub(super) fn next_batch(&self, state: &mut State) -> Vec<u8> {
+        let mut batch = Vec::with_capacity(self.batch);
+        let (dropped, pushed_out) = (state.dropped, state.pushed_out);
+        for (name, count) in [("figures.dropped", dropped), ("figures.pushed_out", pushed_out)] {
+            if count > 0 {
+                batch.extend(self.line(state, name, &[], count, Measure::Counter).bytes());
+            }
+        }
+        let room = self.batch - batch.len();
+        let mut ends = state.lines.iter().enumerate().take(room).filter(|(_, &byte)| byte == b'\n');
+        let taken = ends.next_back().map_or(0, |(end, _)| end + 1);
+        batch.extend(state.lines.drain(..taken));
+        state.due = state.due.saturating_sub(taken);
+        state.flight = Some(Flight { bytes: batch.len(), dropped, pushed_out });
+        batch
+    }
+
+    pub(super) fn landed(&self, state: &mut State, well: bool) {
+        let flight = state.flight.take().unwrap_or_default();
+        if well {
+            state.dropped -= flight.dropped;
+            state.pushed_out -= flight.pushed_out;
+        } else {
+            state.dropped += 1;
+            state.dropped_ever += 1;
+        }
+    }
+}
--- a/crates/observe/src/figures/tests.rs
+++ b/crates/observe/src/figures/tests.rs
@@ -1,5 +1,7 @@
+use super::line::LONGEST_TAG;
+use super::output::Sink;
 use super::*;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, UdpSocket};
 use std::sync::mpsc::channel;
 
 fn figures(text: &str, writer: &Writer) -> (Figures, UnboundedReceiver<bool>) {
