Name the model of servers and database in the terms of the field

World, Terms, Origin, Note, Ended, Offer, Due and Recent are Cluster, ServerSettings, DatabaseSettings, CacheResult, JobResult, Admission, Event and RollingSum; methods and fields that needed explaining (at, called, worked, work_on, void, keep, born, held, it) are schedule, finish_call, finish_work, start_calls, invalidate, insert, started_at, in_progress, state. Names only: no statement, value or order differs.

--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -1,4 +1,4 @@
-//! The world behind the nodes: cache servers and the player database, as machines without I/O. Jobs come in with a
+//! The cluster behind the nodes: cache servers and the player database, as machines without I/O. Jobs come in with a
 //! time, and what has ended goes out.
 //!
 //! A server has cores of one speed each (a multiple of the standard core), a waiting room in order of arrival, and an
@@ -8,11 +8,11 @@
 //! evenly from `cold_share` to all of it over `warm`. The database has so many workers, one queue, and log-normal times.
 
 mod database;
-mod recent;
+mod rolling_sum;
 mod server;
 
-pub use database::Origin;
-pub use server::Terms;
+pub use database::DatabaseSettings;
+pub use server::ServerSettings;
 
 use crate::record::Fell;
 use database::{Call, Database};
@@ -44,7 +44,7 @@
 
 /// How a read was answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Note {
+pub enum CacheResult {
     /// The server held the value.
     Hit,
     /// It was fetched.
@@ -55,17 +55,18 @@
 
 /// A job's end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
+pub enum JobResult {
     /// Done.
-    Ok(Note),
+    Ok(CacheResult),
     /// The database failed; a write may have run.
     Error,
     /// It waited, and was dropped.
     Dropped,
 }
 
+/// Something that is due at a known time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
+enum Event {
     /// A core has done a job's work; servers are of an epoch, so that what died stays dead.
     Core { server: usize, epoch: u32, job: JobId },
     /// A worker of the database is done with a call.
@@ -75,11 +76,11 @@
 }
 
 /// All servers and the database.
-pub struct World {
+pub struct Cluster {
     servers: Vec<Server>,
     epochs: Vec<u32>,
     database: Database,
-    due: BinaryHeap<Reverse<(Time, u64, Due)>>,
+    events: BinaryHeap<Reverse<(Time, u64, Event)>>,
     order: u64,
     /// What was pushed over; for the checker.
     pub fell: Vec<Fell>,
@@ -87,25 +88,25 @@
     pub fetches: u64,
 }
 
-/// What a server says to a job.
+/// Whether a server accepts a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Offer {
+pub enum Admission {
     /// It will end.
-    Taken,
+    Accepted,
     /// The waiting room is full.
     Declined,
     /// Nobody is there.
     Down,
 }
 
-impl World {
-    /// A world of warm servers with empty memories.
-    pub fn new(servers: Vec<Terms>, origin: Origin, seed: u64) -> Self {
+impl Cluster {
+    /// A cluster of warm servers with empty caches.
+    pub fn new(servers: Vec<ServerSettings>, database: DatabaseSettings, seed: u64) -> Self {
         Self {
             epochs: vec![0; servers.len()],
             servers: servers.into_iter().map(Server::new).collect(),
-            database: Database::new(origin, seed),
-            due: BinaryHeap::new(),
+            database: Database::new(database, seed),
+            events: BinaryHeap::new(),
             order: 0,
             fell: Vec::new(),
             fetches: 0,
@@ -113,28 +114,28 @@
     }
 
     /// When something ends next.
-    pub fn next(&self) -> Option<Time> {
-        self.due.peek().map(|Reverse((at, _, _))| *at)
+    pub fn next_event(&self) -> Option<Time> {
+        self.events.peek().map(|Reverse((at, _, _))| *at)
     }
 
-    /// Puts a value into a server's memory, as if it had been asked for before the run.
+    /// Puts a value into a server's cache, as if it had been asked for before the run.
     pub fn warm_up(&mut self, server: usize, key: u64, size: usize) {
-        self.servers[server].keep(key, size);
+        self.servers[server].insert(key, size);
     }
 
     /// Requests that a server holds.
-    pub fn held(&self, server: usize) -> usize {
-        self.servers[server].held.len() + self.servers[server].waiting.len()
+    pub fn request_count(&self, server: usize) -> usize {
+        self.servers[server].in_progress.len() + self.servers[server].waiting.len()
     }
 
     /// Cores at work, requests that wait for one, and how many cores there are.
     pub fn load(&self, server: usize) -> (usize, usize, usize) {
-        let it = &self.servers[server];
-        (it.busy, it.waiting.len(), it.terms.cores)
+        let state = &self.servers[server];
+        (state.busy, state.waiting.len(), state.settings.cores)
     }
 
     /// Calls that the database holds.
-    pub fn calls(&self) -> usize {
+    pub fn database_calls(&self) -> usize {
         self.database.calls.len()
     }
 
@@ -144,17 +145,17 @@
     }
 
     /// Offers a job to a server.
-    pub fn offer(&mut self, now: Time, server: usize, job: Job) -> Offer {
-        let it = &mut self.servers[server];
-        if it.down {
-            return Offer::Down;
+    pub fn submit(&mut self, now: Time, server: usize, job: Job) -> Admission {
+        let state = &mut self.servers[server];
+        if state.down {
+            return Admission::Down;
         }
-        let capacity = it.capacity(now);
-        if capacity < it.full() {
-            let span = it.terms.fall_span;
-            let (sent, _) = it.recent.add(now, job.work.as_secs_f64(), 0.0, span);
+        let capacity = state.capacity(now);
+        if capacity < state.full_capacity() {
+            let span = state.settings.fall_span;
+            let (sent, _) = state.recent.add(now, job.work.as_secs_f64(), 0.0, span);
             let able = capacity * span.as_secs_f64();
-            if sent > it.terms.fall_times * able {
+            if sent > state.settings.fall_times * able {
                 self.fell.push(Fell {
                     server: Some(server),
                     at: now.as_micros() as u64,
@@ -163,111 +164,117 @@
                     cold: 1.0,
                 });
                 self.kill(server);
-                return Offer::Down;
+                return Admission::Down;
             }
         }
-        if it.busy < it.terms.cores {
-            self.begin(now, server, job);
-        } else if it.waiting.len() < it.terms.queue {
-            it.waiting.push_back(job);
+        if state.busy < state.settings.cores {
+            self.start_job(now, server, job);
+        } else if state.waiting.len() < state.settings.queue {
+            state.waiting.push_back(job);
         } else {
-            return Offer::Declined;
+            return Admission::Declined;
         }
-        Offer::Taken
+        Admission::Accepted
     }
 
     /// A node waits no longer for a job. Whether it was dropped.
     pub fn cancel(&mut self, server: usize, job: JobId) -> bool {
-        let it = &mut self.servers[server];
-        let before = it.waiting.len();
-        if it.terms.drops_cancelled {
-            it.waiting.retain(|waiting| waiting.id != job);
+        let state = &mut self.servers[server];
+        let before = state.waiting.len();
+        if state.settings.drops_cancelled {
+            state.waiting.retain(|waiting| waiting.id != job);
         }
-        it.waiting.len() < before
+        state.waiting.len() < before
     }
 
     /// A server dies with all it holds.
     pub fn kill(&mut self, server: usize) {
         self.epochs[server] += 1;
-        let fresh = Server::new(self.servers[server].terms);
+        let fresh = Server::new(self.servers[server].settings);
         self.servers[server] = Server { down: true, ..fresh };
     }
 
     /// It is back, cold and empty.
     pub fn start(&mut self, now: Time, server: usize) {
         self.epochs[server] += 1;
-        let fresh = Server::new(self.servers[server].terms);
-        self.servers[server] = Server { born: Some(now), ..fresh };
+        let fresh = Server::new(self.servers[server].settings);
+        self.servers[server] = Server { started_at: Some(now), ..fresh };
     }
 
     /// A server works so many times slower from now on.
-    pub fn slow(&mut self, server: usize, times: f64) {
-        self.servers[server].slow = times.max(1e-3);
+    pub fn set_slowdown(&mut self, server: usize, factor: f64) {
+        self.servers[server].slowdown = factor.max(1e-3);
     }
 
-    fn at(&mut self, when: Time, due: Due) {
+    fn schedule(&mut self, at: Time, event: Event) {
         self.order += 1;
-        self.due.push(Reverse((when, self.order, due)));
+        self.events.push(Reverse((at, self.order, event)));
     }
 
-    fn begin(&mut self, now: Time, server: usize, job: Job) {
-        let it = &mut self.servers[server];
-        it.busy += 1;
-        it.held.insert(job.id, job);
-        let speed = it.terms.speed * it.warmth(now) / it.slow;
+    fn start_job(&mut self, now: Time, server: usize, job: Job) {
+        let state = &mut self.servers[server];
+        state.busy += 1;
+        state.in_progress.insert(job.id, job);
+        let speed = state.settings.speed * state.warm_share(now) / state.slowdown;
         let end = now + job.work.div_f64(speed.max(1e-6));
         let epoch = self.epochs[server];
-        self.at(end, Due::Core { server, epoch, job: job.id });
+        self.schedule(end, Event::Core { server, epoch, job: job.id });
     }
 
     /// Moves time on: every job that has ended by `now`, with its server.
-    pub fn advance(&mut self, now: Time, ended: &mut Vec<(usize, JobId, Ended)>) {
-        while let Some(Reverse((at, _, due))) =
-            self.due.peek().copied().filter(|Reverse((at, _, _))| *at <= now)
+    pub fn advance(&mut self, now: Time, finished: &mut Vec<(usize, JobId, JobResult)>) {
+        while let Some(Reverse((at, _, event))) =
+            self.events.peek().copied().filter(|Reverse((at, _, _))| *at <= now)
         {
-            self.due.pop();
-            match due {
-                Due::Core { server, epoch, job } if epoch == self.epochs[server] => {
-                    self.worked(at, server, job, ended)
+            self.events.pop();
+            match event {
+                Event::Core { server, epoch, job } if epoch == self.epochs[server] => {
+                    self.finish_work(at, server, job, finished)
                 }
-                Due::Worker { call, epoch } if epoch == self.database.epoch => {
+                Event::Worker { call, epoch } if epoch == self.database.epoch => {
                     self.database.working -= 1;
                     if let Some(call) = self.database.calls.remove(&call) {
-                        self.called(call, true, ended);
+                        self.finish_call(call, true, finished);
                     }
-                    self.work_on(at);
+                    self.start_calls(at);
                 }
-                Due::Back { epoch } if epoch == self.database.epoch => self.database.down = false,
+                Event::Back { epoch } if epoch == self.database.epoch => self.database.down = false,
                 _ => {}
             }
         }
     }
 
-    fn worked(&mut self, now: Time, server: usize, job: JobId, ended: &mut Vec<(usize, JobId, Ended)>) {
-        let it = &mut self.servers[server];
-        it.busy -= 1;
+    fn finish_work(
+        &mut self,
+        now: Time,
+        server: usize,
+        job: JobId,
+        finished: &mut Vec<(usize, JobId, JobResult)>,
+    ) {
+        let state = &mut self.servers[server];
+        state.busy -= 1;
         let epoch = self.epochs[server];
-        let cold = it.warmth(now) < 1.0;
-        if let Some(job) = it.held.get(&job).copied() {
+        let cold = state.warm_share(now) < 1.0;
+        if let Some(job) = state.in_progress.get(&job).copied() {
             if job.write {
                 let call = Call::Write { server, epoch, job: job.id, key: job.key };
-                self.call(now, call, false, ended);
-            } else if it.memory.get(&job.key).is_some() {
-                it.held.remove(&job.id);
-                ended.push((server, job.id, Ended::Ok(Note::Hit)));
+                self.submit_call(now, call, false, finished);
+            } else if state.cache.get(&job.key).is_some() {
+                state.in_progress.remove(&job.id);
+                finished.push((server, job.id, JobResult::Ok(CacheResult::Hit)));
             } else {
-                let waiting = it.fetching.entry(job.key).or_default();
+                let waiting = state.fetching.entry(job.key).or_default();
                 waiting.push(job.id);
                 if waiting.len() == 1 {
                     let call = Call::Fetch { server, epoch, key: job.key, size: job.size };
-                    self.call(now, call, cold, ended);
+                    self.submit_call(now, call, cold, finished);
                 }
             }
         }
-        let it = &mut self.servers[server];
-        if it.busy < it.terms.cores {
-            if let Some(next) = it.waiting.pop_front() {
-                self.begin(now, server, next);
+        let state = &mut self.servers[server];
+        if state.busy < state.settings.cores {
+            if let Some(next) = state.waiting.pop_front() {
+                self.start_job(now, server, next);
             }
         }
     }
--- a/crates/lab/src/run/faults.rs
+++ b/crates/lab/src/run/faults.rs
@@ -68,7 +68,7 @@
             directory.change(server, "gone", 0);
         }
         Kind::Hang => floor.behave(server, Manner::Hang),
-        Kind::Slow => floor.world.borrow_mut().slow(server, by),
+        Kind::Slow => floor.cluster.borrow_mut().set_slowdown(server, by),
         Kind::Reset => floor.behave(server, Manner::Reset),
         Kind::Half => floor.behave(server, Manner::Half),
         Kind::Garbage => floor.behave(server, Manner::Garbage),
@@ -97,7 +97,7 @@
             floor.behave(server, Manner::Well);
             directory.change(server, "ready", unix_ms());
         }
-        Kind::Slow => floor.world.borrow_mut().slow(server, 1.0),
+        Kind::Slow => floor.cluster.borrow_mut().set_slowdown(server, 1.0),
         Kind::Hang | Kind::Reset | Kind::Half | Kind::Garbage | Kind::Refuse | Kind::Cut => {
             floor.behave(server, Manner::Well);
         }
--- a/crates/lab/src/run/stand_ins.rs
+++ b/crates/lab/src/run/stand_ins.rs
@@ -3,7 +3,7 @@
 use super::faults::{begin, struck};
 use super::{Addresses, Word};
 use crate::discovery::Directory;
-use crate::model::{Origin, Terms, World};
+use crate::model::{Cluster, DatabaseSettings, ServerSettings};
 use crate::plan::{mix, Plan};
 use crate::record::Record;
 use crate::scenario::{Kind, Scenario};
@@ -32,7 +32,8 @@
         // Machines that replace others stand ready, unknown to discovery.
         let spares: usize = struck(&scenario).filter(|(fault, ..)| fault.kind == Kind::Replace).count();
         let count = fleet.servers + spares;
-        let floor = Floor::new(&scenario, plan.clone(), world(&scenario, &plan, count), count, start, hand);
+        let floor =
+            Floor::new(&scenario, plan.clone(), initial_cluster(&scenario, &plan, count), count, start, hand);
         let mut dials = vec![Vec::new(); fleet.nodes];
         for (node, dials) in dials.iter_mut().enumerate() {
             for server in 0..count {
@@ -52,8 +53,8 @@
         let _ = addresses.send(Addresses { discovery: told, servers });
         let _ = ending.wait_for(|over| *over).await;
         let mut record = floor.record.take();
-        let world = floor.world.borrow();
-        (record.fell, record.fetches) = (world.fell.clone(), world.fetches);
+        let cluster = floor.cluster.borrow();
+        (record.fell, record.fetches) = (cluster.fell.clone(), cluster.fetches);
         Ok(record)
     })
 }
@@ -73,11 +74,11 @@
 }
 
 /// The servers as they stand when the run begins: warm, and holding the keys that are asked for most.
-fn world(scenario: &Scenario, plan: &Plan, count: usize) -> World {
+fn initial_cluster(scenario: &Scenario, plan: &Plan, count: usize) -> Cluster {
     let fleet = &scenario.fleet;
     let [least, most] = fleet.speed.map(|speed| speed.get());
     let step = (most - least) / (fleet.servers.max(2) - 1) as f64;
-    let terms = |i: usize| Terms {
+    let settings = |i: usize| ServerSettings {
         cores: fleet.cores,
         speed: least + step * (i % fleet.servers) as f64,
         queue: fleet.queue,
@@ -89,7 +90,7 @@
         drops_cancelled: fleet.drops_cancelled,
     };
     let database = &scenario.database;
-    let origin = Origin {
+    let database_settings = DatabaseSettings {
         workers: database.workers,
         work: Duration::from_secs_f64(database.work_ms.get() / 1e3),
         queue: database.queue,
@@ -97,7 +98,7 @@
         fall_span: Duration::from_secs_f64(database.fall_s.get()),
         down: Duration::from_secs_f64(database.down_s.get()),
     };
-    let mut world = World::new((0..count).map(terms).collect(), origin, plan.seed);
+    let mut cluster = Cluster::new((0..count).map(settings).collect(), database_settings, plan.seed);
     // Placement is the nodes' own affair: each server begins with the most wanted keys that fit.
     let mut fits = 0;
     let wanted: Vec<_> = (1..=u64::from(scenario.load.keys))
@@ -109,7 +110,7 @@
         .collect();
     for server in 0..fleet.servers {
         // The most wanted last: it is the last to go.
-        wanted.iter().rev().for_each(|(key, size)| world.warm_up(server, *key, *size));
+        wanted.iter().rev().for_each(|(key, size)| cluster.warm_up(server, *key, *size));
     }
-    world
+    cluster
 }
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -6,7 +6,7 @@
 //! reset.
 
 use crate::http::{listen, reset, Conn, ReadError};
-use crate::model::{Ended, Job, JobId, Note, Offer, World};
+use crate::model::{Admission, CacheResult, Cluster, Job, JobId, JobResult};
 use crate::plan::{mix, Plan};
 use crate::record::{Attempt, Did, Record, Sample, TryId};
 use crate::scenario::{Class, Effect, Scenario};
@@ -52,7 +52,7 @@
 /// All cache servers, on one thread.
 pub struct Floor {
     /// The model.
-    pub world: RefCell<World>,
+    pub cluster: RefCell<Cluster>,
     /// What was seen.
     pub record: RefCell<Record>,
     /// The run's start.
@@ -66,7 +66,7 @@
     by_hand: bool,
     manners: Vec<watch::Sender<Manner>>,
     open: Vec<Cell<usize>>,
-    waiting: RefCell<HashMap<JobId, oneshot::Sender<Ended>>>,
+    waiting: RefCell<HashMap<JobId, oneshot::Sender<JobResult>>>,
     jobs: Cell<JobId>,
     news: Notify,
     /// When a keyed request was first begun, by its arrival: repeats within the window are not run.
@@ -74,17 +74,17 @@
 }
 
 impl Floor {
-    /// Servers for this world.
+    /// Servers for this cluster.
     pub fn new(
         scenario: &Scenario,
         plan: Arc<Plan>,
-        world: World,
+        cluster: Cluster,
         count: usize,
         start: Instant,
         hand: bool,
     ) -> Rc<Self> {
         Rc::new(Self {
-            world: RefCell::new(world),
+            cluster: RefCell::new(cluster),
             record: RefCell::default(),
             start,
             plan,
@@ -115,9 +115,9 @@
     /// A server behaves like this from now on.
     pub fn behave(&self, server: usize, manner: Manner) {
         match manner {
-            Manner::Down => self.world.borrow_mut().kill(server),
+            Manner::Down => self.cluster.borrow_mut().kill(server),
             _ if *self.manners[server].borrow() == Manner::Down => {
-                self.world.borrow_mut().start(self.now(), server);
+                self.cluster.borrow_mut().start(self.now(), server);
             }
             _ => {}
         }
@@ -210,20 +210,20 @@
             let job = self.job(known, &asked.path);
             let repeat = known.is_some_and(|id| self.repeats(id));
             let ended = if repeat {
-                Ended::Ok(Note::Hit)
+                JobResult::Ok(CacheResult::Hit)
             } else {
-                let offer = self.world.borrow_mut().offer(self.now(), server, job);
-                match offer {
-                    Offer::Declined => {
+                let admission = self.cluster.borrow_mut().submit(self.now(), server, job);
+                match admission {
+                    Admission::Declined => {
                         did(Did::Declined);
                         conn.write(&head(503, "Srv-Declined: 1\r\n", 0)).await.map_err(drop)?;
                         continue;
                     }
-                    Offer::Down => {
+                    Admission::Down => {
                         self.manners[server].send_replace(Manner::Down);
                         return Err(());
                     }
-                    Offer::Taken => {}
+                    Admission::Accepted => {}
                 }
                 let (done, mut end) = oneshot::channel();
                 self.waiting.borrow_mut().insert(job.id, done);
@@ -237,7 +237,7 @@
                         },
                         // The node has given it up.
                         () = conn.gone() => {
-                            if self.world.borrow_mut().cancel(server, job.id) {
+                            if self.cluster.borrow_mut().cancel(server, job.id) {
                                 did(Did::Dropped);
                             }
                             self.waiting.borrow_mut().remove(&job.id);
@@ -302,12 +302,12 @@
         at != now && at + window >= now
     }
 
-    fn answer(&self, server: usize, id: &str, job: Job, ended: Ended) -> Vec<u8> {
+    fn answer(&self, server: usize, id: &str, job: Job, ended: JobResult) -> Vec<u8> {
         let note = match ended {
-            Ended::Ok(Note::Hit) => "Srv-Cache: hit\r\n",
-            Ended::Ok(Note::Miss) => "Srv-Cache: miss\r\n",
-            Ended::Ok(Note::Pending) => "Srv-Cache: pending\r\n",
-            Ended::Error | Ended::Dropped => return head(500, "", 0),
+            JobResult::Ok(CacheResult::Hit) => "Srv-Cache: hit\r\n",
+            JobResult::Ok(CacheResult::Miss) => "Srv-Cache: miss\r\n",
+            JobResult::Ok(CacheResult::Pending) => "Srv-Cache: pending\r\n",
+            JobResult::Error | JobResult::Dropped => return head(500, "", 0),
         };
         // Its first words say for whom it was made: a body for another request would show.
         let words = format!("{id} by {server} ");
@@ -324,7 +324,7 @@
 
     /// A server's load report.
     fn load(&self, server: usize) -> String {
-        let (busy, waiting, cores) = self.world.borrow().load(server);
+        let (busy, waiting, cores) = self.cluster.borrow().load(server);
         format!("inflight={},queue={waiting},util={:.2}", busy + waiting, busy as f64 / cores as f64)
     }
 
@@ -332,14 +332,14 @@
     pub async fn pump(self: Rc<Self>) {
         let mut ended = Vec::new();
         loop {
-            self.world.borrow_mut().advance(self.now(), &mut ended);
+            self.cluster.borrow_mut().advance(self.now(), &mut ended);
             for (_, job, end) in ended.drain(..) {
                 if let Some(waiting) = self.waiting.borrow_mut().remove(&job) {
                     // A node that left meanwhile hears nothing.
                     let _ = waiting.send(end);
                 }
             }
-            let next = self.world.borrow().next();
+            let next = self.cluster.borrow().next_event();
             let due = async {
                 match next {
                     Some(at) => sleep_until((self.start + at).into()).await,
@@ -357,10 +357,14 @@
     pub async fn sample(self: Rc<Self>) {
         loop {
             sleep(SAMPLE).await;
-            let world = self.world.borrow();
-            let (at, fetches) = (self.now().as_micros() as u64, world.calls());
-            let all =
-                (0..self.open.len()).map(|server| Sample { at, server, held: world.held(server), fetches });
+            let cluster = self.cluster.borrow();
+            let (at, fetches) = (self.now().as_micros() as u64, cluster.database_calls());
+            let all = (0..self.open.len()).map(|server| Sample {
+                at,
+                server,
+                held: cluster.request_count(server),
+                fetches,
+            });
             self.record.borrow_mut().samples.extend(all);
         }
     }
