--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -223,7 +223,7 @@
             let one = self.exchange(id, arrival, class, due, until, fresh).await;
             self.record.borrow_mut().tries.push(one);
             match one.end {
-                End::Broke { begun: false } if !one.first && !fresh => fresh = true,
+                End::Broke { begun: false } if !one.first_on_connection && !fresh => fresh = true,
                 End::Refused { .. } => {
                     self.live.refused.fetch_add(1, Ordering::Relaxed);
                     return one.end;
@@ -243,11 +243,19 @@
         fresh: bool,
     ) -> Try {
         let due = due.saturating_duration_since(self.start).as_micros() as u64;
-        let mut one = Try { id, node: 0, due, sent: self.now(), ended: 0, first: true, end: End::NotSent };
+        let mut one = Try {
+            id,
+            node: 0,
+            due,
+            sent: self.now(),
+            ended: 0,
+            first_on_connection: true,
+            end: End::NotSent,
+        };
         let kept = if fresh { None } else { self.kept() };
         let mut link = match kept {
             Some(pooled) => {
-                one.first = false;
+                one.first_on_connection = false;
                 pooled.link
             }
             None => match timeout_at(until.into(), self.connect()).await {
@@ -281,7 +289,7 @@
         if link.conn.write(&bytes).await.is_err() {
             // Nothing of it may have been read.
             one.ended = self.now();
-            one.end = if one.first { End::NotSent } else { End::Broke { begun: false } };
+            one.end = if one.first_on_connection { End::NotSent } else { End::Broke { begun: false } };
             return one;
         }
         one.sent = self.now();
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -14,7 +14,7 @@
 pub use database::DatabaseSettings;
 pub use server::ServerSettings;
 
-use crate::record::Fell;
+use crate::record::Overload;
 use database::{Call, Database};
 use server::Server;
 use std::cmp::Reverse;
@@ -83,7 +83,7 @@
     events: BinaryHeap<Reverse<(Time, u64, Event)>>,
     order: u64,
     /// What was pushed over; for the checker.
-    pub fell: Vec<Fell>,
+    pub overloads: Vec<Overload>,
     /// Fetches and writes that the database was sent.
     pub fetches: u64,
 }
@@ -108,7 +108,7 @@
             database: Database::new(database, seed),
             events: BinaryHeap::new(),
             order: 0,
-            fell: Vec::new(),
+            overloads: Vec::new(),
             fetches: 0,
         }
     }
@@ -154,14 +154,14 @@
         if capacity < state.full_capacity() {
             let span = state.settings.fall_span;
             let (sent, _) = state.recent.add(now, job.work.as_secs_f64(), 0.0, span);
-            let able = capacity * span.as_secs_f64();
-            if sent > state.settings.fall_times * able {
-                self.fell.push(Fell {
+            let capacity_in_span = capacity * span.as_secs_f64();
+            if sent > state.settings.fall_times * capacity_in_span {
+                self.overloads.push(Overload {
                     server: Some(server),
                     at: now.as_micros() as u64,
                     sent,
-                    able,
-                    cold: 1.0,
+                    capacity: capacity_in_span,
+                    cold_share: 1.0,
                 });
                 self.kill(server);
                 return Admission::Down;
--- a/crates/lab/src/model/database.rs
+++ b/crates/lab/src/model/database.rs
@@ -3,7 +3,7 @@
 use super::rolling_sum::RollingSum;
 use super::{CacheResult, Cluster, Event, JobId, JobResult, Time};
 use crate::plan::mix;
-use crate::record::Fell;
+use crate::record::Overload;
 use rand::distr::Distribution;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -81,12 +81,18 @@
         self.fetches += 1;
         let work = self.database.settings.work.as_secs_f64();
         let span = self.database.settings.fall_span;
-        let cold = if cold { work } else { 0.0 };
-        let (sent, part) = self.database.recent.add(now, work, cold, span);
-        let able = self.database.settings.workers as f64 * span.as_secs_f64();
-        if !self.database.down && sent > self.database.settings.fall_times * able {
-            let cold = part / sent;
-            self.fell.push(Fell { server: None, at: now.as_micros() as u64, sent, able, cold });
+        let cold_work = if cold { work } else { 0.0 };
+        let (sent, sent_cold) = self.database.recent.add(now, work, cold_work, span);
+        let capacity = self.database.settings.workers as f64 * span.as_secs_f64();
+        if !self.database.down && sent > self.database.settings.fall_times * capacity {
+            let cold_share = sent_cold / sent;
+            self.overloads.push(Overload {
+                server: None,
+                at: now.as_micros() as u64,
+                sent,
+                capacity,
+                cold_share,
+            });
             self.database.epoch += 1;
             self.database.down = true;
             (self.database.working, self.database.recent) = (0, RollingSum::default());
--- a/crates/lab/src/model/tests.rs
+++ b/crates/lab/src/model/tests.rs
@@ -77,7 +77,7 @@
     let offers: Vec<_> = (0..200).map(|i| cluster.submit(MS * 2, 0, read(i, i))).collect();
     let fell = offers.iter().position(|offer| *offer == Admission::Down).unwrap();
     assert!((148..155).contains(&fell), "fell after {fell}");
-    assert_eq!(cluster.fell[0].server, Some(0));
+    assert_eq!(cluster.overloads[0].server, Some(0));
     // The database does 100 calls a second; 250 within one are too many. They are not of cold servers.
     let mut ended = Vec::new();
     for i in 0..300u32 {
@@ -88,7 +88,7 @@
         );
         cluster.advance(MS * 2000 + MS * 3 * i, &mut ended);
     }
-    let fell = cluster.fell.iter().find(|fell| fell.server.is_none()).expect("the database falls");
-    assert_eq!(fell.cold, 0.0);
+    let fell = cluster.overloads.iter().find(|fell| fell.server.is_none()).expect("the database falls");
+    assert_eq!(fell.cold_share, 0.0);
     assert!(ended.iter().any(|(_, _, end)| *end == JobResult::Error));
 }
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -67,14 +67,14 @@
     /// When it ended.
     pub ended: u64,
     /// It was the first on its connection.
-    pub first: bool,
+    pub first_on_connection: bool,
     /// How it ended.
     pub end: End,
 }
 
 /// What a server did with an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Did {
+pub enum AttemptOutcome {
     /// Turned away unseen.
     Declined,
     /// Run, or at work still: its answer may be out, lost or yet to come.
@@ -93,11 +93,11 @@
     /// To.
     pub server: usize,
     /// When its first byte came.
-    pub first: u64,
+    pub first_byte_at: u64,
     /// When its last byte came.
-    pub got: u64,
+    pub received_at: u64,
     /// What became of it.
-    pub did: Did,
+    pub outcome: AttemptOutcome,
 }
 
 /// Discovery's word to a node that a server takes no more.
@@ -113,9 +113,9 @@
     pub at: u64,
 }
 
-/// Something was pushed over.
+/// A server or the database was sent more than it withstands, and stopped.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Fell {
+pub struct Overload {
     /// Which server; `None` for the database.
     pub server: Option<usize>,
     /// When.
@@ -123,9 +123,9 @@
     /// What it was sent in the span, in seconds of work.
     pub sent: f64,
     /// What it can do in the span.
-    pub able: f64,
+    pub capacity: f64,
     /// Share of it that came from misses at cold servers; for the database.
-    pub cold: f64,
+    pub cold_share: f64,
 }
 
 /// What became of a node's process.
@@ -168,7 +168,7 @@
     /// What discovery has to tell, from when: which server, whether it takes work, when.
     pub changed: Vec<(usize, bool, u64)>,
     /// By servers and database.
-    pub fell: Vec<Fell>,
+    pub overloads: Vec<Overload>,
     /// Of the nodes: which, what, when, and a word on it.
     pub lives: Vec<(usize, Life, u64, String)>,
     /// Of the servers, ten times a second.
@@ -180,23 +180,25 @@
     /// Fetches and writes that the database was sent.
     pub fetches: u64,
     /// Requests to servers that bore an id which no client had sent.
-    pub strangers: Vec<(usize, String, u64)>,
+    pub unknown_requests: Vec<(usize, String, u64)>,
 }
 
 impl Record {
-    /// Counts the time of stand-ins and nodes from `zero`, as the clients do theirs.
-    pub(crate) fn shift(&mut self, zero: u64) {
-        let less = |at: &mut u64| *at = at.saturating_sub(zero);
-        self.attempts.iter_mut().for_each(|one| [&mut one.first, &mut one.got].into_iter().for_each(less));
-        self.told.iter_mut().for_each(|one| less(&mut one.at));
-        self.changed.iter_mut().for_each(|one| less(&mut one.2));
-        self.fell.iter_mut().for_each(|one| less(&mut one.at));
-        self.lives.iter_mut().for_each(|one| less(&mut one.2));
-        self.samples.iter_mut().for_each(|one| less(&mut one.at));
-        self.strangers.iter_mut().for_each(|one| less(&mut one.2));
+    /// Counts the time of stand-ins and nodes from `load_start`, as the clients do theirs.
+    pub(crate) fn shift(&mut self, load_start: u64) {
+        let shift = |at: &mut u64| *at = at.saturating_sub(load_start);
+        self.attempts.iter_mut().for_each(|attempt| {
+            [&mut attempt.first_byte_at, &mut attempt.received_at].into_iter().for_each(shift)
+        });
+        self.told.iter_mut().for_each(|entry| shift(&mut entry.at));
+        self.changed.iter_mut().for_each(|entry| shift(&mut entry.2));
+        self.overloads.iter_mut().for_each(|entry| shift(&mut entry.at));
+        self.lives.iter_mut().for_each(|entry| shift(&mut entry.2));
+        self.samples.iter_mut().for_each(|entry| shift(&mut entry.at));
+        self.unknown_requests.iter_mut().for_each(|entry| shift(&mut entry.2));
         for (_, from, until, _) in &mut self.faults {
-            less(from);
-            until.iter_mut().for_each(less);
+            shift(from);
+            until.iter_mut().for_each(shift);
         }
     }
 }
--- a/crates/lab/src/rules.rs
+++ b/crates/lab/src/rules.rs
@@ -1,6 +1,6 @@
 //! The rules, checked on what stand-ins and clients saw. Nothing here comes from the node under test.
 
-use crate::record::{Attempt, Did, End, Life, Record, Try, TryId};
+use crate::record::{Attempt, AttemptOutcome, End, Life, Record, Try, TryId};
 use crate::scenario::{Class, Effect};
 use serde::Serialize;
 use std::collections::{HashMap, HashSet};
@@ -47,19 +47,19 @@
 }
 
 /// Grace past the stated limits on real sockets, in microseconds.
-const SLACK: u64 = 50_000;
+const CLOCK_TOLERANCE: u64 = 50_000;
 /// After drain or gone was told, in microseconds.
-const DRAIN: u64 = 250_000;
+const DRAIN_GRACE: u64 = 250_000;
 /// What discovery has to tell counts as told so much later at the latest, whether or not a node has heard it, in
 /// microseconds.
-const TOLD: u64 = 6_000_000;
+const LATEST_NOTICE: u64 = 6_000_000;
 /// A request told to a node this long before its kill or after its word to stop is beyond its power: what SIGKILL
 /// finds unanswered, in microseconds.
-const STOPPING: u64 = 700_000;
+const STOP_GRACE: u64 = 700_000;
 /// Misses at cold servers that are over this share of what pushed the database over break the rule.
 const COLD_SHARE: f64 = 0.3;
 /// Attempts of a request, at most.
-const MOST_ATTEMPTS: usize = 6;
+const MAX_ATTEMPTS: usize = 6;
 
 /// Checks a record. `name` words a try for the people who read the breaches.
 pub fn check(record: &Record, classes: &[Class], class_of: impl Fn(TryId) -> usize) -> Vec<Breach> {
@@ -68,29 +68,31 @@
     for attempt in &record.attempts {
         attempts.entry(attempt.id).or_default().push(attempt);
     }
-    let of = |id: TryId| attempts.get(&id).map_or(&[][..], Vec::as_slice);
-    let class = |id| &classes[class_of(id)];
-    for one in &record.tries {
-        answers(record, one, of(one.id), &mut breaches);
-        refusals(one, of(one.id), class(one.id), &mut breaches);
+    let attempts_of = |id: TryId| attempts.get(&id).map_or(&[][..], Vec::as_slice);
+    let class_by_id = |id| &classes[class_of(id)];
+    for tried in &record.tries {
+        answers(record, tried, attempts_of(tried.id), &mut breaches);
+        refusals(tried, attempts_of(tried.id), class_by_id(tried.id), &mut breaches);
     }
     let mut ids: Vec<_> = attempts.keys().copied().collect();
     ids.sort_unstable();
     for id in ids {
-        repeats(id, of(id), class(id), &mut breaches);
+        repeats(id, attempts_of(id), class_by_id(id), &mut breaches);
     }
-    for (server, id, at) in &record.strangers {
-        let what =
-            format!("server {server} got a request with id {id:?} at {}, which no client sent", ms(*at));
+    for (server, id, at) in &record.unknown_requests {
+        let what = format!(
+            "server {server} got a request with id {id:?} at {}, which no client sent",
+            milliseconds(*at)
+        );
         breaches.push(Breach { rule: Rule::Repeats, what });
     }
     drains(record, &mut breaches);
-    for fell in &record.fell {
-        let who = fell.server.map_or("the database".to_owned(), |server| format!("cold server {server}"));
-        if fell.server.is_some() || fell.cold > COLD_SHARE {
+    for overload in &record.overloads {
+        let who = overload.server.map_or("the database".to_owned(), |server| format!("cold server {server}"));
+        if overload.server.is_some() || overload.cold_share > COLD_SHARE {
             let what = format!(
                 "{who} fell over at {}: sent {:.2} s of work where it can do {:.2} s, {:.0} % of it misses at cold servers",
-                ms(fell.at), fell.sent, fell.able, fell.cold * 100.0
+                milliseconds(overload.at), overload.sent, overload.capacity, overload.cold_share * 100.0
             );
             breaches.push(Breach { rule: Rule::PushedOver, what });
         }
@@ -99,32 +101,35 @@
         if *life == Life::Died {
             breaches.push(Breach {
                 rule: Rule::Alive,
-                what: format!("node {node} ended at {}: {word}", ms(*at)),
+                what: format!("node {node} ended at {}: {word}", milliseconds(*at)),
             });
         }
     }
     breaches
 }
 
-fn answers(record: &Record, one: &Try, attempts: &[&Attempt], breaches: &mut Vec<Breach>) {
+fn answers(record: &Record, tried: &Try, attempts: &[&Attempt], breaches: &mut Vec<Breach>) {
     let mut lost = |why: &str| {
         let what = format!(
             "request {} to node {}, sent at {}, {why} at {}; attempts: {}",
-            one.id.text(),
-            one.node,
-            ms(one.sent),
-            ms(one.ended),
-            list(attempts)
+            tried.id.text(),
+            tried.node,
+            milliseconds(tried.sent),
+            milliseconds(tried.ended),
+            describe_all(attempts)
         );
         breaches.push(Breach { rule: Rule::OneAnswer, what });
     };
-    match one.end {
+    match tried.end {
         End::Foreign => lost("was served with what no server made for it,"),
         End::Twice => lost("had more than one answer,"),
         // The first request on a connection that closes without a word has failed and is not lost. On a kept one
         // the close may have crossed a request that the node has not read: one that reached a server was read.
-        End::Broke { begun } if !excused(record, one) => {
-            if !begun && (one.first || attempts.iter().all(|attempt| attempt.first > one.ended)) {
+        End::Broke { begun } if !explained_by_node_exit(record, tried) => {
+            if !begun
+                && (tried.first_on_connection
+                    || attempts.iter().all(|attempt| attempt.first_byte_at > tried.ended))
+            {
                 return;
             }
             lost("lost its connection before a whole answer,");
@@ -134,30 +139,32 @@
 }
 
 /// Whether the node's own end explains a connection that broke.
-fn excused(record: &Record, one: &Try) -> bool {
+fn explained_by_node_exit(record: &Record, tried: &Try) -> bool {
     record.lives.iter().any(|(node, life, at, _)| {
-        *node == one.node
+        *node == tried.node
             && match life {
-                Life::Killed => *at + SLACK >= one.sent && *at <= one.ended + SLACK,
+                Life::Killed => *at + CLOCK_TOLERANCE >= tried.sent && *at <= tried.ended + CLOCK_TOLERANCE,
                 // What it takes longer than it has is not its own loss.
-                Life::Told => one.sent > *at + STOPPING,
-                Life::Died => *at <= one.ended + SLACK,
+                Life::Told => tried.sent > *at + STOP_GRACE,
+                Life::Died => *at <= tried.ended + CLOCK_TOLERANCE,
                 Life::Ready | Life::Ended => false,
             }
     })
 }
 
-fn refusals(one: &Try, attempts: &[&Attempt], class: &Class, breaches: &mut Vec<Breach>) {
-    let End::Refused { .. } = one.end else { return };
-    let ran = attempts.iter().find(|attempt| attempt.did == Did::Ran && attempt.got <= one.ended);
+fn refusals(tried: &Try, attempts: &[&Attempt], class: &Class, breaches: &mut Vec<Breach>) {
+    let End::Refused { .. } = tried.end else { return };
+    let ran = attempts
+        .iter()
+        .find(|attempt| attempt.outcome == AttemptOutcome::Ran && attempt.received_at <= tried.ended);
     if let Some(ran) = ran.filter(|_| class.effect == Effect::Unsafe) {
         let what = format!(
             "request {} of class {} was refused at {}, but server {} had it from {} on",
-            one.id.text(),
+            tried.id.text(),
             class.name,
-            ms(one.ended),
+            milliseconds(tried.ended),
             ran.server,
-            ms(ran.got)
+            milliseconds(ran.received_at)
         );
         breaches.push(Breach { rule: Rule::Refusals, what });
     }
@@ -165,26 +172,34 @@
 
 fn repeats(id: TryId, attempts: &[&Attempt], class: &Class, breaches: &mut Vec<Breach>) {
     let mut in_order = attempts.to_vec();
-    in_order.sort_by_key(|attempt| attempt.got);
+    in_order.sort_by_key(|attempt| attempt.received_at);
     let mut broken = |what: String| {
-        let what =
-            format!("request {} of class {} {what}; attempts: {}", id.text(), class.name, list(&in_order));
+        let what = format!(
+            "request {} of class {} {what}; attempts: {}",
+            id.text(),
+            class.name,
+            describe_all(&in_order)
+        );
         breaches.push(Breach { rule: Rule::Repeats, what });
     };
-    if in_order.len() > MOST_ATTEMPTS {
-        broken(format!("had {} attempts, {MOST_ATTEMPTS} at most", in_order.len()));
+    if in_order.len() > MAX_ATTEMPTS {
+        broken(format!("had {} attempts, {MAX_ATTEMPTS} at most", in_order.len()));
     }
     // One that was dropped unseen may not have run, but its node could not know.
-    let Some(ran) = in_order.iter().find(|attempt| attempt.did != Did::Declined) else { return };
-    let again = in_order.iter().filter(|attempt| attempt.got > ran.got || attempt.server != ran.server);
-    for again in again.filter(|again| again.did != Did::Declined) {
+    let Some(ran) = in_order.iter().find(|attempt| attempt.outcome != AttemptOutcome::Declined) else {
+        return;
+    };
+    let again = in_order
+        .iter()
+        .filter(|attempt| attempt.received_at > ran.received_at || attempt.server != ran.server);
+    for again in again.filter(|again| again.outcome != AttemptOutcome::Declined) {
         let limit = match class.effect {
             Effect::Safe => continue,
             Effect::Unsafe => 0,
-            Effect::Keyed => (class.window_s.get() * 1e6) as u64 + SLACK,
+            Effect::Keyed => (class.window_s.get() * 1e6) as u64 + CLOCK_TOLERANCE,
         };
-        if again.got.saturating_sub(ran.first) >= limit {
-            broken(format!("went to server {} again at {}", again.server, ms(again.got)));
+        if again.received_at.saturating_sub(ran.first_byte_at) >= limit {
+            broken(format!("went to server {} again at {}", again.server, milliseconds(again.received_at)));
             return;
         }
     }
@@ -198,9 +213,12 @@
     }
     let nodes: HashSet<usize> = record.attempts.iter().map(|attempt| attempt.node).collect();
     for &(server, ready, at) in &record.changed {
-        let later = |other: &(usize, bool, u64)| other.0 == server && other.2 > at && other.2 <= at + TOLD;
+        let later =
+            |other: &(usize, bool, u64)| other.0 == server && other.2 > at && other.2 <= at + LATEST_NOTICE;
         if !record.changed.iter().any(later) {
-            nodes.iter().for_each(|&node| told.entry((node, server)).or_default().push((at + TOLD, ready)));
+            nodes
+                .iter()
+                .for_each(|&node| told.entry((node, server)).or_default().push((at + LATEST_NOTICE, ready)));
         }
     }
     told.values_mut().for_each(|words| words.sort_by_key(|(at, _)| *at));
@@ -215,42 +233,45 @@
     for attempt in &record.attempts {
         let Some(words) = told.get(&(attempt.node, attempt.server)) else { continue };
         // The last word before the send, and since when it has said the same.
-        let before = &words[..words.partition_point(|(at, _)| *at <= attempt.first)];
+        let before = &words[..words.partition_point(|(at, _)| *at <= attempt.first_byte_at)];
         let since = before.iter().rev().take_while(|(_, ready)| !ready).last();
         let Some((at, _)) = since else { continue };
         let forgotten = starts
             .get(&attempt.node)
-            .is_some_and(|all| all.iter().any(|start| start > at && *start <= attempt.first));
-        if attempt.first > at + DRAIN + SLACK && !forgotten && named.insert(attempt.id) {
+            .is_some_and(|all| all.iter().any(|start| start > at && *start <= attempt.first_byte_at));
+        if attempt.first_byte_at > at + DRAIN_GRACE + CLOCK_TOLERANCE
+            && !forgotten
+            && named.insert(attempt.id)
+        {
             let what = format!(
                 "node {} sent request {} to server {} at {}, told at {} to send nothing new there",
                 attempt.node,
                 attempt.id.text(),
                 attempt.server,
-                ms(attempt.first),
-                ms(*at)
+                milliseconds(attempt.first_byte_at),
+                milliseconds(*at)
             );
             breaches.push(Breach { rule: Rule::Drains, what });
         }
     }
 }
 
-fn list(attempts: &[&Attempt]) -> String {
-    let one = |attempt: &&Attempt| {
+fn describe_all(attempts: &[&Attempt]) -> String {
+    let describe = |attempt: &&Attempt| {
         format!(
             "server {} at {} ({})",
             attempt.server,
-            ms(attempt.got),
-            format!("{:?}", attempt.did).to_lowercase()
+            milliseconds(attempt.received_at),
+            format!("{:?}", attempt.outcome).to_lowercase()
         )
     };
     if attempts.is_empty() {
         return "none".to_owned();
     }
-    attempts.iter().map(one).collect::<Vec<_>>().join(", ")
+    attempts.iter().map(describe).collect::<Vec<_>>().join(", ")
 }
 
-fn ms(us: u64) -> String {
+fn milliseconds(us: u64) -> String {
     format!("{:.1} ms", us as f64 / 1e3)
 }
 
--- a/crates/lab/src/rules/tests.rs
+++ b/crates/lab/src/rules/tests.rs
@@ -1,15 +1,15 @@
 use super::*;
-use crate::record::{Fell, Told};
+use crate::record::{Overload, Told};
 use crate::scenario::usual_classes;
 
 const ID: TryId = TryId { arrival: 7, number: 0 };
 
 fn asked(end: End) -> Try {
-    Try { id: ID, node: 0, due: 0, sent: 1_000, ended: 90_000, first: false, end }
+    Try { id: ID, node: 0, due: 0, sent: 1_000, ended: 90_000, first_on_connection: false, end }
 }
 
-fn attempt(server: usize, at: u64, did: Did) -> Attempt {
-    Attempt { id: ID, node: 0, server, first: at, got: at, did }
+fn attempt(server: usize, at: u64, outcome: AttemptOutcome) -> Attempt {
+    Attempt { id: ID, node: 0, server, first_byte_at: at, received_at: at, outcome }
 }
 
 fn broken(class: usize, tries: Vec<Try>, attempts: Vec<Attempt>, told: Vec<Told>) -> Vec<Rule> {
@@ -20,7 +20,7 @@
 // Guards against a checker that cannot fail, and against one that blames a node for what it may do.
 #[test]
 fn answers_that_are_lost_doubled_or_foreign_are_told_from_those_that_failed() {
-    let ran = || vec![attempt(1, 2_000, Did::Ran)];
+    let ran = || vec![attempt(1, 2_000, AttemptOutcome::Ran)];
     let broke = |begun| vec![asked(End::Broke { begun })];
     assert_eq!(broken(0, broke(false), ran(), vec![]), [Rule::OneAnswer]);
     assert_eq!(broken(0, broke(true), vec![], vec![]), [Rule::OneAnswer]);
@@ -35,35 +35,40 @@
 
 #[test]
 fn repeats_and_refusals_go_by_the_class() {
-    let twice = |did, later| vec![attempt(1, 2_000, did), attempt(2, later, Did::Ran)];
+    let twice = |outcome, later| vec![attempt(1, 2_000, outcome), attempt(2, later, AttemptOutcome::Ran)];
     let tried = |end| vec![asked(end)];
-    assert_eq!(broken(0, tried(End::Served), twice(Did::Ran, 9_000), vec![]), []);
-    assert_eq!(broken(1, tried(End::Served), twice(Did::Ran, 9_000), vec![]), []);
-    assert_eq!(broken(1, tried(End::Served), twice(Did::Ran, 4_100_000), vec![]), [Rule::Repeats]);
-    assert_eq!(broken(2, tried(End::Served), twice(Did::Ran, 9_000), vec![]), [Rule::Repeats]);
-    assert_eq!(broken(2, tried(End::Served), twice(Did::Dropped, 9_000), vec![]), [Rule::Repeats]);
-    assert_eq!(broken(2, tried(End::Served), twice(Did::Declined, 9_000), vec![]), []);
+    assert_eq!(broken(0, tried(End::Served), twice(AttemptOutcome::Ran, 9_000), vec![]), []);
+    assert_eq!(broken(1, tried(End::Served), twice(AttemptOutcome::Ran, 9_000), vec![]), []);
+    assert_eq!(broken(1, tried(End::Served), twice(AttemptOutcome::Ran, 4_100_000), vec![]), [Rule::Repeats]);
+    assert_eq!(broken(2, tried(End::Served), twice(AttemptOutcome::Ran, 9_000), vec![]), [Rule::Repeats]);
+    assert_eq!(broken(2, tried(End::Served), twice(AttemptOutcome::Dropped, 9_000), vec![]), [Rule::Repeats]);
+    assert_eq!(broken(2, tried(End::Served), twice(AttemptOutcome::Declined, 9_000), vec![]), []);
     let refused = || tried(End::Refused { retry_after: None });
-    assert_eq!(broken(2, refused(), vec![attempt(1, 2_000, Did::Ran)], vec![]), [Rule::Refusals]);
-    assert_eq!(broken(2, refused(), vec![attempt(1, 2_000, Did::Declined)], vec![]), []);
-    assert_eq!(broken(0, refused(), vec![attempt(1, 2_000, Did::Ran)], vec![]), []);
-    let many = (0..7).map(|i| attempt(i, 2_000 + i as u64, Did::Ran)).collect();
+    assert_eq!(broken(2, refused(), vec![attempt(1, 2_000, AttemptOutcome::Ran)], vec![]), [Rule::Refusals]);
+    assert_eq!(broken(2, refused(), vec![attempt(1, 2_000, AttemptOutcome::Declined)], vec![]), []);
+    assert_eq!(broken(0, refused(), vec![attempt(1, 2_000, AttemptOutcome::Ran)], vec![]), []);
+    let many = (0..7).map(|i| attempt(i, 2_000 + i as u64, AttemptOutcome::Ran)).collect();
     assert_eq!(broken(0, tried(End::Served), many, vec![]), [Rule::Repeats]);
 }
 
 #[test]
 fn sends_after_a_drain_count_from_when_it_was_told() {
     let told = |at, ready| Told { node: 0, server: 1, ready, at };
-    let at = |at| vec![attempt(1, at, Did::Ran)];
+    let at = |at| vec![attempt(1, at, AttemptOutcome::Ran)];
     let words = || vec![told(0, true), told(100_000, false), told(200_000, false)];
     assert_eq!(broken(0, vec![], at(390_000), words()), []);
     assert_eq!(broken(0, vec![], at(410_000), words()), [Rule::Drains]);
     let back = [words(), vec![told(300_000, true)]].concat();
     assert_eq!(broken(0, vec![], at(410_000), back), []);
-    assert_eq!(broken(0, vec![], vec![attempt(2, 410_000, Did::Ran)], words()), [], "another server");
+    assert_eq!(
+        broken(0, vec![], vec![attempt(2, 410_000, AttemptOutcome::Ran)], words()),
+        [],
+        "another server"
+    );
     // A node that does not ask is told all the same.
     let unheard = |at, changed| {
-        let record = Record { attempts: vec![attempt(1, at, Did::Ran)], changed, ..Record::default() };
+        let record =
+            Record { attempts: vec![attempt(1, at, AttemptOutcome::Ran)], changed, ..Record::default() };
         check(&record, &usual_classes(), |_| 0).len()
     };
     assert_eq!(unheard(6_200_000, vec![(1, false, 0)]), 0);
@@ -73,10 +78,13 @@
 
 #[test]
 fn what_falls_over_counts_where_the_nodes_could_know() {
-    let fell = |server, cold| Fell { server, at: 1, sent: 9.0, able: 3.0, cold };
-    let rules = |fell| {
-        let record = Record { fell: vec![fell], ..Record::default() };
+    let overload = |server, cold_share| Overload { server, at: 1, sent: 9.0, capacity: 3.0, cold_share };
+    let rules = |overload| {
+        let record = Record { overloads: vec![overload], ..Record::default() };
         check(&record, &usual_classes(), |_| 0).len()
     };
-    assert_eq!((rules(fell(Some(1), 1.0)), rules(fell(None, 0.5)), rules(fell(None, 0.1))), (1, 1, 0));
+    assert_eq!(
+        (rules(overload(Some(1), 1.0)), rules(overload(None, 0.5)), rules(overload(None, 0.1))),
+        (1, 1, 0)
+    );
 }
--- a/crates/lab/src/run/stand_ins.rs
+++ b/crates/lab/src/run/stand_ins.rs
@@ -54,7 +54,7 @@
         let _ = ending.wait_for(|over| *over).await;
         let mut record = floor.record.take();
         let cluster = floor.cluster.borrow();
-        (record.fell, record.fetches) = (cluster.fell.clone(), cluster.fetches);
+        (record.overloads, record.fetches) = (cluster.overloads.clone(), cluster.fetches);
         Ok(record)
     })
 }
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -8,7 +8,7 @@
 use crate::http::{listen, reset, Conn, ReadError};
 use crate::model::{Admission, CacheResult, Cluster, Job, JobId, JobResult};
 use crate::plan::{mix, Plan};
-use crate::record::{Attempt, Did, Record, Sample, TryId};
+use crate::record::{Attempt, AttemptOutcome, Record, Sample, TryId};
 use crate::scenario::{Class, Effect, Scenario};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -170,8 +170,8 @@
                 Ok(Err(ReadError::Ended { .. })) | Err(_) => return Ok(()),
                 Ok(Err(ReadError::Malformed(_))) => return Err(()),
             };
-            let got = Instant::now();
-            let first = self.us(asked.first.unwrap_or(got));
+            let received = Instant::now();
+            let first = self.us(asked.first.unwrap_or(received));
             let Some(text) = asked.id else {
                 let body = match asked.path.as_str() {
                     _ if !self.probes || now == Manner::Hang => None,
@@ -189,18 +189,25 @@
             let known = TryId::parse(&text).filter(|id| (id.arrival as usize) < self.plan.arrivals.len());
             let hand = self.by_hand && text.starts_with(BY_HAND);
             if known.is_none() && !hand {
-                self.record.borrow_mut().strangers.push((server, text, self.us(got)));
+                self.record.borrow_mut().unknown_requests.push((server, text, self.us(received)));
                 conn.write(&head(400, "", 0)).await.map_err(drop)?;
                 continue;
             }
             let place = known.map(|id| {
                 let attempts = &mut self.record.borrow_mut().attempts;
-                attempts.push(Attempt { id, node, server, first, got: self.us(got), did: Did::Ran });
+                attempts.push(Attempt {
+                    id,
+                    node,
+                    server,
+                    first_byte_at: first,
+                    received_at: self.us(received),
+                    outcome: AttemptOutcome::Ran,
+                });
                 attempts.len() - 1
             });
-            let did = |did| {
+            let set_outcome = |outcome| {
                 if let Some(i) = place {
-                    self.record.borrow_mut().attempts[i].did = did;
+                    self.record.borrow_mut().attempts[i].outcome = outcome;
                 }
             };
             if *manner.borrow() == Manner::Hang {
@@ -215,7 +222,7 @@
                 let admission = self.cluster.borrow_mut().submit(self.now(), server, job);
                 match admission {
                     Admission::Declined => {
-                        did(Did::Declined);
+                        set_outcome(AttemptOutcome::Declined);
                         conn.write(&head(503, "Srv-Declined: 1\r\n", 0)).await.map_err(drop)?;
                         continue;
                     }
@@ -238,7 +245,7 @@
                         // The node has given it up.
                         () = conn.gone() => {
                             if self.cluster.borrow_mut().cancel(server, job.id) {
-                                did(Did::Dropped);
+                                set_outcome(AttemptOutcome::Dropped);
                             }
                             self.waiting.borrow_mut().remove(&job.id);
                             return Ok(());
