Name the stand-in servers' modes and state in the terms of the field

Manner, behave, Well, Half and Cut are ServerMode, set_mode, Healthy, Truncate and Partitioned; pump, repeats, news, begun, most, us and head are run_model, is_duplicate, job_added, first_runs, max_connections, since_start_us and response_head. Names only; Floor stays, since discovery.rs names it.

--- a/crates/lab/src/run/faults.rs
+++ b/crates/lab/src/run/faults.rs
@@ -2,7 +2,7 @@
 
 use crate::discovery::Directory;
 use crate::scenario::{Fault, Kind, Scenario};
-use crate::servers::{Floor, Manner};
+use crate::servers::{Floor, ServerMode};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::task::spawn_local;
@@ -49,7 +49,7 @@
             }
             if let Some(back) = fault.back_s.filter(|_| fault.kind == Kind::Drain) {
                 sleep(Duration::from_secs_f64(back.get())).await;
-                floor.behave(server, Manner::Well);
+                floor.set_mode(server, ServerMode::Healthy);
                 directory.change(server, "ready", unix_ms());
             }
         });
@@ -64,21 +64,21 @@
     let by = fault.by.map_or(1.0, |by| by.get());
     match fault.kind {
         Kind::Kill => {
-            floor.behave(server, Manner::Down);
+            floor.set_mode(server, ServerMode::Down);
             directory.change(server, "gone", 0);
         }
-        Kind::Hang => floor.behave(server, Manner::Hang),
+        Kind::Hang => floor.set_mode(server, ServerMode::Hang),
         Kind::Slow => floor.cluster.borrow_mut().set_slowdown(server, by),
-        Kind::Reset => floor.behave(server, Manner::Reset),
-        Kind::Half => floor.behave(server, Manner::Half),
-        Kind::Garbage => floor.behave(server, Manner::Garbage),
-        Kind::Refuse => floor.behave(server, Manner::Refuse),
-        Kind::Cut => floor.behave(server, Manner::Cut),
+        Kind::Reset => floor.set_mode(server, ServerMode::Reset),
+        Kind::Half => floor.set_mode(server, ServerMode::Truncate),
+        Kind::Garbage => floor.set_mode(server, ServerMode::Garbage),
+        Kind::Refuse => floor.set_mode(server, ServerMode::Refuse),
+        Kind::Cut => floor.set_mode(server, ServerMode::Partitioned),
         Kind::Drain => directory.change(server, "draining", 0),
         Kind::Replace => {
-            floor.behave(server, Manner::Down);
-            floor.behave(new, Manner::Down);
-            floor.behave(new, Manner::Well);
+            floor.set_mode(server, ServerMode::Down);
+            floor.set_mode(new, ServerMode::Down);
+            floor.set_mode(new, ServerMode::Healthy);
             directory.change(server, "gone", 0);
             directory.change(new, "ready", unix_ms());
         }
@@ -94,15 +94,15 @@
     let by = fault.by.map_or(1.0, |by| by.get());
     match fault.kind {
         Kind::Kill => {
-            floor.behave(server, Manner::Well);
+            floor.set_mode(server, ServerMode::Healthy);
             directory.change(server, "ready", unix_ms());
         }
         Kind::Slow => floor.cluster.borrow_mut().set_slowdown(server, 1.0),
         Kind::Hang | Kind::Reset | Kind::Half | Kind::Garbage | Kind::Refuse | Kind::Cut => {
-            floor.behave(server, Manner::Well);
+            floor.set_mode(server, ServerMode::Healthy);
         }
         Kind::Drain => {
-            floor.behave(server, Manner::Down);
+            floor.set_mode(server, ServerMode::Down);
             directory.change(server, "gone", 0);
         }
         Kind::DiscoveryDown => directory.set_down(false),
--- a/crates/lab/src/run/stand_ins.rs
+++ b/crates/lab/src/run/stand_ins.rs
@@ -46,7 +46,7 @@
         for node in 0..fleet.nodes {
             told.push([directory.listen(node, 0).await?, directory.listen(node, 1).await?]);
         }
-        spawn_local(floor.clone().pump());
+        spawn_local(floor.clone().run_model());
         spawn_local(floor.clone().sample());
         spawn_local(listen(scenario.clone(), floor.clone(), directory, heard));
         // The run may have ended before it began.
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -23,21 +23,21 @@
 
 /// How a server behaves beside its model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Manner {
+pub enum ServerMode {
     /// As it should.
-    Well,
+    Healthy,
     /// Accepts and reads, and never answers.
     Hang,
     /// Runs each request and resets.
     Reset,
     /// Half an answer.
-    Half,
+    Truncate,
     /// What is no HTTP.
     Garbage,
     /// No new connections.
     Refuse,
     /// Nothing comes through.
-    Cut,
+    Partitioned,
     /// Its process is gone, and its connections with it.
     Down,
 }
@@ -45,9 +45,9 @@
 /// Ids that people use by hand against a running fleet begin so.
 pub const BY_HAND: &str = "by-hand";
 /// Servers are sampled so often.
-const SAMPLE: Duration = Duration::from_millis(100);
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 /// The body of an answer to a write.
-const WRITTEN: usize = 64;
+const WRITE_BODY_BYTES: usize = 64;
 
 /// All cache servers, on one thread.
 pub struct Floor {
@@ -60,17 +60,17 @@
     plan: Arc<Plan>,
     classes: Vec<Class>,
     idle_close: Duration,
-    most: usize,
+    max_connections: usize,
     reports: bool,
     probes: bool,
     by_hand: bool,
-    manners: Vec<watch::Sender<Manner>>,
-    open: Vec<Cell<usize>>,
+    modes: Vec<watch::Sender<ServerMode>>,
+    open_connections: Vec<Cell<usize>>,
     waiting: RefCell<HashMap<JobId, oneshot::Sender<JobResult>>>,
-    jobs: Cell<JobId>,
-    news: Notify,
+    next_job: Cell<JobId>,
+    job_added: Notify,
     /// When a keyed request was first begun, by its arrival: repeats within the window are not run.
-    begun: RefCell<HashMap<u32, Duration>>,
+    first_runs: RefCell<HashMap<u32, Duration>>,
 }
 
 impl Floor {
@@ -81,7 +81,7 @@
         cluster: Cluster,
         count: usize,
         start: Instant,
-        hand: bool,
+        by_hand: bool,
     ) -> Rc<Self> {
         Rc::new(Self {
             cluster: RefCell::new(cluster),
@@ -90,16 +90,16 @@
             plan,
             classes: scenario.classes.clone(),
             idle_close: Duration::from_secs_f64(scenario.fleet.idle_close_s.get()),
-            most: scenario.fleet.connections,
+            max_connections: scenario.fleet.connections,
             reports: scenario.fleet.reports,
             probes: scenario.fleet.probes,
-            by_hand: hand,
-            manners: (0..count).map(|_| watch::Sender::new(Manner::Well)).collect(),
-            open: (0..count).map(|_| Cell::new(0)).collect(),
+            by_hand,
+            modes: (0..count).map(|_| watch::Sender::new(ServerMode::Healthy)).collect(),
+            open_connections: (0..count).map(|_| Cell::new(0)).collect(),
             waiting: RefCell::default(),
-            jobs: Cell::new(0),
-            news: Notify::new(),
-            begun: RefCell::default(),
+            next_job: Cell::new(0),
+            job_added: Notify::new(),
+            first_runs: RefCell::default(),
         })
     }
 
@@ -108,29 +108,29 @@
         self.start.elapsed()
     }
 
-    fn us(&self, at: Instant) -> u64 {
+    fn since_start_us(&self, at: Instant) -> u64 {
         at.saturating_duration_since(self.start).as_micros() as u64
     }
 
     /// A server behaves like this from now on.
-    pub fn behave(&self, server: usize, manner: Manner) {
-        match manner {
-            Manner::Down => self.cluster.borrow_mut().kill(server),
-            _ if *self.manners[server].borrow() == Manner::Down => {
+    pub fn set_mode(&self, server: usize, mode: ServerMode) {
+        match mode {
+            ServerMode::Down => self.cluster.borrow_mut().kill(server),
+            _ if *self.modes[server].borrow() == ServerMode::Down => {
                 self.cluster.borrow_mut().start(self.now(), server);
             }
             _ => {}
         }
-        self.manners[server].send_replace(manner);
+        self.modes[server].send_replace(mode);
     }
 
     /// Listens for one node at one server.
     pub async fn listen(self: &Rc<Self>, server: usize, node: usize) -> io::Result<SocketAddr> {
         let floor = self.clone();
         listen(move |stream| {
-            let manner = *floor.manners[server].borrow();
-            let full = floor.open[server].get() >= floor.most;
-            if matches!(manner, Manner::Down | Manner::Refuse) || full {
+            let mode = *floor.modes[server].borrow();
+            let full = floor.open_connections[server].get() >= floor.max_connections;
+            if matches!(mode, ServerMode::Down | ServerMode::Refuse) || full {
                 reset(stream);
             } else if let Ok(conn) = Conn::new(stream) {
                 spawn_local(floor.clone().connection(server, node, conn));
@@ -140,105 +140,105 @@
     }
 
     async fn connection(self: Rc<Self>, server: usize, node: usize, mut conn: Conn) {
-        self.open[server].set(self.open[server].get() + 1);
+        self.open_connections[server].set(self.open_connections[server].get() + 1);
         if self.requests(server, node, &mut conn).await.is_err() {
             conn.reset();
         }
-        self.open[server].set(self.open[server].get() - 1);
+        self.open_connections[server].set(self.open_connections[server].get() - 1);
     }
 
     /// Serves a connection. An error ends it with a reset.
     async fn requests(self: &Rc<Self>, server: usize, node: usize, conn: &mut Conn) -> Result<(), ()> {
-        let mut manner = self.manners[server].subscribe();
+        let mut mode = self.modes[server].subscribe();
         loop {
-            let now = *manner.borrow_and_update();
+            let now = *mode.borrow_and_update();
             match now {
-                Manner::Cut => {
+                ServerMode::Partitioned => {
                     // Silent until it is back; then whatever was open is gone.
-                    let _ = manner.changed().await;
+                    let _ = mode.changed().await;
                     return Err(());
                 }
-                Manner::Down => return Err(()),
+                ServerMode::Down => return Err(()),
                 _ => {}
             }
-            let asked = tokio::select! {
-                asked = timeout(self.idle_close, conn.request()) => asked,
-                _ = manner.changed() => continue,
+            let request = tokio::select! {
+                request = timeout(self.idle_close, conn.request()) => request,
+                _ = mode.changed() => continue,
             };
-            let asked = match asked {
-                Ok(Ok(asked)) => asked,
+            let request = match request {
+                Ok(Ok(request)) => request,
                 Ok(Err(ReadError::Ended { .. })) | Err(_) => return Ok(()),
                 Ok(Err(ReadError::Malformed(_))) => return Err(()),
             };
             let received = Instant::now();
-            let first = self.us(asked.first.unwrap_or(received));
-            let Some(text) = asked.id else {
-                let body = match asked.path.as_str() {
-                    _ if !self.probes || now == Manner::Hang => None,
-                    "/load" => Some(self.load(server)),
+            let first = self.since_start_us(request.first.unwrap_or(received));
+            let Some(text) = request.id else {
+                let body = match request.path.as_str() {
+                    _ if !self.probes || now == ServerMode::Hang => None,
+                    "/load" => Some(self.load_report(server)),
                     "/healthz" => Some(String::new()),
                     _ => None,
                 };
                 let bytes = body.map_or_else(
-                    || head(404, "", 0),
-                    |body| [head(200, "", body.len()), body.into_bytes()].concat(),
+                    || response_head(404, "", 0),
+                    |body| [response_head(200, "", body.len()), body.into_bytes()].concat(),
                 );
                 conn.write(&bytes).await.map_err(drop)?;
                 continue;
             };
             let known = TryId::parse(&text).filter(|id| (id.arrival as usize) < self.plan.arrivals.len());
-            let hand = self.by_hand && text.starts_with(BY_HAND);
-            if known.is_none() && !hand {
-                self.record.borrow_mut().unknown_requests.push((server, text, self.us(received)));
-                conn.write(&head(400, "", 0)).await.map_err(drop)?;
+            let sent_by_hand = self.by_hand && text.starts_with(BY_HAND);
+            if known.is_none() && !sent_by_hand {
+                self.record.borrow_mut().unknown_requests.push((server, text, self.since_start_us(received)));
+                conn.write(&response_head(400, "", 0)).await.map_err(drop)?;
                 continue;
             }
-            let place = known.map(|id| {
+            let attempt_index = known.map(|id| {
                 let attempts = &mut self.record.borrow_mut().attempts;
                 attempts.push(Attempt {
                     id,
                     node,
                     server,
                     first_byte_at: first,
-                    received_at: self.us(received),
+                    received_at: self.since_start_us(received),
                     outcome: AttemptOutcome::Ran,
                 });
                 attempts.len() - 1
             });
             let set_outcome = |outcome| {
-                if let Some(i) = place {
-                    self.record.borrow_mut().attempts[i].outcome = outcome;
+                if let Some(index) = attempt_index {
+                    self.record.borrow_mut().attempts[index].outcome = outcome;
                 }
             };
-            if *manner.borrow() == Manner::Hang {
+            if *mode.borrow() == ServerMode::Hang {
                 conn.gone().await;
                 return Ok(());
             }
-            let job = self.job(known, &asked.path);
-            let repeat = known.is_some_and(|id| self.repeats(id));
-            let ended = if repeat {
+            let job = self.job(known, &request.path);
+            let duplicate = known.is_some_and(|id| self.is_duplicate(id));
+            let result = if duplicate {
                 JobResult::Ok(CacheResult::Hit)
             } else {
                 let admission = self.cluster.borrow_mut().submit(self.now(), server, job);
                 match admission {
                     Admission::Declined => {
                         set_outcome(AttemptOutcome::Declined);
-                        conn.write(&head(503, "Srv-Declined: 1\r\n", 0)).await.map_err(drop)?;
+                        conn.write(&response_head(503, "Srv-Declined: 1\r\n", 0)).await.map_err(drop)?;
                         continue;
                     }
                     Admission::Down => {
-                        self.manners[server].send_replace(Manner::Down);
+                        self.modes[server].send_replace(ServerMode::Down);
                         return Err(());
                     }
                     Admission::Accepted => {}
                 }
-                let (done, mut end) = oneshot::channel();
-                self.waiting.borrow_mut().insert(job.id, done);
-                self.news.notify_one();
+                let (finished, mut result) = oneshot::channel();
+                self.waiting.borrow_mut().insert(job.id, finished);
+                self.job_added.notify_one();
                 loop {
                     tokio::select! {
-                        ended = &mut end => match ended {
-                            Ok(ended) => break ended,
+                        result = &mut result => match result {
+                            Ok(result) => break result,
                             // Its server has died.
                             Err(_) => return Err(()),
                         },
@@ -250,13 +250,13 @@
                             self.waiting.borrow_mut().remove(&job.id);
                             return Ok(());
                         }
-                        _ = manner.changed() => {
-                            let now = *manner.borrow_and_update();
-                            if now == Manner::Cut {
+                        _ = mode.changed() => {
+                            let now = *mode.borrow_and_update();
+                            if now == ServerMode::Partitioned {
                                 // Silent until it is back.
-                                let _ = manner.changed().await;
+                                let _ = mode.changed().await;
                             }
-                            if matches!(now, Manner::Cut | Manner::Down) {
+                            if matches!(now, ServerMode::Partitioned | ServerMode::Down) {
                                 self.waiting.borrow_mut().remove(&job.id);
                                 return Err(());
                             }
@@ -264,14 +264,14 @@
                     }
                 }
             };
-            let bytes = self.answer(server, &text, job, ended);
-            match *manner.borrow() {
-                Manner::Reset => return Err(()),
-                Manner::Garbage => {
+            let bytes = self.answer(server, &text, job, result);
+            match *mode.borrow() {
+                ServerMode::Reset => return Err(()),
+                ServerMode::Garbage => {
                     let _ = conn.write(b"\x16\x03\x01 not a status line\r\n\r\n").await;
                     return Ok(());
                 }
-                Manner::Half => {
+                ServerMode::Truncate => {
                     let _ = conn.write(&bytes[..bytes.len() / 2]).await;
                     return Ok(());
                 }
@@ -281,69 +281,69 @@
     }
 
     fn job(&self, id: Option<TryId>, path: &str) -> Job {
-        let number = self.jobs.replace(self.jobs.get() + 1);
-        let named = id.map(|id| &self.plan.arrivals[id.arrival as usize]);
-        let by_hand = || path.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
-        let key = named.map_or_else(by_hand, |arrival| arrival.key);
+        let number = self.next_job.replace(self.next_job.get() + 1);
+        let arrival = id.map(|id| &self.plan.arrivals[id.arrival as usize]);
+        let key_of_path = || path.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
+        let key = arrival.map_or_else(key_of_path, |arrival| arrival.key);
         Job {
             id: number,
             key,
             size: self.plan.size(key),
-            work: named.map_or(Duration::from_millis(5), |arrival| arrival.work),
-            write: named.is_some_and(|arrival| self.classes[arrival.class].write),
+            work: arrival.map_or(Duration::from_millis(5), |arrival| arrival.work),
+            write: arrival.is_some_and(|arrival| self.classes[arrival.class].write),
         }
     }
 
     /// Whether a keyed request has begun elsewhere within the window: servers share that memory, and drop it.
-    fn repeats(&self, id: TryId) -> bool {
+    fn is_duplicate(&self, id: TryId) -> bool {
         let class = &self.classes[self.plan.arrivals[id.arrival as usize].class];
         if class.effect != Effect::Keyed {
             return false;
         }
         let (now, window) = (self.now(), Duration::from_secs_f64(class.window_s.get()));
-        let mut begun = self.begun.borrow_mut();
-        let at = *begun.entry(id.arrival).or_insert(now);
+        let mut first_runs = self.first_runs.borrow_mut();
+        let at = *first_runs.entry(id.arrival).or_insert(now);
         if at + window < now {
-            begun.insert(id.arrival, now);
+            first_runs.insert(id.arrival, now);
         }
         at != now && at + window >= now
     }
 
-    fn answer(&self, server: usize, id: &str, job: Job, ended: JobResult) -> Vec<u8> {
-        let note = match ended {
+    fn answer(&self, server: usize, id: &str, job: Job, result: JobResult) -> Vec<u8> {
+        let cache_header = match result {
             JobResult::Ok(CacheResult::Hit) => "Srv-Cache: hit\r\n",
             JobResult::Ok(CacheResult::Miss) => "Srv-Cache: miss\r\n",
             JobResult::Ok(CacheResult::Pending) => "Srv-Cache: pending\r\n",
-            JobResult::Error | JobResult::Dropped => return head(500, "", 0),
+            JobResult::Error | JobResult::Dropped => return response_head(500, "", 0),
         };
         // Its first words say for whom it was made: a body for another request would show.
-        let words = format!("{id} by {server} ");
-        let length = if job.write { WRITTEN } else { job.size }.max(words.len());
-        let mut headers = note.to_owned();
+        let prefix = format!("{id} by {server} ");
+        let length = if job.write { WRITE_BODY_BYTES } else { job.size }.max(prefix.len());
+        let mut headers = cache_header.to_owned();
         if self.reports {
-            headers.extend(["Srv-Load: ", self.load(server).as_str(), "\r\n"]);
+            headers.extend(["Srv-Load: ", self.load_report(server).as_str(), "\r\n"]);
         }
-        let mut bytes = head(200, &headers, length);
-        bytes.extend_from_slice(words.as_bytes());
-        bytes.resize(bytes.len() + length - words.len(), b'.');
+        let mut bytes = response_head(200, &headers, length);
+        bytes.extend_from_slice(prefix.as_bytes());
+        bytes.resize(bytes.len() + length - prefix.len(), b'.');
         bytes
     }
 
     /// A server's load report.
-    fn load(&self, server: usize) -> String {
+    fn load_report(&self, server: usize) -> String {
         let (busy, waiting, cores) = self.cluster.borrow().load(server);
         format!("inflight={},queue={waiting},util={:.2}", busy + waiting, busy as f64 / cores as f64)
     }
 
     /// Moves the model on, for as long as the run lasts.
-    pub async fn pump(self: Rc<Self>) {
-        let mut ended = Vec::new();
+    pub async fn run_model(self: Rc<Self>) {
+        let mut finished = Vec::new();
         loop {
-            self.cluster.borrow_mut().advance(self.now(), &mut ended);
-            for (_, job, end) in ended.drain(..) {
+            self.cluster.borrow_mut().advance(self.now(), &mut finished);
+            for (_, job, result) in finished.drain(..) {
                 if let Some(waiting) = self.waiting.borrow_mut().remove(&job) {
                     // A node that left meanwhile hears nothing.
-                    let _ = waiting.send(end);
+                    let _ = waiting.send(result);
                 }
             }
             let next = self.cluster.borrow().next_event();
@@ -355,7 +355,7 @@
             };
             tokio::select! {
                 () = due => {}
-                () = self.news.notified() => {}
+                () = self.job_added.notified() => {}
             }
         }
     }
@@ -363,10 +363,10 @@
     /// Samples every server, for as long as the run lasts.
     pub async fn sample(self: Rc<Self>) {
         loop {
-            sleep(SAMPLE).await;
+            sleep(SAMPLE_INTERVAL).await;
             let cluster = self.cluster.borrow();
             let (at, fetches) = (self.now().as_micros() as u64, cluster.database_calls());
-            let all = (0..self.open.len()).map(|server| Sample {
+            let all = (0..self.open_connections.len()).map(|server| Sample {
                 at,
                 server,
                 held: cluster.request_count(server),
@@ -377,13 +377,13 @@
     }
 }
 
-fn head(status: u16, headers: &str, length: usize) -> Vec<u8> {
-    let word = match status {
+fn response_head(status: u16, headers: &str, length: usize) -> Vec<u8> {
+    let reason = match status {
         200 => "OK",
         400 => "Bad Request",
         404 => "Not Found",
         500 => "Internal Server Error",
         _ => "Service Unavailable",
     };
-    format!("HTTP/1.1 {status} {word}\r\n{headers}Content-Length: {length}\r\n\r\n").into_bytes()
+    format!("HTTP/1.1 {status} {reason}\r\n{headers}Content-Length: {length}\r\n\r\n").into_bytes()
 }
