Name the parts of a run, and type what its load gives back

Word, heard, struck, set, unset, life, spawn and joined are Command, received_commands, faults_by_target (target_servers of a fault), apply, revert, watch_node, spawn_thread and join_thread; of_servers and its like are targets_servers. The tuple of four that the nodes' side gave back is struct LoadOutcome.

--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -329,15 +329,15 @@
     let struck = record.faults.iter().map(|(kind, from, until, whom)| Band {
         kind: name(kind).unwrap_or_default(),
         whom: match kind {
-            kind if kind.of_servers() => format!("server {whom}"),
-            kind if kind.of_nodes() => format!("node {whom}"),
+            kind if kind.targets_servers() => format!("server {whom}"),
+            kind if kind.targets_nodes() => format!("node {whom}"),
             _ => "discovery".to_owned(),
         },
         from: *from as f64 / 1e6,
         // What has no end of its own is a moment, but for what stays as it is.
         to: match until {
             Some(until) => *until as f64 / 1e6,
-            None if kind.lasts() => seconds,
+            None if kind.persists() => seconds,
             None => *from as f64 / 1e6,
         }
         .min(seconds),
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -10,7 +10,7 @@
 use crate::record::{Record, TryId};
 use crate::rules::{self, Breach};
 use crate::scenario::Scenario;
-use nodes::nodes;
+use nodes::{play_load, LoadOutcome};
 use stand_ins::stand_ins;
 use std::io;
 use std::net::SocketAddr;
@@ -105,12 +105,12 @@
     servers: Vec<SocketAddr>,
 }
 
-/// Told to the stand-ins while they run.
-enum Word {
+/// A command to the stand-ins while they run.
+enum Command {
     /// Load begins: faults count from now.
-    Begin,
+    StartFaults,
     /// A node follows another address: its old one closes.
-    CloseOld { node: usize, which: usize },
+    CloseOldAddress { node: usize, which: usize },
 }
 
 /// Plays a scenario once.
@@ -119,40 +119,40 @@
     let folder = Folder::new()?;
     // One clock for all; the run's zero lies ahead of the nodes' start, and is moved to the load's at the end.
     let start = Instant::now();
-    let (over, ending) = watch::channel(false);
-    let (words, heard) = channel::unbounded_channel();
+    let (shutdown, shutdown_seen) = watch::channel(false);
+    let (commands, received_commands) = channel::unbounded_channel();
     let (addresses, listening) = mpsc::channel();
-    let stand_ins = spawn("stand-ins", {
-        let (scenario, plan, hand) = (scenario.clone(), plan.clone(), options.by_hand);
-        move || stand_ins(scenario, plan, start, hand, addresses, heard, ending)
+    let stand_ins = spawn_thread("stand-ins", {
+        let (scenario, plan, by_hand) = (scenario.clone(), plan.clone(), options.by_hand);
+        move || stand_ins(scenario, plan, start, by_hand, addresses, received_commands, shutdown_seen)
     })?;
     let listening = match listening.recv() {
         Ok(addresses) => addresses,
         Err(_) => {
-            return Err(joined(stand_ins, "stand-ins")?
+            return Err(join_thread(stand_ins, "stand-ins")?
                 .err()
                 .map_or(RunError::Thread("stand-ins"), RunError::Rig))
         }
     };
-    let one = runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
-    let played = one.block_on(nodes(scenario, options, &plan, start, listening, &folder, words));
-    over.send_replace(true);
-    let seen = joined(stand_ins, "stand-ins")??;
-    let (clients, lives, zero, lasted) = played?;
-    let mut record = Record { tries: clients.tries, late: clients.late, lives, ..seen };
-    record.shift(zero);
+    let runtime = runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build()?;
+    let played = runtime.block_on(play_load(scenario, options, &plan, start, listening, &folder, commands));
+    shutdown.send_replace(true);
+    let observed = join_thread(stand_ins, "stand-ins")??;
+    let LoadOutcome { clients, lives, load_start, lasted } = played?;
+    let mut record = Record { tries: clients.tries, late: clients.late, lives, ..observed };
+    record.shift(load_start);
     let class_of = |id: TryId| plan.arrivals[id.arrival as usize].class;
     let breaches = rules::check(&record, &scenario.classes, class_of);
     Ok(Played { plan, record, breaches, lasted })
 }
 
-fn spawn<T: Send + 'static>(
+fn spawn_thread<T: Send + 'static>(
     name: &str,
     body: impl FnOnce() -> T + Send + 'static,
 ) -> io::Result<JoinHandle<T>> {
     thread::Builder::new().name(name.to_owned()).spawn(body)
 }
 
-fn joined<T>(thread: JoinHandle<T>, name: &'static str) -> Result<T, RunError> {
+fn join_thread<T>(thread: JoinHandle<T>, name: &'static str) -> Result<T, RunError> {
     thread.join().map_err(|_| RunError::Thread(name))
 }
--- a/crates/lab/src/run/faults.rs
+++ b/crates/lab/src/run/faults.rs
@@ -8,44 +8,44 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until};
 
-/// Each fault with each server or node that it strikes, and when; faults of discovery once.
-pub(super) fn struck(scenario: &Scenario) -> impl Iterator<Item = (Fault, usize, Duration)> + '_ {
+/// Each fault with each server or node that it targets, and when; faults of discovery once.
+pub(super) fn faults_by_target(scenario: &Scenario) -> impl Iterator<Item = (Fault, usize, Duration)> + '_ {
     scenario.faults.iter().map(toml::Spanned::get_ref).flat_map(|fault| {
-        let whom = match fault.kind {
-            kind if kind.of_servers() => fault.struck(&scenario.fleet),
-            kind if kind.of_nodes() => fault.nodes.clone(),
+        let targets = match fault.kind {
+            kind if kind.targets_servers() => fault.target_servers(&scenario.fleet),
+            kind if kind.targets_nodes() => fault.nodes.clone(),
             _ => vec![0],
         };
-        let apart = fault.apart_s.get();
-        whom.into_iter().enumerate().map(move |(nth, server)| {
-            (fault.clone(), server, Duration::from_secs_f64(fault.at_s.get() + apart * nth as f64))
+        let interval = fault.apart_s.get();
+        targets.into_iter().enumerate().map(move |(position, target)| {
+            (fault.clone(), target, Duration::from_secs_f64(fault.at_s.get() + interval * position as f64))
         })
     })
 }
 
-/// Sets the faults of servers and discovery going.
-pub(super) fn begin(scenario: &Scenario, floor: &Rc<Floor>, directory: &Rc<Directory>) {
-    let begun = Instant::now();
+/// Starts a task for each fault of servers and discovery, counted from now.
+pub(super) fn schedule_faults(scenario: &Scenario, floor: &Rc<Floor>, directory: &Rc<Directory>) {
+    let load_start = Instant::now();
     let mut spare = scenario.fleet.servers;
-    for (fault, server, at) in struck(scenario) {
-        let new = spare;
+    for (fault, server, at) in faults_by_target(scenario) {
+        let replacement = spare;
         spare += usize::from(fault.kind == Kind::Replace);
-        let long = fault.for_s.map(|long| Duration::from_secs_f64(long.get()));
-        let from = (begun + at).saturating_duration_since(floor.start).as_micros() as u64;
-        let until = long.map(|long| from + long.as_micros() as u64);
+        let duration = fault.for_s.map(|seconds| Duration::from_secs_f64(seconds.get()));
+        let from = (load_start + at).saturating_duration_since(floor.start).as_micros() as u64;
+        let until = duration.map(|duration| from + duration.as_micros() as u64);
         floor.record.borrow_mut().faults.push((fault.kind, from, until, server));
-        if fault.kind.of_nodes() {
+        if fault.kind.targets_nodes() {
             continue;
         }
         let (floor, directory) = (floor.clone(), directory.clone());
         spawn_local(async move {
-            sleep_until((begun + at).into()).await;
+            sleep_until((load_start + at).into()).await;
             tracing::info!(kind = ?fault.kind, whom = server, "a fault begins");
-            set(&fault, server, new, &floor, &directory);
-            if let Some(long) = long {
-                sleep(long).await;
+            apply(&fault, server, replacement, &floor, &directory);
+            if let Some(duration) = duration {
+                sleep(duration).await;
                 tracing::info!(kind = ?fault.kind, whom = server, "a fault ends");
-                unset(&fault, server, &floor, &directory);
+                revert(&fault, server, &floor, &directory);
             }
             if let Some(back) = fault.back_s.filter(|_| fault.kind == Kind::Drain) {
                 sleep(Duration::from_secs_f64(back.get())).await;
@@ -60,7 +60,7 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
 }
 
-fn set(fault: &Fault, server: usize, new: usize, floor: &Rc<Floor>, directory: &Rc<Directory>) {
+fn apply(fault: &Fault, server: usize, replacement: usize, floor: &Rc<Floor>, directory: &Rc<Directory>) {
     let by = fault.by.map_or(1.0, |by| by.get());
     match fault.kind {
         Kind::Kill => {
@@ -77,10 +77,10 @@
         Kind::Drain => directory.change(server, "draining", 0),
         Kind::Replace => {
             floor.set_mode(server, ServerMode::Down);
-            floor.set_mode(new, ServerMode::Down);
-            floor.set_mode(new, ServerMode::Healthy);
+            floor.set_mode(replacement, ServerMode::Down);
+            floor.set_mode(replacement, ServerMode::Healthy);
             directory.change(server, "gone", 0);
-            directory.change(new, "ready", unix_ms());
+            directory.change(replacement, "ready", unix_ms());
         }
         Kind::DiscoveryDown => directory.set_down(true),
         Kind::DiscoveryRefuses => directory.refuses.set(true),
@@ -90,7 +90,7 @@
     }
 }
 
-fn unset(fault: &Fault, server: usize, floor: &Rc<Floor>, directory: &Rc<Directory>) {
+fn revert(fault: &Fault, server: usize, floor: &Rc<Floor>, directory: &Rc<Directory>) {
     let by = fault.by.map_or(1.0, |by| by.get());
     match fault.kind {
         Kind::Kill => {
--- a/crates/lab/src/run/nodes.rs
+++ b/crates/lab/src/run/nodes.rs
@@ -1,7 +1,7 @@
 //! The nodes' and clients' side of a run: starts them, plays the faults of nodes, and waits for the load's end.
 
-use super::faults::struck;
-use super::{joined, spawn, Addresses, Folder, Options, RunError, Word};
+use super::faults::faults_by_target;
+use super::{join_thread, spawn_thread, Addresses, Command, Folder, Options, RunError};
 use crate::client::{Clients, Table};
 use crate::nodes::{Lives, Node, NodeError, Program};
 use crate::plan::Plan;
@@ -17,23 +17,34 @@
 use tokio::time::sleep;
 
 /// Load begins so long after all nodes are ready, so that no connection of the start is in its figures.
-const SETTLE: Duration = Duration::from_millis(200);
+const SETTLE_TIME: Duration = Duration::from_millis(200);
 /// Stand-ins serve on for so long after the last answer: what was refused or given up may still arrive.
-const LINGER: Duration = Duration::from_millis(300);
+const LINGER_TIME: Duration = Duration::from_millis(300);
 /// The nodes are looked at so often.
-const LOOK: Duration = Duration::from_millis(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Runs the nodes and the clients, and gives what the clients saw, what became of the nodes, the load's start in
-/// microseconds and how long it lasted.
-pub(super) async fn nodes(
+/// What the nodes' and clients' side of a run has seen.
+pub(super) struct LoadOutcome {
+    /// By the clients.
+    pub(super) clients: Record,
+    /// What became of the nodes.
+    pub(super) lives: Vec<(usize, Life, u64, String)>,
+    /// The load's start, in microseconds from the run's.
+    pub(super) load_start: u64,
+    /// For how long load arrived.
+    pub(super) lasted: Duration,
+}
+
+/// Runs the nodes and the clients, until all requests have ended.
+pub(super) async fn play_load(
     scenario: &Scenario,
     options: &Options,
     plan: &Arc<Plan>,
     start: Instant,
     listening: Addresses,
     folder: &Folder,
-    words: channel::UnboundedSender<Word>,
-) -> Result<(Record, Vec<(usize, Life, u64, String)>, u64, Duration), RunError> {
+    commands: channel::UnboundedSender<Command>,
+) -> Result<LoadOutcome, RunError> {
     let Addresses { mut discovery, servers } = listening;
     let listed = match options.program {
         Program::Nothing => {
@@ -45,12 +56,12 @@
     let table: Table = Arc::new(RwLock::new(listed));
     let lives: Lives = Arc::default();
     let program = options.program.clone().with_front(&scenario.front, &folder.0)?;
-    let mut all = Vec::new();
-    for (place, discovery) in discovery.into_iter().enumerate() {
+    let mut started = Vec::new();
+    for (index, discovery) in discovery.into_iter().enumerate() {
         let program = program.clone();
         let (table, lives) = (table.clone(), lives.clone());
         let mut node = Node::new(
-            place,
+            index,
             scenario,
             options.seed,
             program,
@@ -62,89 +73,91 @@
             options.live.clone(),
         );
         let address = node.up().await?;
-        all.push((node, address));
+        started.push((node, address));
     }
     if let Some(ready) = &options.ready {
         // Whoever asked may have gone.
-        let _ = ready.send(all.iter().map(|(node, address)| (*address, node.pid())).collect());
+        let _ = ready.send(started.iter().map(|(node, address)| (*address, node.pid())).collect());
     }
-    sleep(SETTLE).await;
-    let begin = Instant::now();
+    sleep(SETTLE_TIME).await;
+    let load_start = Instant::now();
     // The stand-ins end only after this.
-    let _ = words.send(Word::Begin);
-    let clients = spawn("clients", {
+    let _ = commands.send(Command::StartFaults);
+    let clients = spawn_thread("clients", {
         let (scenario, plan, table) = (scenario.clone(), plan.clone(), table.clone());
         let (live, stop) = (options.live.clone(), options.stop.clone());
         move || {
-            let one = runtime::Builder::new_current_thread().enable_all().build()?;
-            let clients = Clients::new(&scenario, plan, begin, table, live, stop);
-            Ok::<_, io::Error>(LocalSet::new().block_on(&one, clients.run()))
+            let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+            let clients = Clients::new(&scenario, plan, load_start, table, live, stop);
+            Ok::<_, io::Error>(LocalSet::new().block_on(&runtime, clients.run()))
         }
     })?;
     let mut running = Vec::new();
-    for (place, (mut node, _)) in all.into_iter().enumerate() {
-        let mut faults: Vec<_> = struck(scenario)
-            .filter(|(fault, whom, _)| fault.kind.of_nodes() && *whom == place)
+    for (index, (mut node, _)) in started.into_iter().enumerate() {
+        let mut faults: Vec<_> = faults_by_target(scenario)
+            .filter(|(fault, target, _)| fault.kind.targets_nodes() && *target == index)
             .map(|(fault, _, at)| (at, fault))
             .collect();
         faults.sort_by_key(|(at, _)| *at);
-        let (words, stop) = (words.clone(), options.stop.clone());
-        let (end, ended) = watch::channel(false);
+        let (commands, stop) = (commands.clone(), options.stop.clone());
+        let (stop_watching, watch_ended) = watch::channel(false);
         running.push((
-            end,
+            stop_watching,
             tokio::spawn(async move {
-                let result = life(&mut node, place, begin, faults, words, stop, ended).await;
+                let result =
+                    watch_node(&mut node, index, load_start, faults, commands, stop, watch_ended).await;
                 node.down().await;
                 result
             }),
         ));
     }
     while !clients.is_finished() {
-        sleep(LOOK).await;
+        sleep(POLL_INTERVAL).await;
     }
-    let lasted = begin.elapsed();
-    sleep(LINGER).await;
-    let mut failed = None;
-    for (end, task) in running {
-        end.send_replace(true);
+    let lasted = load_start.elapsed();
+    sleep(LINGER_TIME).await;
+    let mut first_error = None;
+    for (stop_watching, task) in running {
+        stop_watching.send_replace(true);
         if let Ok(Err(error)) = task.await {
-            failed = failed.or(Some(error));
+            first_error = first_error.or(Some(error));
         }
     }
-    let seen = joined(clients, "clients")??;
+    let clients = join_thread(clients, "clients")??;
     // A node that does not come back is a verdict: its fault said so, and the record tells.
-    if let Some(error) = failed {
+    if let Some(error) = first_error {
         let at = start.elapsed().as_micros() as u64;
         if let Ok(mut lives) = lives.lock() {
             lives.push((0, Life::Died, at, error.to_string()));
         }
     }
     let lives = lives.lock().map(|lives| lives.clone()).unwrap_or_default();
-    Ok((seen, lives, begin.duration_since(start).as_micros() as u64, lasted))
+    let load_start = load_start.duration_since(start).as_micros() as u64;
+    Ok(LoadOutcome { clients, lives, load_start, lasted })
 }
 
 /// Plays a node's faults and watches that it lives.
-async fn life(
+async fn watch_node(
     node: &mut Node,
-    place: usize,
-    begin: Instant,
+    index: usize,
+    load_start: Instant,
     faults: Vec<(Duration, Fault)>,
-    words: channel::UnboundedSender<Word>,
+    commands: channel::UnboundedSender<Command>,
     stop: Arc<AtomicBool>,
-    ended: watch::Receiver<bool>,
+    watch_ended: watch::Receiver<bool>,
 ) -> Result<(), NodeError> {
     let mut faults = faults.into_iter().peekable();
-    while !*ended.borrow() {
-        let next = faults.peek().map(|(at, _)| begin + *at);
+    while !*watch_ended.borrow() {
+        let next = faults.peek().map(|(at, _)| load_start + *at);
         if next.is_some_and(|at| at <= Instant::now()) && !stop.load(Ordering::Relaxed) {
             if let Some((_, fault)) = faults.next() {
                 if let Some(which) = node.strike(&fault).await? {
-                    let _ = words.send(Word::CloseOld { node: place, which });
+                    let _ = commands.send(Command::CloseOldAddress { node: index, which });
                 }
             }
         }
         node.died();
-        sleep(LOOK).await;
+        sleep(POLL_INTERVAL).await;
     }
     Ok(())
 }
--- a/crates/lab/src/run/stand_ins.rs
+++ b/crates/lab/src/run/stand_ins.rs
@@ -1,7 +1,7 @@
 //! The stand-ins' thread of a run: cache servers, database and discovery.
 
-use super::faults::{begin, struck};
-use super::{Addresses, Word};
+use super::faults::{faults_by_target, schedule_faults};
+use super::{Addresses, Command};
 use crate::discovery::Directory;
 use crate::model::{Cluster, DatabaseSettings, ServerSettings};
 use crate::plan::{mix, Plan};
@@ -21,37 +21,44 @@
     scenario: Scenario,
     plan: Arc<Plan>,
     start: Instant,
-    hand: bool,
+    by_hand: bool,
     addresses: mpsc::Sender<Addresses>,
-    heard: channel::UnboundedReceiver<Word>,
-    mut ending: watch::Receiver<bool>,
+    received_commands: channel::UnboundedReceiver<Command>,
+    mut shutdown: watch::Receiver<bool>,
 ) -> io::Result<Record> {
-    let one = runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&one, async {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, async {
         let fleet = &scenario.fleet;
         // Machines that replace others stand ready, unknown to discovery.
-        let spares: usize = struck(&scenario).filter(|(fault, ..)| fault.kind == Kind::Replace).count();
-        let count = fleet.servers + spares;
-        let floor =
-            Floor::new(&scenario, plan.clone(), initial_cluster(&scenario, &plan, count), count, start, hand);
+        let spares: usize =
+            faults_by_target(&scenario).filter(|(fault, ..)| fault.kind == Kind::Replace).count();
+        let server_count = fleet.servers + spares;
+        let floor = Floor::new(
+            &scenario,
+            plan.clone(),
+            initial_cluster(&scenario, &plan, server_count),
+            server_count,
+            start,
+            by_hand,
+        );
         let mut dials = vec![Vec::new(); fleet.nodes];
         for (node, dials) in dials.iter_mut().enumerate() {
-            for server in 0..count {
+            for server in 0..server_count {
                 dials.push(floor.listen(server, node).await?);
             }
         }
         let servers = dials[0][..fleet.servers].to_vec();
-        let directory = Directory::new(floor.clone(), fleet, count, dials);
-        let mut told = Vec::new();
+        let directory = Directory::new(floor.clone(), fleet, server_count, dials);
+        let mut discovery_addresses = Vec::new();
         for node in 0..fleet.nodes {
-            told.push([directory.listen(node, 0).await?, directory.listen(node, 1).await?]);
+            discovery_addresses.push([directory.listen(node, 0).await?, directory.listen(node, 1).await?]);
         }
         spawn_local(floor.clone().run_model());
         spawn_local(floor.clone().sample());
-        spawn_local(listen(scenario.clone(), floor.clone(), directory, heard));
+        spawn_local(follow_commands(scenario.clone(), floor.clone(), directory, received_commands));
         // The run may have ended before it began.
-        let _ = addresses.send(Addresses { discovery: told, servers });
-        let _ = ending.wait_for(|over| *over).await;
+        let _ = addresses.send(Addresses { discovery: discovery_addresses, servers });
+        let _ = shutdown.wait_for(|requested| *requested).await;
         let mut record = floor.record.take();
         let cluster = floor.cluster.borrow();
         (record.overloads, record.fetches) = (cluster.overloads.clone(), cluster.fetches);
@@ -59,28 +66,28 @@
     })
 }
 
-async fn listen(
+async fn follow_commands(
     scenario: Scenario,
     floor: Rc<Floor>,
     directory: Rc<Directory>,
-    mut heard: channel::UnboundedReceiver<Word>,
+    mut received_commands: channel::UnboundedReceiver<Command>,
 ) {
-    while let Some(word) = heard.recv().await {
-        match word {
-            Word::Begin => begin(&scenario, &floor, &directory),
-            Word::CloseOld { node, which } => directory.close_old(node, which),
+    while let Some(command) = received_commands.recv().await {
+        match command {
+            Command::StartFaults => schedule_faults(&scenario, &floor, &directory),
+            Command::CloseOldAddress { node, which } => directory.close_old(node, which),
         }
     }
 }
 
 /// The servers as they stand when the run begins: warm, and holding the keys that are asked for most.
-fn initial_cluster(scenario: &Scenario, plan: &Plan, count: usize) -> Cluster {
+fn initial_cluster(scenario: &Scenario, plan: &Plan, server_count: usize) -> Cluster {
     let fleet = &scenario.fleet;
-    let [least, most] = fleet.speed.map(|speed| speed.get());
-    let step = (most - least) / (fleet.servers.max(2) - 1) as f64;
-    let settings = |i: usize| ServerSettings {
+    let [slowest, fastest] = fleet.speed.map(|speed| speed.get());
+    let step = (fastest - slowest) / (fleet.servers.max(2) - 1) as f64;
+    let settings = |server: usize| ServerSettings {
         cores: fleet.cores,
-        speed: least + step * (i % fleet.servers) as f64,
+        speed: slowest + step * (server % fleet.servers) as f64,
         queue: fleet.queue,
         memory: fleet.memory_kib << 10,
         cold_share: fleet.cold_share.get(),
@@ -98,19 +105,19 @@
         fall_span: Duration::from_secs_f64(database.fall_s.get()),
         down: Duration::from_secs_f64(database.down_s.get()),
     };
-    let mut cluster = Cluster::new((0..count).map(settings).collect(), database_settings, plan.seed);
-    // Placement is the nodes' own affair: each server begins with the most wanted keys that fit.
-    let mut fits = 0;
-    let wanted: Vec<_> = (1..=u64::from(scenario.load.keys))
+    let mut cluster = Cluster::new((0..server_count).map(settings).collect(), database_settings, plan.seed);
+    // Placement is the nodes' own affair: each server begins with the hottest keys that fit.
+    let mut total_size = 0;
+    let hottest: Vec<_> = (1..=u64::from(scenario.load.keys))
         .map(|rank| (mix(plan.seed ^ rank), plan.size(mix(plan.seed ^ rank))))
         .take_while(|(_, size)| {
-            fits += size;
-            fits <= fleet.memory_kib << 10
+            total_size += size;
+            total_size <= fleet.memory_kib << 10
         })
         .collect();
     for server in 0..fleet.servers {
-        // The most wanted last: it is the last to go.
-        wanted.iter().rev().for_each(|(key, size)| cluster.warm_up(server, *key, *size));
+        // The hottest last: it is the last to be evicted.
+        hottest.iter().rev().for_each(|(key, size)| cluster.warm_up(server, *key, *size));
     }
     cluster
 }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -136,17 +136,17 @@
         if let Some(zone) = fault.zone.as_ref().filter(|zone| !self.fleet.zones.contains(zone)) {
             return Err(format!("zone {zone:?} is none of {:?}", self.fleet.zones));
         }
-        let struck = fault.struck(&self.fleet);
-        if let Some(i) = struck.iter().find(|&&i| i >= self.fleet.servers) {
+        let targets = fault.target_servers(&self.fleet);
+        if let Some(i) = targets.iter().find(|&&i| i >= self.fleet.servers) {
             return Err(format!("server {i} is none of 0 to {}", self.fleet.servers - 1));
         }
         if let Some(i) = fault.nodes.iter().find(|&&i| i >= self.fleet.nodes) {
             return Err(format!("node {i} is none of 0 to {}", self.fleet.nodes - 1));
         }
-        if fault.kind.of_servers() && struck.is_empty() {
+        if fault.kind.targets_servers() && targets.is_empty() {
             return Err(format!("a fault of kind {kind} needs servers or a zone"));
         }
-        if fault.kind.of_nodes() && fault.nodes.is_empty() {
+        if fault.kind.targets_nodes() && fault.nodes.is_empty() {
             return Err(format!("a fault of kind {kind} needs nodes"));
         }
         if matches!(fault.kind, Kind::Slow | Kind::DiscoveryLate) && fault.by.is_none() {
--- a/crates/lab/src/scenario/fault.rs
+++ b/crates/lab/src/scenario/fault.rs
@@ -36,8 +36,8 @@
         Within(0.0)
     }
 
-    /// The servers it strikes, of so many dealt out over these zones.
-    pub fn struck(&self, fleet: &Fleet) -> Vec<usize> {
+    /// The servers it targets, of so many dealt out over these zones.
+    pub fn target_servers(&self, fleet: &Fleet) -> Vec<usize> {
         match &self.zone {
             Some(zone) => (0..fleet.servers).filter(|&i| fleet.zone(i) == zone).collect(),
             None => self.servers.clone(),
@@ -86,19 +86,19 @@
 }
 
 impl Kind {
-    /// Whether it strikes servers.
-    pub fn of_servers(self) -> bool {
-        !self.of_nodes() && !self.of_discovery()
+    /// Whether it targets servers.
+    pub fn targets_servers(self) -> bool {
+        !self.targets_nodes() && !self.targets_discovery()
     }
-    /// Whether it strikes nodes.
-    pub fn of_nodes(self) -> bool {
+    /// Whether it targets nodes.
+    pub fn targets_nodes(self) -> bool {
         matches!(self, Self::NodeKill | Self::NodeTerm | Self::NodeHup)
     }
     /// Whether one without an end of its own stays as it is.
-    pub fn lasts(self) -> bool {
-        !self.of_nodes() && self != Self::Replace
+    pub fn persists(self) -> bool {
+        !self.targets_nodes() && self != Self::Replace
     }
-    fn of_discovery(self) -> bool {
+    fn targets_discovery(self) -> bool {
         matches!(
             self,
             Self::DiscoveryDown | Self::DiscoveryRefuses | Self::DiscoveryLate | Self::DiscoveryLies
