Name the clients' and the idle measurement's parts in the terms of the field

Clients: most, turn, kept, one_try, fresh, until, left, keep and LOOK are max_connections_per_node, next_node, take_idle, send_try, new_connection, give_up_at, remaining_ms, reusable and STOP_POLL_INTERVAL. Idle: ASKERS, REST, PAUSE, PATIENCE, hold, ask and memory are LOOKUP_CONNECTIONS, IDLE_TIME, BATCH_INTERVAL, ANSWER_TIMEOUT, measure_node, send_lookup and process_memory_kib.

--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -20,7 +20,7 @@
 use tokio::time::{sleep, sleep_until, timeout_at};
 
 /// How long a wait for the next arrival may go on before the word to stop is looked for.
-const LOOK: Duration = Duration::from_millis(100);
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Running counts, for whoever watches.
 #[derive(Debug, Default)]
@@ -51,7 +51,7 @@
     pub fn tripped(&self) {
         if let Ok(mut trips) = self.trips.write() {
             trips.push_back(Instant::now());
-            if trips.len() > TRIPS {
+            if trips.len() > TRIPS_KEPT {
                 trips.pop_front();
             }
         }
@@ -59,21 +59,21 @@
 
     /// How many tripped within this time.
     pub fn tripped_within(&self, span: Duration) -> usize {
-        let of = |trips: &VecDeque<Instant>| trips.iter().filter(|at| at.elapsed() < span).count();
-        self.trips.read().map(|trips| of(&trips)).unwrap_or(0)
+        let count = |trips: &VecDeque<Instant>| trips.iter().filter(|at| at.elapsed() < span).count();
+        self.trips.read().map(|trips| count(&trips)).unwrap_or(0)
     }
 }
 
-/// The 50th and 99th percentile of a few; 0 of none.
-pub fn percentiles(mut of: Vec<f32>) -> (f32, f32) {
-    of.sort_by(f32::total_cmp);
-    let at = |share: f64| of.get((of.len() as f64 * share) as usize).copied().unwrap_or(0.0);
+/// The 50th and 99th percentile of these values; 0 of none.
+pub fn percentiles(mut values: Vec<f32>) -> (f32, f32) {
+    values.sort_by(f32::total_cmp);
+    let at = |share: f64| values.get((values.len() as f64 * share) as usize).copied().unwrap_or(0.0);
     (at(0.5), at(0.99))
 }
 
 /// Latencies and trips kept for whoever watches.
-const LATEST: usize = 4096;
-const TRIPS: usize = 1024;
+const LATENCIES_KEPT: usize = 4096;
+const TRIPS_KEPT: usize = 1024;
 
 /// Where the front sends new connections: a node's address while it counts as up.
 pub type Table = Arc<RwLock<Vec<Option<SocketAddr>>>>;
@@ -82,15 +82,16 @@
 struct Link {
     conn: Conn,
     node: usize,
-    open: Rc<Vec<Cell<usize>>>,
+    open_connections: Rc<Vec<Cell<usize>>>,
 }
 
 impl Drop for Link {
     fn drop(&mut self) {
-        self.open[self.node].set(self.open[self.node].get() - 1);
+        self.open_connections[self.node].set(self.open_connections[self.node].get() - 1);
     }
 }
 
+/// An idle connection, and the last try on it.
 struct Pooled {
     link: Link,
     last: Try,
@@ -106,10 +107,10 @@
     live: Arc<Live>,
     stop: Arc<AtomicBool>,
     /// Connections to a node at most.
-    most: usize,
+    max_connections_per_node: usize,
     idle: RefCell<Vec<Pooled>>,
-    open: Rc<Vec<Cell<usize>>>,
-    turn: Cell<usize>,
+    open_connections: Rc<Vec<Cell<usize>>>,
+    next_node: Cell<usize>,
     record: RefCell<Record>,
 }
 
@@ -132,31 +133,33 @@
             table,
             live,
             stop,
-            most: ((scenario.fleet.sockets as f64 * scenario.fleet.clients.get()) as usize).max(1),
+            max_connections_per_node: ((scenario.fleet.sockets as f64 * scenario.fleet.clients.get())
+                as usize)
+                .max(1),
             idle: RefCell::default(),
-            open: Rc::new((0..nodes).map(|_| Cell::new(0)).collect()),
-            turn: Cell::new(0),
+            open_connections: Rc::new((0..nodes).map(|_| Cell::new(0)).collect()),
+            next_node: Cell::new(0),
             record: RefCell::default(),
         })
     }
 
     /// Sends all that is planned, and gives what was seen once all of it has ended.
     pub async fn run(self: Rc<Self>) -> Record {
-        let mut out = JoinSet::new();
-        for i in 0..self.plan.arrivals.len() {
-            let due = self.start + self.plan.arrivals[i].due;
+        let mut requests = JoinSet::new();
+        for index in 0..self.plan.arrivals.len() {
+            let due = self.start + self.plan.arrivals[index].due;
             while due > Instant::now() && !self.stop.load(Ordering::Relaxed) {
-                sleep_until(due.min(Instant::now() + LOOK).into()).await;
+                sleep_until(due.min(Instant::now() + STOP_POLL_INTERVAL).into()).await;
             }
             if self.stop.load(Ordering::Relaxed) {
                 break;
             }
             self.record.borrow_mut().late.push(due.elapsed().as_micros().min(u128::from(u32::MAX)) as u32);
-            out.spawn_local(self.clone().request(i));
+            requests.spawn_local(self.clone().request(index));
             // What has ended is taken out, or the set would hold the whole day.
-            while out.try_join_next().is_some() {}
+            while requests.try_join_next().is_some() {}
         }
-        while out.join_next().await.is_some() {}
+        while requests.join_next().await.is_some() {}
         // A second answer may stand on a connection that nobody has used since.
         let mut record = self.record.take();
         for mut pooled in self.idle.take() {
@@ -171,25 +174,25 @@
         self.start.elapsed().as_micros() as u64
     }
 
-    async fn request(self: Rc<Self>, i: usize) {
+    async fn request(self: Rc<Self>, index: usize) {
         self.live.begun.fetch_add(1, Ordering::Relaxed);
-        let arrival = &self.plan.arrivals[i];
+        let arrival = &self.plan.arrivals[index];
         let class = &self.classes[arrival.class];
-        let begun = self.start + arrival.due;
-        let deadline = begun + Duration::from_secs_f64(class.deadline_ms.get() / 1e3);
+        let first_due = self.start + arrival.due;
+        let deadline = first_due + Duration::from_secs_f64(class.deadline_ms.get() / 1e3);
         for number in 0..=self.load.retries {
-            let id = TryId { arrival: i as u32, number };
-            let due = if number == 0 { begun } else { Instant::now() };
-            let end = self.one_try(id, arrival, class, due, deadline).await;
+            let id = TryId { arrival: index as u32, number };
+            let due = if number == 0 { first_due } else { Instant::now() };
+            let end = self.send_try(id, arrival, class, due, deadline).await;
             match end {
                 End::Served | End::Twice | End::Foreign => {
-                    let took = begun.elapsed();
+                    let took = first_due.elapsed();
                     let late = took.as_secs_f64() * 1e3 > class.aim_ms.get();
                     let count = if late { &self.live.late } else { &self.live.in_time };
                     count.fetch_add(1, Ordering::Relaxed);
                     if let Ok(mut latest) = self.live.latest.write() {
-                        if latest.len() >= LATEST {
-                            latest.drain(..LATEST / 2);
+                        if latest.len() >= LATENCIES_KEPT {
+                            latest.drain(..LATENCIES_KEPT / 2);
                         }
                         latest.push(took.as_secs_f32() * 1e3);
                     }
@@ -208,7 +211,7 @@
     }
 
     /// One try; on a kept connection that its node closed just then, once more on a new one.
-    async fn one_try(
+    async fn send_try(
         &self,
         id: TryId,
         arrival: &Arrival,
@@ -217,16 +220,18 @@
         deadline: Instant,
     ) -> End {
         let patience = class.deadline_ms.get() / 1e3 * self.load.patience.get();
-        let until = (Instant::now() + Duration::from_secs_f64(patience)).min(deadline);
-        let mut fresh = false;
+        let give_up_at = (Instant::now() + Duration::from_secs_f64(patience)).min(deadline);
+        let mut new_connection = false;
         loop {
-            let one = self.exchange(id, arrival, class, due, until, fresh).await;
-            self.record.borrow_mut().tries.push(one);
-            match one.end {
-                End::Broke { begun: false } if !one.first_on_connection && !fresh => fresh = true,
+            let tried = self.exchange(id, arrival, class, due, give_up_at, new_connection).await;
+            self.record.borrow_mut().tries.push(tried);
+            match tried.end {
+                End::Broke { begun: false } if !tried.first_on_connection && !new_connection => {
+                    new_connection = true
+                }
                 End::Refused { .. } => {
                     self.live.refused.fetch_add(1, Ordering::Relaxed);
-                    return one.end;
+                    return tried.end;
                 }
                 end => return end,
             }
@@ -239,11 +244,11 @@
         arrival: &Arrival,
         class: &Class,
         due: Instant,
-        until: Instant,
-        fresh: bool,
+        give_up_at: Instant,
+        new_connection: bool,
     ) -> Try {
         let due = due.saturating_duration_since(self.start).as_micros() as u64;
-        let mut one = Try {
+        let mut tried = Try {
             id,
             node: 0,
             due,
@@ -252,22 +257,22 @@
             first_on_connection: true,
             end: End::NotSent,
         };
-        let kept = if fresh { None } else { self.kept() };
-        let mut link = match kept {
+        let pooled = if new_connection { None } else { self.take_idle() };
+        let mut link = match pooled {
             Some(pooled) => {
-                one.first_on_connection = false;
+                tried.first_on_connection = false;
                 pooled.link
             }
-            None => match timeout_at(until.into(), self.connect()).await {
+            None => match timeout_at(give_up_at.into(), self.connect()).await {
                 Ok(Some(opened)) => opened,
                 _ => {
-                    one.ended = self.now();
-                    return one;
+                    tried.ended = self.now();
+                    return tried;
                 }
             },
         };
-        one.node = link.node;
-        let left = until.saturating_duration_since(Instant::now()).as_millis();
+        tried.node = link.node;
+        let remaining_ms = give_up_at.saturating_duration_since(Instant::now()).as_millis();
         let (method, extra, body) = match class.write {
             true => (
                 "PUT",
@@ -278,7 +283,7 @@
         };
         let retry = if id.number > 0 { "Req-Retry: 1\r\n" } else { "" };
         let mut bytes = format!(
-            "{method} /api/{:016x} HTTP/1.1\r\nHost: lab\r\nReq-Id: {}\r\nReq-Kind: {}\r\nReq-Deadline-Ms: {left}\r\n\
+            "{method} /api/{:016x} HTTP/1.1\r\nHost: lab\r\nReq-Id: {}\r\nReq-Kind: {}\r\nReq-Deadline-Ms: {remaining_ms}\r\n\
              {retry}{extra}\r\n",
             arrival.key,
             id.text(),
@@ -288,20 +293,20 @@
         bytes.extend_from_slice(body);
         if link.conn.write(&bytes).await.is_err() {
             // Nothing of it may have been read.
-            one.ended = self.now();
-            one.end = if one.first_on_connection { End::NotSent } else { End::Broke { begun: false } };
-            return one;
+            tried.ended = self.now();
+            tried.end = if tried.first_on_connection { End::NotSent } else { End::Broke { begun: false } };
+            return tried;
         }
-        one.sent = self.now();
-        let answer = timeout_at(until.into(), link.conn.answer()).await;
-        one.ended = self.now();
-        let mut keep = false;
-        one.end = match answer {
+        tried.sent = self.now();
+        let answer = timeout_at(give_up_at.into(), link.conn.answer()).await;
+        tried.ended = self.now();
+        let mut reusable = false;
+        tried.end = match answer {
             Err(_) => End::TimedOut,
             Ok(Err(ReadError::Ended { begun })) => End::Broke { begun },
             Ok(Err(ReadError::Malformed(_))) => End::Failed(0),
             Ok(Ok(answer)) => {
-                keep = !answer.close;
+                reusable = !answer.close;
                 let retry_after = answer.retry_after.filter(|seconds| (0.0..1e6).contains(seconds));
                 let made_for =
                     answer.body.strip_prefix(id.text().as_bytes()).is_some_and(|rest| rest.starts_with(b" "));
@@ -315,14 +320,14 @@
                 }
             }
         };
-        if keep {
-            self.idle.borrow_mut().push(Pooled { link, last: one });
+        if reusable {
+            self.idle.borrow_mut().push(Pooled { link, last: tried });
         }
-        one
+        tried
     }
 
     /// The kept connection that was used last.
-    fn kept(&self) -> Option<Pooled> {
+    fn take_idle(&self) -> Option<Pooled> {
         loop {
             let mut pooled = self.idle.borrow_mut().pop()?;
             match pooled.link.conn.stale() {
@@ -338,15 +343,15 @@
 
     /// The front: the next node in turn that counts as up and has places left.
     async fn connect(&self) -> Option<Link> {
-        let nodes = self.open.len();
-        let turn = self.turn.replace(self.turn.get() + 1);
-        let (node, address) = (0..nodes).map(|i| (turn + i) % nodes).find_map(|node| {
+        let nodes = self.open_connections.len();
+        let first = self.next_node.replace(self.next_node.get() + 1);
+        let (node, address) = (0..nodes).map(|offset| (first + offset) % nodes).find_map(|node| {
             let address = self.table.read().ok()?[node]?;
-            (self.open[node].get() < self.most).then_some((node, address))
+            (self.open_connections[node].get() < self.max_connections_per_node).then_some((node, address))
         })?;
         let conn = Conn::new(TcpStream::connect(address).await.ok()?).ok()?;
-        self.open[node].set(self.open[node].get() + 1);
-        Some(Link { conn, node, open: self.open.clone() })
+        self.open_connections[node].set(self.open_connections[node].get() + 1);
+        Some(Link { conn, node, open_connections: self.open_connections.clone() })
     }
 }
 
@@ -357,6 +362,6 @@
         conn.write(b"GET /healthz HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n").await.ok()?;
         Some(conn.answer().await.ok()?.status == 200)
     };
-    let until = Instant::now() + Duration::from_secs(1);
-    matches!(timeout_at(until.into(), check).await, Ok(Some(true)))
+    let deadline = Instant::now() + Duration::from_secs(1);
+    matches!(timeout_at(deadline.into(), check).await, Ok(Some(true)))
 }
--- a/crates/lab/src/idle.rs
+++ b/crates/lab/src/idle.rs
@@ -21,16 +21,16 @@
 use tokio::time::{sleep, timeout};
 
 /// Asked at once while connections are made.
-const AT_ONCE: usize = 64;
+const CONCURRENT_CONNECTS: usize = 64;
 /// Connections idle for so long when the node is measured.
-const REST: Duration = Duration::from_secs(1);
+const IDLE_TIME: Duration = Duration::from_secs(1);
 /// Between two batches: longer than it takes a node to see that the last one is idle.
-const PAUSE: Duration = Duration::from_millis(450);
+const BATCH_INTERVAL: Duration = Duration::from_millis(450);
 /// For an answer.
-const PATIENCE: Duration = Duration::from_secs(5);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Look-ups beside a crowd, one after the other on each of a few connections.
 const LOOKUPS: usize = 4_000;
-const ASKERS: usize = 8;
+const LOOKUP_CONNECTIONS: usize = 8;
 
 /// A node with a crowd of idle connections.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -78,13 +78,13 @@
     );
     let scenario =
         Scenario::parse(&text, Path::new("idle")).map_err(|error| io::Error::other(error.to_string()))?;
-    let (ready, told) = mpsc::channel();
+    let (ready, ready_nodes) = mpsc::channel();
     let options = Options { by_hand: true, ready: Some(ready), ..Options::new(program, 1) };
     let stop = options.stop.clone();
     let playing = thread::spawn(move || play(&scenario, &options));
-    let measured = told.recv().ok().and_then(|nodes| nodes.first().copied()).map(|(address, pid)| {
-        let one = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        LocalSet::new().block_on(&one, hold(address, pid, sizes, batch.max(1)))
+    let measured = ready_nodes.recv().ok().and_then(|nodes| nodes.first().copied()).map(|(address, pid)| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        LocalSet::new().block_on(&runtime, measure_node(address, pid, sizes, batch.max(1)))
     });
     stop.store(true, Ordering::Relaxed);
     let played = playing.join().map_err(|_| RunError::Thread("run"))?;
@@ -95,34 +95,39 @@
     }
 }
 
-async fn hold(address: SocketAddr, pid: Option<i32>, sizes: &[usize], batch: usize) -> io::Result<Idle> {
+async fn measure_node(
+    address: SocketAddr,
+    pid: Option<i32>,
+    sizes: &[usize],
+    batch: usize,
+) -> io::Result<Idle> {
     let pid = pid.ok_or_else(|| io::Error::other("the node is no process of its own"))?;
     let mut idle = Idle::default();
     // What the node takes for its first look-ups is not the crowd's.
     lookups(address).await?;
-    sleep(REST).await;
-    let before = memory(pid, "VmRSS:")?;
+    sleep(IDLE_TIME).await;
+    let before = process_memory_kib(pid, "VmRSS:")?;
     let mut held = Vec::new();
     for &size in sizes {
         while held.len() + idle.closed < size {
-            let part = batch.min(size - held.len() - idle.closed);
-            let made = connect(address, held.len(), part).await?;
-            idle.closed += part - made.len();
+            let count = batch.min(size - held.len() - idle.closed);
+            let made = connect(address, held.len(), count).await?;
+            idle.closed += count - made.len();
             held.extend(made);
-            sleep(PAUSE).await;
+            sleep(BATCH_INTERVAL).await;
         }
-        sleep(REST).await;
-        let resident_kib = memory(pid, "VmRSS:")?;
+        sleep(IDLE_TIME).await;
+        let resident_kib = process_memory_kib(pid, "VmRSS:")?;
         let bytes_each = (resident_kib.saturating_sub(before) << 10) as f64 / held.len().max(1) as f64;
         let (p50_ms, p99_ms) = lookups(address).await?;
         idle.crowds.push(Crowd { held: held.len(), resident_kib, bytes_each, p50_ms, p99_ms });
     }
-    let begun = Instant::now();
+    let started = Instant::now();
     let mut speaking = JoinSet::new();
     for (i, mut conn) in held.into_iter().enumerate() {
         speaking.spawn_local(async move {
-            let answered = ask(&mut conn, i).await.is_ok();
-            (answered.then_some(conn), begun.elapsed().as_secs_f64() * 1e3)
+            let answered = send_lookup(&mut conn, i).await.is_ok();
+            (answered.then_some(conn), started.elapsed().as_secs_f64() * 1e3)
         });
     }
     let mut held = Vec::new();
@@ -132,40 +137,40 @@
         idle.burst_ms = idle.burst_ms.max(at);
     }
     idle.answered = held.len();
-    idle.peak_kib = memory(pid, "VmHWM:")?;
-    sleep(REST).await;
+    idle.peak_kib = process_memory_kib(pid, "VmHWM:")?;
+    sleep(IDLE_TIME).await;
     kill(Pid::from_raw(pid), Signal::SIGTERM)?;
-    let begun = Instant::now();
+    let started = Instant::now();
     let mut closing = JoinSet::new();
     for mut conn in held {
         closing.spawn_local(async move {
-            let ended = timeout(PATIENCE, conn.answer()).await;
+            let ended = timeout(ANSWER_TIMEOUT, conn.answer()).await;
             matches!(ended, Ok(Err(ReadError::Ended { begun: false })))
         });
     }
     while let Some(closed) = closing.join_next().await {
         idle.stopped += usize::from(closed.map_err(io::Error::other)?);
     }
-    idle.stop_ms = begun.elapsed().as_secs_f64() * 1e3;
+    idle.stop_ms = started.elapsed().as_secs_f64() * 1e3;
     Ok(idle)
 }
 
 /// Connections that have asked once, and were kept.
 async fn connect(address: SocketAddr, first: usize, count: usize) -> io::Result<Vec<Conn>> {
-    let places = Arc::new(Semaphore::new(AT_ONCE));
+    let places = Arc::new(Semaphore::new(CONCURRENT_CONNECTS));
     let mut making = JoinSet::new();
     for i in first..first + count {
         let place = places.clone().acquire_owned().await.map_err(io::Error::other)?;
         making.spawn_local(async move {
             let mut conn = Conn::new(TcpStream::connect(address).await?)?;
-            let kept = ask(&mut conn, i).await?;
+            let kept = send_lookup(&mut conn, i).await?;
             drop(place);
             Ok::<_, io::Error>(kept.then_some(conn))
         });
     }
     let mut made = Vec::new();
-    while let Some(one) = making.join_next().await {
-        made.extend(one.map_err(io::Error::other)??);
+    while let Some(connected) = making.join_next().await {
+        made.extend(connected.map_err(io::Error::other)??);
     }
     Ok(made)
 }
@@ -173,16 +178,16 @@
 /// The 50th and 99th percentile of look-ups, in milliseconds.
 async fn lookups(address: SocketAddr) -> io::Result<(f32, f32)> {
     let mut asking = JoinSet::new();
-    for asker in 0..ASKERS {
+    for connection in 0..LOOKUP_CONNECTIONS {
         asking.spawn_local(async move {
             let mut conn = Conn::new(TcpStream::connect(address).await?)?;
             let mut took: Vec<f32> = Vec::new();
-            for i in 0..LOOKUPS / ASKERS {
-                let begun = Instant::now();
-                if !ask(&mut conn, 10_000_000 + i * ASKERS + asker).await? {
+            for i in 0..LOOKUPS / LOOKUP_CONNECTIONS {
+                let started = Instant::now();
+                if !send_lookup(&mut conn, 10_000_000 + i * LOOKUP_CONNECTIONS + connection).await? {
                     conn = Conn::new(TcpStream::connect(address).await?)?;
                 }
-                took.push(begun.elapsed().as_secs_f32() * 1e3);
+                took.push(started.elapsed().as_secs_f32() * 1e3);
             }
             Ok::<_, io::Error>(took)
         });
@@ -195,19 +200,19 @@
 }
 
 /// One request, to its answer: whatever it says, it is one. Whether the connection stays.
-async fn ask(conn: &mut Conn, number: usize) -> io::Result<bool> {
-    let text = format!(
+async fn send_lookup(conn: &mut Conn, number: usize) -> io::Result<bool> {
+    let request = format!(
         "GET /api/{:x} HTTP/1.1\r\nHost: lab\r\nReq-Id: by-hand-{number}\r\nReq-Kind: lookup\r\n\
          Req-Deadline-Ms: 600\r\n\r\n",
         number % 64
     );
-    conn.write(text.as_bytes()).await?;
-    let answer = timeout(PATIENCE, conn.answer()).await?.map_err(io::Error::other)?;
+    conn.write(request.as_bytes()).await?;
+    let answer = timeout(ANSWER_TIMEOUT, conn.answer()).await?.map_err(io::Error::other)?;
     Ok(!answer.close)
 }
 
 /// A line of a process's memory, in KiB (proc(5): `VmRSS:` now, `VmHWM:` at its most).
-fn memory(pid: i32, name: &str) -> io::Result<u64> {
+fn process_memory_kib(pid: i32, name: &str) -> io::Result<u64> {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
     let line = status.lines().find_map(|line| line.strip_prefix(name));
     line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok())
