Name the scenario's numbers and the plan's draws in the terms of the field

Within, Times, Millis, LEAST and MOST are Bounded, Factor, Milliseconds, MIN and MAX; usual_* are default_*; in the plan t, once, most, times and part are now, scanned_keys, max_factor, factor_at and draw.

--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -11,9 +11,9 @@
 /// Spread of a request's work: the standard deviation of its logarithm.
 const WORK_SIGMA: f64 = 0.5;
 /// Bytes of a value: the median, and the standard deviation of the logarithm.
-const SIZE: (f64, f64) = (600.0, 0.8);
+const VALUE_SIZE: (f64, f64) = (600.0, 0.8);
 /// The largest value: a body may hold 64 KiB.
-const LARGEST: f64 = 60_000.0;
+const MAX_VALUE_SIZE: f64 = 60_000.0;
 
 /// One request, with all its tries.
 #[derive(Clone, Debug, PartialEq)]
@@ -48,22 +48,22 @@
         let work = LogNormal::new(-WORK_SIGMA * WORK_SIGMA / 2.0, WORK_SIGMA);
         let end = scenario.seconds.get();
         // Thinning: drawn at the highest rate, and kept by how far the rate is under it (Lewis and Shedler 1979).
-        let times = |t: f64| load.changes.iter().map(|change| change.times(t, end)).product::<f64>();
-        let most = load.changes.iter().map(Change::most).product::<f64>();
-        let (mut t, mut arrivals, mut once) = (0.0, Vec::new(), 0u64);
+        let factor_at = |now: f64| load.changes.iter().map(|change| change.factor(now, end)).product::<f64>();
+        let max_factor = load.changes.iter().map(Change::max_factor).product::<f64>();
+        let (mut now, mut arrivals, mut scanned_keys) = (0.0, Vec::new(), 0u64);
         loop {
             let gap: f64 = Exp1.sample(&mut random);
-            t += gap / (load.rate.get() * most);
-            if t >= end {
+            now += gap / (load.rate.get() * max_factor);
+            if now >= end {
                 break;
             }
-            if random.random::<f64>() * most >= times(t) {
+            if random.random::<f64>() * max_factor >= factor_at(now) {
                 continue;
             }
-            let mut part = random.random::<f64>();
+            let mut draw = random.random::<f64>();
             let class = scenario.classes.iter().position(|class| {
-                part -= class.share.get();
-                part < 0.0
+                draw -= class.share.get();
+                draw < 0.0
             });
             let class = class.unwrap_or(scenario.classes.len() - 1);
             let rank = zipf.as_ref().map_or(0.0, |zipf| zipf.sample(&mut random)) as u64;
@@ -72,26 +72,28 @@
                 for change in &load.changes {
                     match change {
                         Change::HotKey { at_s, for_s, share, keys }
-                            if within(t, at_s.get(), for_s.get()) && random.random::<f64>() < share.get() =>
+                            if within(now, at_s.get(), for_s.get())
+                                && random.random::<f64>() < share.get() =>
                         {
                             key = mix(!seed ^ random.random_range(0..u64::from((*keys).max(1))));
                         }
                         Change::Scan { at_s, for_s, share }
-                            if within(t, at_s.get(), for_s.get()) && random.random::<f64>() < share.get() =>
+                            if within(now, at_s.get(), for_s.get())
+                                && random.random::<f64>() < share.get() =>
                         {
-                            once += 1;
-                            key = mix(seed.rotate_left(32) ^ once);
+                            scanned_keys += 1;
+                            key = mix(seed.rotate_left(32) ^ scanned_keys);
                         }
                         _ => {}
                     }
                 }
             }
-            let factor = work.as_ref().map_or(1.0, |work| work.sample(&mut random));
+            let work_factor = work.as_ref().map_or(1.0, |work| work.sample(&mut random));
             arrivals.push(Arrival {
-                due: Duration::from_secs_f64(t),
+                due: Duration::from_secs_f64(now),
                 class,
                 key,
-                work: Duration::from_secs_f64(scenario.classes[class].work_ms.get() / 1e3 * factor),
+                work: Duration::from_secs_f64(scenario.classes[class].work_ms.get() / 1e3 * work_factor),
                 heeds: random.random::<f64>() < load.heed.get(),
             });
         }
@@ -101,30 +103,31 @@
     /// Bytes of a key's value; the same for all servers.
     pub fn size(&self, key: u64) -> usize {
         let mut random = ChaCha8Rng::seed_from_u64(self.seed ^ key);
-        let size = LogNormal::new(SIZE.0.ln(), SIZE.1).map_or(SIZE.0, |size| size.sample(&mut random));
-        size.clamp(64.0, LARGEST) as usize
+        let size = LogNormal::new(VALUE_SIZE.0.ln(), VALUE_SIZE.1)
+            .map_or(VALUE_SIZE.0, |size| size.sample(&mut random));
+        size.clamp(64.0, MAX_VALUE_SIZE) as usize
     }
 }
 
-fn within(t: f64, at: f64, long: f64) -> bool {
-    (at..at + long).contains(&t)
+fn within(now: f64, start: f64, duration: f64) -> bool {
+    (start..start + duration).contains(&now)
 }
 
 impl Change {
     /// What it makes of the rate at this second of so many.
-    fn times(&self, t: f64, end: f64) -> f64 {
+    fn factor(&self, now: f64, end: f64) -> f64 {
         match self {
             Self::Wave { period_s, depth } => {
-                1.0 + depth.get() * (t / period_s.get() * std::f64::consts::TAU).sin()
+                1.0 + depth.get() * (now / period_s.get() * std::f64::consts::TAU).sin()
             }
-            Self::Burst { at_s, for_s, times } if within(t, at_s.get(), for_s.get()) => times.get(),
-            Self::Ramp { to } => 1.0 + (to.get() - 1.0) * t / end,
+            Self::Burst { at_s, for_s, times } if within(now, at_s.get(), for_s.get()) => times.get(),
+            Self::Ramp { to } => 1.0 + (to.get() - 1.0) * now / end,
             _ => 1.0,
         }
     }
 
     /// The most that it makes of the rate.
-    fn most(&self) -> f64 {
+    fn max_factor(&self) -> f64 {
         match self {
             Self::Wave { depth, .. } => 1.0 + depth.get(),
             Self::Burst { times, .. } => times.get().max(1.0),
--- a/crates/lab/src/rules/tests.rs
+++ b/crates/lab/src/rules/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::record::{Overload, Told};
-use crate::scenario::usual_classes;
+use crate::scenario::default_classes;
 
 const ID: TryId = TryId { arrival: 7, number: 0 };
 
@@ -14,7 +14,7 @@
 
 fn broken(class: usize, tries: Vec<Try>, attempts: Vec<Attempt>, told: Vec<Told>) -> Vec<Rule> {
     let record = Record { tries, attempts, told, ..Record::default() };
-    check(&record, &usual_classes(), |_| class).into_iter().map(|breach| breach.rule).collect()
+    check(&record, &default_classes(), |_| class).into_iter().map(|breach| breach.rule).collect()
 }
 
 // Guards against a checker that cannot fail, and against one that blames a node for what it may do.
@@ -30,7 +30,7 @@
     assert_eq!(broken(0, vec![asked(End::TimedOut)], ran(), vec![]), []);
     let lives = vec![(0, Life::Killed, 50_000, String::new())];
     let record = Record { tries: broke(true), attempts: ran(), lives, ..Record::default() };
-    assert_eq!(check(&record, &usual_classes(), |_| 0), [], "its node was killed");
+    assert_eq!(check(&record, &default_classes(), |_| 0), [], "its node was killed");
 }
 
 #[test]
@@ -69,7 +69,7 @@
     let unheard = |at, changed| {
         let record =
             Record { attempts: vec![attempt(1, at, AttemptOutcome::Ran)], changed, ..Record::default() };
-        check(&record, &usual_classes(), |_| 0).len()
+        check(&record, &default_classes(), |_| 0).len()
     };
     assert_eq!(unheard(6_200_000, vec![(1, false, 0)]), 0);
     assert_eq!(unheard(6_400_000, vec![(1, false, 0)]), 1);
@@ -81,7 +81,7 @@
     let overload = |server, cold_share| Overload { server, at: 1, sent: 9.0, capacity: 3.0, cold_share };
     let rules = |overload| {
         let record = Record { overloads: vec![overload], ..Record::default() };
-        check(&record, &usual_classes(), |_| 0).len()
+        check(&record, &default_classes(), |_| 0).len()
     };
     assert_eq!(
         (rules(overload(Some(1), 1.0)), rules(overload(None, 0.5)), rules(overload(None, 0.1))),
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -7,8 +7,8 @@
 
 pub use fault::{Fault, Kind};
 pub use fleet::{Database, Fleet};
-pub use load::{usual_classes, Change, Class, Effect, Load};
-pub use number::{Millis, Seconds, Share, Times, Within};
+pub use load::{default_classes, Change, Class, Effect, Load};
+pub use number::{Bounded, Factor, Milliseconds, Seconds, Share};
 
 use serde::{Deserialize, Serialize};
 use std::path::{Path, PathBuf};
@@ -45,7 +45,7 @@
     /// One line on what it is for.
     pub about: String,
     /// How long load arrives, in seconds.
-    pub seconds: Within<100, 3_600_000>,
+    pub seconds: Bounded<100, 3_600_000>,
     /// Of all that is drawn, unless the command names another.
     #[serde(default)]
     pub seed: u64,
@@ -58,7 +58,7 @@
     /// What is asked.
     pub load: Load,
     /// Classes of requests; the usual three where none stands here.
-    #[serde(default = "usual_classes", rename = "class")]
+    #[serde(default = "default_classes", rename = "class")]
     pub classes: Vec<Class>,
     /// What goes wrong.
     #[serde(default, rename = "fault")]
@@ -82,7 +82,7 @@
     /// At most this share of the tries is refused.
     pub refused: Option<Share>,
     /// The 99th percentile of served requests, at most.
-    pub p99_ms: Option<Millis>,
+    pub p99_ms: Option<Milliseconds>,
 }
 
 impl Scenario {
@@ -95,15 +95,15 @@
 
     /// Reads a scenario from its text; `path` is for the errors.
     pub fn parse(text: &str, path: &Path) -> Result<Self, ScenarioError> {
-        let bad = |at: usize, what: String| {
-            let line = text.get(..at).unwrap_or_default().matches('\n').count() + 1;
+        let malformed = |offset: usize, what: String| {
+            let line = text.get(..offset).unwrap_or_default().matches('\n').count() + 1;
             ScenarioError::Malformed { path: path.into(), line, what }
         };
         let scenario: Self = toml::from_str(text).map_err(|error| {
             let what = error.message().lines().collect::<Vec<_>>().join(" ");
-            bad(error.span().map_or(0, |span| span.start), what)
+            malformed(error.span().map_or(0, |span| span.start), what)
         })?;
-        scenario.check().map_err(|(at, what)| bad(at, what))?;
+        scenario.check().map_err(|(offset, what)| malformed(offset, what))?;
         Ok(scenario)
     }
 
@@ -137,11 +137,11 @@
             return Err(format!("zone {zone:?} is none of {:?}", self.fleet.zones));
         }
         let targets = fault.target_servers(&self.fleet);
-        if let Some(i) = targets.iter().find(|&&i| i >= self.fleet.servers) {
-            return Err(format!("server {i} is none of 0 to {}", self.fleet.servers - 1));
+        if let Some(server) = targets.iter().find(|&&server| server >= self.fleet.servers) {
+            return Err(format!("server {server} is none of 0 to {}", self.fleet.servers - 1));
         }
-        if let Some(i) = fault.nodes.iter().find(|&&i| i >= self.fleet.nodes) {
-            return Err(format!("node {i} is none of 0 to {}", self.fleet.nodes - 1));
+        if let Some(node) = fault.nodes.iter().find(|&&node| node >= self.fleet.nodes) {
+            return Err(format!("node {node} is none of 0 to {}", self.fleet.nodes - 1));
         }
         if fault.kind.targets_servers() && targets.is_empty() {
             return Err(format!("a fault of kind {kind} needs servers or a zone"));
--- a/crates/lab/src/scenario/fault.rs
+++ b/crates/lab/src/scenario/fault.rs
@@ -1,7 +1,7 @@
 //! Faults on the time line: what goes wrong, when, and with which servers or nodes.
 
 use super::fleet::Fleet;
-use super::number::{Seconds, Times, Within};
+use super::number::{Bounded, Factor, Seconds};
 use serde::{Deserialize, Serialize};
 
 /// Something that goes wrong, from `at_s` on; with `for_s` it ends by itself.
@@ -23,23 +23,23 @@
     #[serde(default)]
     pub nodes: Vec<usize>,
     /// For `slow`: so many times slower. For `discovery_late`: seconds.
-    pub by: Option<Times>,
+    pub by: Option<Factor>,
     /// For `drain`: so many seconds after it is gone it is back, cold; else it stays away.
     pub back_s: Option<Seconds>,
     /// Each server or node so many seconds after the one before.
-    #[serde(default = "Fault::together")]
+    #[serde(default = "Fault::no_interval")]
     pub apart_s: Seconds,
 }
 
 impl Fault {
-    fn together() -> Seconds {
-        Within(0.0)
+    fn no_interval() -> Seconds {
+        Bounded(0.0)
     }
 
     /// The servers it targets, of so many dealt out over these zones.
     pub fn target_servers(&self, fleet: &Fleet) -> Vec<usize> {
         match &self.zone {
-            Some(zone) => (0..fleet.servers).filter(|&i| fleet.zone(i) == zone).collect(),
+            Some(zone) => (0..fleet.servers).filter(|&server| fleet.zone(server) == zone).collect(),
             None => self.servers.clone(),
         }
     }
--- a/crates/lab/src/scenario/fleet.rs
+++ b/crates/lab/src/scenario/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet under load: nodes, cache servers and the player database.
 
-use super::number::{share, Millis, Seconds, Share, Times, Within};
+use super::number::{share, Bounded, Factor, Milliseconds, Seconds, Share};
 use serde::{Deserialize, Serialize};
 
 /// Nodes and cache servers.
@@ -16,7 +16,7 @@
     /// Cores of a server.
     pub cores: usize,
     /// Speed of a core, of a standard one; servers are spread evenly from the first to the second.
-    pub speed: [Times; 2],
+    pub speed: [Factor; 2],
     /// Requests that may wait at a server; more are turned away with `Srv-Declined: 1`.
     pub queue: usize,
     /// Connections that a server holds; more are reset.
@@ -28,7 +28,7 @@
     /// And all of it after so many seconds, evenly.
     pub warm_s: Seconds,
     /// Sent more than this multiple of its capacity for `fall_s` while cold, it falls over and stays down.
-    pub fall_times: Times,
+    pub fall_times: Factor,
     /// See `fall_times`, in seconds.
     pub fall_s: Seconds,
     /// Servers close a connection that has stood idle for so many seconds.
@@ -58,23 +58,23 @@
             servers: 9,
             zones: vec!["a".into(), "b".into(), "c".into()],
             cores: 1,
-            speed: [Within(0.8), Within(1.6)],
+            speed: [Bounded(0.8), Bounded(1.6)],
             queue: 64,
             connections: 256,
             memory_kib: 2048,
-            cold_share: Within(0.31),
-            warm_s: Within(4.0),
-            fall_times: Within(3.0),
-            fall_s: Within(1.5),
-            idle_close_s: Within(15.0),
+            cold_share: Bounded(0.31),
+            warm_s: Bounded(4.0),
+            fall_times: Bounded(3.0),
+            fall_s: Bounded(1.5),
+            idle_close_s: Bounded(15.0),
             drops_cancelled: true,
             reports: false,
             probes: false,
-            discovery_late_s: Within(0.3),
+            discovery_late_s: Bounded(0.3),
             sockets: 1024,
             memory_mb: 192,
             clients: share(1.0 / 3.0),
-            front_late_s: Within(1.0),
+            front_late_s: Bounded(1.0),
         }
     }
 }
@@ -93,11 +93,11 @@
     /// Fetches and writes that it works on at once.
     pub workers: usize,
     /// Mean time of one, in milliseconds.
-    pub work_ms: Millis,
+    pub work_ms: Milliseconds,
     /// Those that may wait; more fail at once.
     pub queue: usize,
     /// Sent more than this multiple of what it can do for `fall_s`, it stops.
-    pub fall_times: Times,
+    pub fall_times: Factor,
     /// See `fall_times`, in seconds.
     pub fall_s: Seconds,
     /// For so many seconds.
@@ -108,11 +108,11 @@
     fn default() -> Self {
         Self {
             workers: 8,
-            work_ms: Within(20.0),
+            work_ms: Bounded(20.0),
             queue: 400,
-            fall_times: Within(2.5),
-            fall_s: Within(3.0),
-            down_s: Within(3.0),
+            fall_times: Bounded(2.5),
+            fall_s: Bounded(3.0),
+            down_s: Bounded(3.0),
         }
     }
 }
--- a/crates/lab/src/scenario/load.rs
+++ b/crates/lab/src/scenario/load.rs
@@ -1,6 +1,6 @@
 //! The load: its rate, its changes over time, how clients retry, and the classes of requests.
 
-use super::number::{share, Millis, Seconds, Share, Times, Within};
+use super::number::{share, Bounded, Factor, Milliseconds, Seconds, Share};
 use serde::{Deserialize, Serialize};
 
 /// What is asked, and how clients behave.
@@ -8,24 +8,24 @@
 #[serde(deny_unknown_fields)]
 pub struct Load {
     /// First tries a second.
-    pub rate: Within<1, 200_000_000>,
+    pub rate: Bounded<1, 200_000_000>,
     /// Keys there are.
-    #[serde(default = "Load::usual_keys")]
+    #[serde(default = "Load::default_keys")]
     pub keys: u32,
     /// Exponent of their Zipf distribution.
-    #[serde(default = "Load::usual_zipf")]
-    pub zipf: Within<1, 5_000>,
+    #[serde(default = "Load::default_zipf")]
+    pub zipf: Bounded<1, 5_000>,
     /// Tries a client makes after the first.
-    #[serde(default = "Load::usual_retries")]
+    #[serde(default = "Load::default_retries")]
     pub retries: u8,
     /// It waits so long before each.
-    #[serde(default = "Load::usual_wait")]
-    pub retry_wait_ms: Millis,
+    #[serde(default = "Load::default_wait")]
+    pub retry_wait_ms: Milliseconds,
     /// A try is given up after this share of its class's deadline.
-    #[serde(default = "Load::usual_patience")]
+    #[serde(default = "Load::default_patience")]
     pub patience: Share,
     /// Share of the clients that heed `Retry-After`.
-    #[serde(default = "Load::usual_heed")]
+    #[serde(default = "Load::default_heed")]
     pub heed: Share,
     /// Changes of the load on the time line.
     #[serde(default, rename = "change")]
@@ -33,22 +33,22 @@
 }
 
 impl Load {
-    fn usual_keys() -> u32 {
+    fn default_keys() -> u32 {
         20_000
     }
-    fn usual_zipf() -> Within<1, 5_000> {
-        Within(1.0)
+    fn default_zipf() -> Bounded<1, 5_000> {
+        Bounded(1.0)
     }
-    fn usual_retries() -> u8 {
+    fn default_retries() -> u8 {
         2
     }
-    fn usual_wait() -> Millis {
-        Within(20.0)
+    fn default_wait() -> Milliseconds {
+        Bounded(20.0)
     }
-    fn usual_patience() -> Share {
+    fn default_patience() -> Share {
         share(0.5)
     }
-    fn usual_heed() -> Share {
+    fn default_heed() -> Share {
         share(0.0)
     }
 }
@@ -60,7 +60,7 @@
     /// A sine over the whole time: the rate goes up and down by this share.
     Wave {
         /// Seconds from crest to crest.
-        period_s: Within<10, 3_600_000>,
+        period_s: Bounded<10, 3_600_000>,
         /// Of the rate.
         depth: Share,
     },
@@ -71,12 +71,12 @@
         /// For.
         for_s: Seconds,
         /// Of the rate.
-        times: Times,
+        times: Factor,
     },
     /// Evenly from the rate at the start to this multiple at the end.
     Ramp {
         /// At the end.
-        to: Times,
+        to: Factor,
     },
     /// A few keys draw a share of the reads.
     HotKey {
@@ -135,39 +135,39 @@
     /// What a repeat does.
     pub effect: Effect,
     /// For a keyed class: servers drop repeats for so many seconds.
-    #[serde(default = "Class::usual_window")]
+    #[serde(default = "Class::default_window")]
     pub window_s: Seconds,
     /// Whether it goes on to the database and voids kept copies.
     #[serde(default)]
     pub write: bool,
     /// Mean work on a standard core.
-    pub work_ms: Within<1, 60_000_000>,
+    pub work_ms: Bounded<1, 60_000_000>,
     /// Answers within this time count.
-    pub aim_ms: Within<1_000, 60_000_000>,
+    pub aim_ms: Bounded<1_000, 60_000_000>,
     /// The client's last word.
-    pub deadline_ms: Within<1_000, 60_000_000>,
+    pub deadline_ms: Bounded<1_000, 60_000_000>,
     /// What one is worth.
-    pub worth: Within<0, 1_000_000>,
+    pub worth: Bounded<0, 1_000_000>,
 }
 
 impl Class {
-    fn usual_window() -> Seconds {
-        Within(4.0)
+    fn default_window() -> Seconds {
+        Bounded(4.0)
     }
 }
 
 /// Lookups, queue-joins and entry fees, as the operators' fleet has them, a quarter of the times.
-pub fn usual_classes() -> Vec<Class> {
-    let class = |name: &str, part, effect, write, work, aim, deadline, worth| Class {
+pub fn default_classes() -> Vec<Class> {
+    let class = |name: &str, class_share, effect, write, work, aim, deadline, worth| Class {
         name: name.into(),
-        share: share(part),
+        share: share(class_share),
         effect,
-        window_s: Within(4.0),
+        window_s: Bounded(4.0),
         write,
-        work_ms: Within(work),
-        aim_ms: Within(aim),
-        deadline_ms: Within(deadline),
-        worth: Within(worth),
+        work_ms: Bounded(work),
+        aim_ms: Bounded(aim),
+        deadline_ms: Bounded(deadline),
+        worth: Bounded(worth),
     };
     vec![
         class("lookup", 0.95, Effect::Safe, false, 6.0, 250.0, 625.0, 1.0),
--- a/crates/lab/src/scenario/number.rs
+++ b/crates/lab/src/scenario/number.rs
@@ -2,46 +2,46 @@
 
 use serde::{Deserialize, Serialize};
 
-/// A number from `LEAST` to `MOST`, both in thousandths.
+/// A number from `MIN` to `MAX`, both in thousandths.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(try_from = "f64", into = "f64")]
-pub struct Within<const LEAST: u64, const MOST: u64>(pub(super) f64);
+pub struct Bounded<const MIN: u64, const MAX: u64>(pub(super) f64);
 
-impl<const LEAST: u64, const MOST: u64> Within<LEAST, MOST> {
+impl<const MIN: u64, const MAX: u64> Bounded<MIN, MAX> {
     /// The number.
     pub fn get(self) -> f64 {
         self.0
     }
 }
 
-impl<const LEAST: u64, const MOST: u64> TryFrom<f64> for Within<LEAST, MOST> {
+impl<const MIN: u64, const MAX: u64> TryFrom<f64> for Bounded<MIN, MAX> {
     type Error = String;
     fn try_from(value: f64) -> Result<Self, String> {
-        let (least, most) = (LEAST as f64 / 1e3, MOST as f64 / 1e3);
+        let (min, max) = (MIN as f64 / 1e3, MAX as f64 / 1e3);
         // Not a number is in no range.
-        if value >= least && value <= most {
+        if value >= min && value <= max {
             Ok(Self(value))
         } else {
-            Err(format!("{value} is not a number from {least} to {most}"))
+            Err(format!("{value} is not a number from {min} to {max}"))
         }
     }
 }
 
-impl<const LEAST: u64, const MOST: u64> From<Within<LEAST, MOST>> for f64 {
-    fn from(value: Within<LEAST, MOST>) -> f64 {
+impl<const MIN: u64, const MAX: u64> From<Bounded<MIN, MAX>> for f64 {
+    fn from(value: Bounded<MIN, MAX>) -> f64 {
         value.0
     }
 }
 
 /// A part of a whole, 0 to 1.
-pub type Share = Within<0, 1_000>;
+pub type Share = Bounded<0, 1_000>;
 /// Seconds on the time line, up to an hour.
-pub type Seconds = Within<0, 3_600_000>;
+pub type Seconds = Bounded<0, 3_600_000>;
 /// A multiple, a thousandth to a thousand.
-pub type Times = Within<1, 1_000_000>;
+pub type Factor = Bounded<1, 1_000_000>;
 /// Milliseconds, up to a minute.
-pub type Millis = Within<0, 60_000_000>;
+pub type Milliseconds = Bounded<0, 60_000_000>;
 
 pub(super) fn share(value: f64) -> Share {
-    Within(value)
+    Bounded(value)
 }
