Name the report's and the comparison's parts in whole words

Report and page: Band, WORDED, word, loads, told, it, by, c and t are FaultSpan, MAX_LISTED_BREACHES, end_name, loads_by_second, text_of, figures, by_second, class and tally; comparison: Whole, of and held are Totals, figure and count_holding.

--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 /// Samples of the bootstrap (Efron and Tibshirani 1993, section 13.3).
-const SAMPLES: usize = 10_000;
+const BOOTSTRAP_SAMPLES: usize = 10_000;
 
 /// What a comparison needs of a report.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -22,12 +22,12 @@
     /// Calls at the database.
     pub fetches: u64,
     /// All requests.
-    pub all: Whole,
+    pub all: Totals,
 }
 
 /// Figures of all requests.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
-pub struct Whole {
+pub struct Totals {
     /// Share of the worth in time.
     pub served: f64,
     /// Milliseconds.
@@ -39,7 +39,7 @@
 impl Measured {
     /// Of a report at hand.
     pub fn of(report: &Report) -> Self {
-        let all = Whole { served: report.all.served, p50_ms: report.all.p50_ms, p99_ms: report.all.p99_ms };
+        let all = Totals { served: report.all.served, p50_ms: report.all.p50_ms, p99_ms: report.all.p99_ms };
         Self {
             scenario: report.scenario.clone(),
             seed: report.seed,
@@ -86,21 +86,22 @@
     line(format!("{name}, {} seeds", pairs.len()));
     line(format!("{:<16} {:>10} {:>10} {:>10}  95 % interval of B - A", "", "A", "B", "B - A"));
     let Some((first, _)) = pairs.first() else { return text };
-    for (i, (name, _)) in first.figures().into_iter().enumerate() {
-        let of = |one: &Measured| one.figures()[i].1;
-        let differences: Vec<f64> = pairs.iter().map(|(a, b)| of(b) - of(a)).collect();
+    for (index, (name, _)) in first.figures().into_iter().enumerate() {
+        let figure = |run: &Measured| run.figures()[index].1;
+        let differences: Vec<f64> = pairs.iter().map(|(a, b)| figure(b) - figure(a)).collect();
         let (low, high) = interval(&differences);
         let mean = |values: Vec<f64>| values.iter().sum::<f64>() / values.len() as f64;
-        let a = mean(pairs.iter().map(|(a, _)| of(a)).collect());
-        let b = mean(pairs.iter().map(|(_, b)| of(b)).collect());
+        let a = mean(pairs.iter().map(|(a, _)| figure(a)).collect());
+        let b = mean(pairs.iter().map(|(_, b)| figure(b)).collect());
         line(format!("{name:<16} {a:>10.3} {b:>10.3} {:>+10.3}  {low:+.3} to {high:+.3}", b - a));
     }
-    let held = |which: fn(&(Measured, Measured)) -> bool| pairs.iter().filter(|pair| which(pair)).count();
+    let count_holding =
+        |which: fn(&(Measured, Measured)) -> bool| pairs.iter().filter(|pair| which(pair)).count();
     line(format!(
         "{:<16} {:>10} {:>10}",
         "runs that hold",
-        held(|pair| pair.0.holds),
-        held(|pair| pair.1.holds)
+        count_holding(|pair| pair.0.holds),
+        count_holding(|pair| pair.1.holds)
     ));
     text
 }
@@ -108,14 +109,14 @@
 /// The 95 % interval of the mean, by the bootstrap's percentiles; seeded, so that it is the same each time.
 fn interval(values: &[f64]) -> (f64, f64) {
     let mut random = ChaCha8Rng::seed_from_u64(values.len() as u64);
-    let mut means: Vec<f64> = (0..SAMPLES)
+    let mut means: Vec<f64> = (0..BOOTSTRAP_SAMPLES)
         .map(|_| {
             let drawn = (0..values.len()).map(|_| values[random.random_range(0..values.len())]);
             drawn.sum::<f64>() / values.len() as f64
         })
         .collect();
     means.sort_by(f64::total_cmp);
-    (means[SAMPLES / 40], means[SAMPLES - 1 - SAMPLES / 40])
+    (means[BOOTSTRAP_SAMPLES / 40], means[BOOTSTRAP_SAMPLES - 1 - BOOTSTRAP_SAMPLES / 40])
 }
 
 #[cfg(test)]
--- a/crates/lab/src/page.rs
+++ b/crates/lab/src/page.rs
@@ -1,6 +1,6 @@
 //! A report as one HTML page that needs nothing beside it: the figures as tables, time lines as SVG.
 
-use crate::report::{Band, Figures, Report};
+use crate::report::{FaultSpan, Figures, Report};
 use plotters::prelude::*;
 use thiserror::Error;
 
@@ -12,9 +12,9 @@
     why: String,
 }
 
-const SIZE: (u32, u32) = (960, 240);
+const CHART_SIZE: (u32, u32) = (960, 240);
 /// Server lines in one chart: the busiest ones.
-const LINES: usize = 16;
+const MAX_SERVER_LINES: usize = 16;
 
 /// A line of a chart: its name, and its points by second.
 type Line = (String, Vec<f64>);
@@ -63,13 +63,20 @@
         put("<tr>".into());
         self.ends.values().for_each(|count| put(format!("<td>{count}")));
         put("</table>".into());
-        let by =
+        let by_second =
             |figure: fn(&crate::report::Second) -> f64| self.by_second.iter().map(figure).collect::<Vec<_>>();
         put("<h2>Share of the worth served in time, by the second in which requests were due</h2>".into());
-        put(self.chart("service", "share", &[("served".into(), by(|second| second.served))], Some(1.0))?);
+        put(self.chart(
+            "service",
+            "share",
+            &[("served".into(), by_second(|second| second.served))],
+            Some(1.0),
+        )?);
         put("<h2>Milliseconds from due to answered</h2>".into());
-        let times =
-            [("p50".to_owned(), by(|second| second.p50_ms)), ("p99".to_owned(), by(|second| second.p99_ms))];
+        let times = [
+            ("p50".to_owned(), by_second(|second| second.p50_ms)),
+            ("p99".to_owned(), by_second(|second| second.p99_ms)),
+        ];
         put(self.chart("latency", "ms", &times, None)?);
         put("<h2>Tries a second that did not serve, by cause</h2>".into());
         let causes: Vec<Line> = self
@@ -83,13 +90,13 @@
             .collect();
         put(self.chart("causes", "tries", &causes, None)?);
         put("<h2>Requests held by each server, at most in each second</h2>".into());
-        put(self.chart("held", "requests", &self.servers(), None)?);
+        put(self.chart("held", "requests", &self.busiest_servers(), None)?);
         put("<h2>Calls held by the database, at most in each second</h2>".into());
         let calls = self.database.iter().map(|calls| *calls as f64).collect();
         put(self.chart("database", "calls", &[("database".into(), calls)], None)?);
         if !self.faults.is_empty() {
             put("<h2>Faults</h2><table><tr><th>kind<th>whom<th>from s<th>to s".into());
-            for Band { kind, whom, from, to } in &self.faults {
+            for FaultSpan { kind, whom, from, to } in &self.faults {
                 put(format!("<tr><td>{}<td>{whom}<td>{from:.1}<td>{to:.1}", kind.replace('_', " ")));
             }
             put("</table>".into());
@@ -98,12 +105,12 @@
     }
 
     /// The busiest servers' lines.
-    fn servers(&self) -> Vec<Line> {
+    fn busiest_servers(&self) -> Vec<Line> {
         let count = self.held.first().map_or(0, Vec::len);
         let mut all: Vec<(usize, Vec<f64>)> =
             (0..count).map(|i| (i, self.held.iter().map(|second| second[i] as f64).collect())).collect();
         all.sort_by(|a, b| b.1.iter().sum::<f64>().total_cmp(&a.1.iter().sum()));
-        all.truncate(LINES);
+        all.truncate(MAX_SERVER_LINES);
         all.sort_by_key(|(i, _)| *i);
         all.into_iter().map(|(i, points)| (format!("server {i}"), points)).collect()
     }
@@ -121,12 +128,13 @@
     }
 
     fn draw(&self, svg: &mut String, unit: &str, lines: &[Line], top: Option<f64>) -> Result<(), String> {
-        let told = |error: &dyn std::fmt::Display| error.to_string();
-        let root = SVGBackend::with_string(svg, SIZE).into_drawing_area();
-        let most = lines.iter().flat_map(|(_, points)| points).fold(0.0f64, |most, point| most.max(*point));
+        let text_of = |error: &dyn std::fmt::Display| error.to_string();
+        let root = SVGBackend::with_string(svg, CHART_SIZE).into_drawing_area();
+        let highest =
+            lines.iter().flat_map(|(_, points)| points).fold(0.0f64, |highest, point| highest.max(*point));
         // A chart with a fixed top has one line, which its heading names.
         let top_is_open = top.is_none();
-        let top = top.unwrap_or(most * 1.1).max(1e-3);
+        let top = top.unwrap_or(highest * 1.1).max(1e-3);
         let end = (self.by_second.len() as f64).max(1.0);
         let mut chart = ChartBuilder::on(&root)
             .margin(8)
@@ -134,15 +142,15 @@
             .x_label_area_size(28)
             .y_label_area_size(56)
             .build_cartesian_2d(0.0..end, 0.0..top)
-            .map_err(|error| told(&error))?;
-        let bands = self.faults.iter().map(|Band { from, to, .. }| {
+            .map_err(|error| text_of(&error))?;
+        let bands = self.faults.iter().map(|FaultSpan { from, to, .. }| {
             // A fault of a moment is still to be seen.
             Rectangle::new(
                 [(*from, 0.0), (to.max(from + end / 300.0), top)],
                 RGBColor(200, 60, 40).mix(0.10).filled(),
             )
         });
-        chart.draw_series(bands).map_err(|error| told(&error))?;
+        chart.draw_series(bands).map_err(|error| text_of(&error))?;
         chart
             .configure_mesh()
             .x_desc("s")
@@ -150,14 +158,14 @@
             .light_line_style(TRANSPARENT)
             .bold_line_style(BLACK.mix(0.08))
             .draw()
-            .map_err(|error| told(&error))?;
+            .map_err(|error| text_of(&error))?;
         for (i, (name, points)) in lines.iter().enumerate() {
             let colour = Palette99::pick(i).to_rgba();
             // A second's figure stands over its middle.
             let points = points.iter().enumerate().map(|(second, point)| (second as f64 + 0.5, *point));
             chart
                 .draw_series(LineSeries::new(points, colour.stroke_width(2)))
-                .map_err(|error| told(&error))?
+                .map_err(|error| text_of(&error))?
                 .label(name)
                 .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(2)));
         }
@@ -167,9 +175,9 @@
                 .position(SeriesLabelPosition::UpperRight)
                 .background_style(WHITE.mix(0.7))
                 .draw()
-                .map_err(|error| told(&error))?;
+                .map_err(|error| text_of(&error))?;
         }
-        root.present().map_err(|error| told(&error))
+        root.present().map_err(|error| text_of(&error))
     }
 }
 
@@ -178,18 +186,18 @@
     td:first-child,th:first-child{text-align:left}.well{color:#176b2c}.ill{color:#a61b1b}.small{font-size:13px}\
     h2{font-size:1.05rem;margin:1.6rem 0 .4rem}svg{max-width:100%;height:auto}";
 
-fn row(name: &str, it: &Figures) -> String {
+fn row(name: &str, figures: &Figures) -> String {
     format!(
         "<tr><td>{}<td>{}<td>{:.1} %<td>{}<td>{}<td>{:.1}<td>{:.1}<td>{:.1}<td>{:.1}",
         escape(name),
-        it.asked,
-        it.served * 100.0,
-        it.late,
-        it.unserved,
-        it.p50_ms,
-        it.p90_ms,
-        it.p99_ms,
-        it.most_ms
+        figures.asked,
+        figures.served * 100.0,
+        figures.late,
+        figures.unserved,
+        figures.p50_ms,
+        figures.p90_ms,
+        figures.p99_ms,
+        figures.most_ms
     )
 }
 
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -10,8 +10,8 @@
 
 /// The rig's own lateness past which its figures are doubted: the 99th percentile, in milliseconds.
 pub const LATE_MS: f64 = 5.0;
-/// Breaches worded in full; all of them are counted.
-const WORDED: usize = 20;
+/// Breaches listed in full; all of them are counted.
+const MAX_LISTED_BREACHES: usize = 20;
 
 /// Requests of a class, or of all.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
@@ -53,7 +53,7 @@
 
 /// Something that went wrong, on the time line.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Band {
+pub struct FaultSpan {
     /// Its kind.
     pub kind: String,
     /// Whom it struck.
@@ -104,7 +104,7 @@
     /// By second.
     pub by_second: Vec<Second>,
     /// Faults, and changes of the load that have a beginning.
-    pub faults: Vec<Band>,
+    pub faults: Vec<FaultSpan>,
     /// By second and server: requests held at most.
     pub held: Vec<Vec<usize>>,
     /// By second: calls at the database at most.
@@ -112,7 +112,7 @@
 }
 
 /// A name for how a try ended.
-fn word(end: End) -> &'static str {
+fn end_name(end: End) -> &'static str {
     match end {
         End::Served => "served",
         End::Refused { .. } => "refused",
@@ -188,27 +188,27 @@
     /// Makes a report of a run.
     pub fn new(name: &str, scenario: &Scenario, seed: u64, played: &Played) -> Self {
         let Played { plan, record, breaches, lasted } = played;
-        let begun = record.late.len();
+        let sent_count = record.late.len();
         let mut served: BTreeMap<u32, u64> = BTreeMap::new();
         let mut ends = BTreeMap::new();
         let seconds = lasted.as_secs_f64().min(scenario.seconds.get());
         let mut by_second: Vec<(Tally, BTreeMap<&'static str, u64>)> =
             (0..seconds.ceil() as usize).map(|_| (Tally::new(), BTreeMap::new())).collect();
-        for one in &record.tries {
-            *ends.entry(word(one.end)).or_insert(0) += 1;
-            let TryId { arrival, .. } = one.id;
-            if one.end == End::Served {
-                served.entry(arrival).or_insert(one.ended);
-            } else if let Some((_, ends)) = by_second.get_mut((one.due / 1_000_000) as usize) {
-                *ends.entry(word(one.end)).or_insert(0) += 1;
+        for tried in &record.tries {
+            *ends.entry(end_name(tried.end)).or_insert(0) += 1;
+            let TryId { arrival, .. } = tried.id;
+            if tried.end == End::Served {
+                served.entry(arrival).or_insert(tried.ended);
+            } else if let Some((_, ends)) = by_second.get_mut((tried.due / 1_000_000) as usize) {
+                *ends.entry(end_name(tried.end)).or_insert(0) += 1;
             }
         }
         let mut all = Tally::new();
         let mut classes: Vec<_> = scenario.classes.iter().map(|_| Tally::new()).collect();
-        for (i, arrival) in plan.arrivals.iter().take(begun).enumerate() {
+        for (index, arrival) in plan.arrivals.iter().take(sent_count).enumerate() {
             let class = &scenario.classes[arrival.class];
             let due = arrival.due.as_micros() as u64;
-            let took = served.get(&(i as u32)).map(|at| at.saturating_sub(due));
+            let took = served.get(&(index as u32)).map(|at| at.saturating_sub(due));
             let aim = (class.aim_ms.get() * 1e3) as u64;
             let second = by_second.get_mut(arrival.due.as_secs() as usize).map(|(tally, _)| tally);
             for tally in [Some(&mut all), classes.get_mut(arrival.class), second].into_iter().flatten() {
@@ -230,56 +230,59 @@
                 ends,
             })
             .collect();
-        let (held, database) = loads(record, by_second.len());
+        let (held, database) = loads_by_second(record, by_second.len());
+        let figures_by_class = scenario.classes.iter().zip(&classes);
+        let figures_by_class =
+            figures_by_class.map(|(class, tally)| (class.name.clone(), tally.figures())).collect();
         let mut report = Self {
             scenario: name.to_owned(),
             about: scenario.about.clone(),
             seed,
             holds: breaches.is_empty(),
             seconds,
-            offered: begun as f64 / seconds.max(1e-9),
+            offered: sent_count as f64 / seconds.max(1e-9),
             all: all.figures(),
-            classes: scenario.classes.iter().zip(&classes).map(|(c, t)| (c.name.clone(), t.figures())).collect(),
+            classes: figures_by_class,
             ends,
             attempts: record.attempts.len() as u64,
             fetches: record.fetches,
             worst_second: by_second.iter().map(|second| second.served).fold(1.0, f64::min),
             broken,
-            breaches: breaches.iter().take(WORDED).cloned().collect(),
+            breaches: breaches.iter().take(MAX_LISTED_BREACHES).cloned().collect(),
             unmet: Vec::new(),
             rig_late_ms,
             doubt: (rig_late_ms > LATE_MS).then(|| {
                 format!("the rig itself sent first tries late ({rig_late_ms:.1} ms at the 99th percentile): its figures are no node's")
             }),
             by_second,
-            faults: faults(scenario, record, seconds),
+            faults: fault_spans(scenario, record, seconds),
             held,
             database,
         };
-        report.expectations(scenario);
+        report.check_expectations(scenario);
         report
     }
 
-    fn expectations(&mut self, scenario: &Scenario) {
+    fn check_expectations(&mut self, scenario: &Scenario) {
         let expect = &scenario.expect;
         let tries = self.ends.values().sum::<u64>().max(1) as f64;
         let refused = *self.ends.get("refused").unwrap_or(&0) as f64 / tries;
-        let least = [
+        let minimums = [
             ("served", expect.served.map(|share| share.get()), self.all.served),
             ("worst_second", expect.worst_second.map(|share| share.get()), self.worst_second),
         ];
-        for (name, wanted, got) in least {
-            if let Some(wanted) = wanted.filter(|wanted| got < *wanted) {
-                self.unmet.push(format!("{name} is {got:.3} where at least {wanted} was expected"));
+        for (name, expected, measured) in minimums {
+            if let Some(expected) = expected.filter(|expected| measured < *expected) {
+                self.unmet.push(format!("{name} is {measured:.3} where at least {expected} was expected"));
             }
         }
-        let most = [
+        let maximums = [
             ("refused", expect.refused.map(|share| share.get()), refused),
             ("p99_ms", expect.p99_ms.map(|ms| ms.get()), self.all.p99_ms),
         ];
-        for (name, wanted, got) in most {
-            if let Some(wanted) = wanted.filter(|wanted| got > *wanted) {
-                self.unmet.push(format!("{name} is {got:.3} where at most {wanted} was expected"));
+        for (name, expected, measured) in maximums {
+            if let Some(expected) = expected.filter(|expected| measured > *expected) {
+                self.unmet.push(format!("{name} is {measured:.3} where at most {expected} was expected"));
             }
         }
         self.holds = self.breaches.is_empty() && self.unmet.is_empty();
@@ -300,10 +303,15 @@
             self.all.asked, self.seconds, self.attempts, self.fetches
         ));
         let classes = self.classes.iter().map(|(name, figures)| (name.as_str(), figures));
-        for (name, it) in classes.chain([("all", &self.all)]) {
+        for (name, figures) in classes.chain([("all", &self.all)]) {
             line(format!(
                 "  {name:<12}{:>7} asked {:>5.1} % in time {:>5} late {:>5} unserved, p50 {:>6.1} p99 {:>6.1} ms",
-                it.asked, it.served * 100.0, it.late, it.unserved, it.p50_ms, it.p99_ms
+                figures.asked,
+                figures.served * 100.0,
+                figures.late,
+                figures.unserved,
+                figures.p50_ms,
+                figures.p99_ms
             ));
         }
         let ends: Vec<_> =
@@ -319,14 +327,14 @@
     }
 }
 
-fn faults(scenario: &Scenario, record: &Record, seconds: f64) -> Vec<Band> {
+fn fault_spans(scenario: &Scenario, record: &Record, seconds: f64) -> Vec<FaultSpan> {
     let name = |kind: &Kind| serde_json::to_value(kind).ok().and_then(|kind| Some(kind.as_str()?.to_owned()));
     let load = scenario.load.changes.iter().filter_map(|change| {
-        let (kind, at, long) = change.span()?;
-        let (from, to) = (at.min(seconds), (at + long).min(seconds));
-        Some(Band { kind: kind.to_owned(), whom: "the load".to_owned(), from, to })
+        let (kind, start, duration) = change.span()?;
+        let (from, to) = (start.min(seconds), (start + duration).min(seconds));
+        Some(FaultSpan { kind: kind.to_owned(), whom: "the load".to_owned(), from, to })
     });
-    let struck = record.faults.iter().map(|(kind, from, until, whom)| Band {
+    let faults = record.faults.iter().map(|(kind, from, until, whom)| FaultSpan {
         kind: name(kind).unwrap_or_default(),
         whom: match kind {
             kind if kind.targets_servers() => format!("server {whom}"),
@@ -342,11 +350,11 @@
         }
         .min(seconds),
     });
-    load.chain(struck).collect()
+    load.chain(faults).collect()
 }
 
 /// By second: requests held at each server at most, and calls at the database.
-fn loads(record: &Record, seconds: usize) -> (Vec<Vec<usize>>, Vec<usize>) {
+fn loads_by_second(record: &Record, seconds: usize) -> (Vec<Vec<usize>>, Vec<usize>) {
     let servers = record.samples.iter().map(|sample| sample.server + 1).max().unwrap_or(0);
     let (mut held, mut database) = (vec![vec![0; servers]; seconds], vec![0; seconds]);
     for sample in &record.samples {
