Name the parts of the figures in the terms of the field

Flight, landed, send_on, tell_dropped, Measure, tag, outcome, add and kind are InFlightBatch, batch_finished, send_batches, report_dropped, MetricKind, escape_tag, outcome_tag, add_line and class_name; bounds say what they bound (MAX_BUFFERED_BYTES, MAX_SERIES, MAX_TIMERS_PER_SECOND). Names only: the lines that go out are the same.

--- a/crates/observe/src/figures/batch.rs
+++ b/crates/observe/src/figures/batch.rs
@@ -1,6 +1,6 @@
 //! Batches of lines on their way out, one at a time, and the count of those that got lost.
 
-use super::line::Measure;
+use super::line::MetricKind;
 use super::output::Output;
 use super::{Figures, State};
 use std::io::Write as _;
@@ -8,7 +8,7 @@
 
 /// A batch on its way to the writer.
 #[derive(Clone, Copy, Default)]
-pub(super) struct Flight {
+pub(super) struct InFlightBatch {
     pub(super) bytes: usize,
     dropped: u64,
     pushed_out: u64,
@@ -16,13 +16,13 @@
 
 impl Figures {
     /// Sends batches while one is full or due and none is on its way.
-    pub(super) fn send_on(&self, state: &mut State) {
-        while state.flight.is_none() && (state.lines.len() >= self.batch || state.due > 0) {
+    pub(super) fn send_batches(&self, state: &mut State) {
+        while state.in_flight.is_none() && (state.lines.len() >= self.batch || state.due_bytes > 0) {
             let batch = self.next_batch(state);
             match &self.output {
                 Output::Udp(socket) => {
                     let sent = socket.send(batch.trim_ascii_end());
-                    self.landed(state, sent.is_ok());
+                    self.batch_finished(state, sent.is_ok());
                 }
                 Output::Queue { lane, sink, results } => {
                     let (sink, results) = (sink.clone(), results.clone());
@@ -35,7 +35,7 @@
                         let _ = results.send(written.is_ok());
                     });
                     if !put {
-                        self.landed(state, false);
+                        self.batch_finished(state, false);
                     }
                 }
             }
@@ -48,26 +48,27 @@
         let (dropped, pushed_out) = (state.dropped, state.pushed_out);
         for (name, count) in [("figures.dropped", dropped), ("figures.pushed_out", pushed_out)] {
             if count > 0 {
-                batch.extend(self.line(state, name, &[], count, Measure::Counter).bytes());
+                batch.extend(self.format_line(state, name, &[], count, MetricKind::Counter).bytes());
             }
         }
-        let room = self.batch - batch.len();
-        let mut ends = state.lines.iter().enumerate().take(room).filter(|(_, &byte)| byte == b'\n');
-        let taken = ends.next_back().map_or(0, |(end, _)| end + 1);
+        let remaining_bytes = self.batch - batch.len();
+        let mut line_ends =
+            state.lines.iter().enumerate().take(remaining_bytes).filter(|(_, &byte)| byte == b'\n');
+        let taken = line_ends.next_back().map_or(0, |(end, _)| end + 1);
         batch.extend(state.lines.drain(..taken));
-        state.due = state.due.saturating_sub(taken);
-        state.flight = Some(Flight { bytes: batch.len(), dropped, pushed_out });
+        state.due_bytes = state.due_bytes.saturating_sub(taken);
+        state.in_flight = Some(InFlightBatch { bytes: batch.len(), dropped, pushed_out });
         batch
     }
 
-    pub(super) fn landed(&self, state: &mut State, well: bool) {
-        let flight = state.flight.take().unwrap_or_default();
-        if well {
-            state.dropped -= flight.dropped;
-            state.pushed_out -= flight.pushed_out;
+    pub(super) fn batch_finished(&self, state: &mut State, succeeded: bool) {
+        let batch = state.in_flight.take().unwrap_or_default();
+        if succeeded {
+            state.dropped -= batch.dropped;
+            state.pushed_out -= batch.pushed_out;
         } else {
             state.dropped += 1;
-            state.dropped_ever += 1;
+            state.dropped_total += 1;
         }
     }
 }
--- a/crates/observe/src/figures/line.rs
+++ b/crates/observe/src/figures/line.rs
@@ -8,9 +8,9 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A longer name of a class or host is cut.
-pub(super) const LONGEST_TAG: usize = 64;
+pub(super) const MAX_TAG_BYTES: usize = 64;
 
-pub(super) const fn outcome(status: Status) -> &'static str {
+pub(super) const fn outcome_tag(status: Status) -> &'static str {
     match status {
         Status::Ok => "ok",
         Status::Failed => "failed",
@@ -25,43 +25,43 @@
 }
 
 #[derive(Clone, Copy)]
-pub(super) enum Measure {
+pub(super) enum MetricKind {
     Counter,
     Gauge,
     Timer,
 }
 
 impl Figures {
-    pub(super) fn line(
+    pub(super) fn format_line(
         &self,
         state: &mut State,
         name: &str,
         tags: &[(&str, &str)],
         value: u64,
-        measure: Measure,
+        metric_kind: MetricKind,
     ) -> String {
         let mut line = format!("slatelink.{name}");
         // Writing to a string does not fail.
         let _ = match self.format {
             Format::Statsd => {
-                let unit = match measure {
-                    Measure::Counter => "c",
-                    Measure::Gauge => "g",
-                    Measure::Timer => "ms",
+                let unit = match metric_kind {
+                    MetricKind::Counter => "c",
+                    MetricKind::Gauge => "g",
+                    MetricKind::Timer => "ms",
                 };
                 let _ = write!(line, ":{value}|{unit}");
-                for (i, (name, value)) in tags.iter().enumerate() {
-                    let _ = write!(line, "{}{name}:{value}", if i == 0 { "|#" } else { "," });
+                for (index, (name, value)) in tags.iter().enumerate() {
+                    let _ = write!(line, "{}{name}:{value}", if index == 0 { "|#" } else { "," });
                 }
                 writeln!(line)
             }
             Format::Influx => {
                 let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos();
-                state.stamp = now.max(state.stamp + 1);
+                state.last_timestamp = now.max(state.last_timestamp + 1);
                 for (name, value) in tags {
                     let _ = write!(line, ",{name}={value}");
                 }
-                writeln!(line, " value={value}i {}", state.stamp)
+                writeln!(line, " value={value}i {}", state.last_timestamp)
             }
         };
         line
@@ -69,17 +69,17 @@
 }
 
 /// A tag's value as the format takes it. StatsD has no escapes: what it would read otherwise is replaced.
-pub(super) fn tag(format: Format, text: &str) -> Cow<'_, str> {
-    let cut = &text[..text.floor_char_boundary(LONGEST_TAG)];
-    if cut.is_empty() {
+pub(super) fn escape_tag(format: Format, text: &str) -> Cow<'_, str> {
+    let truncated = &text[..text.floor_char_boundary(MAX_TAG_BYTES)];
+    if truncated.is_empty() {
         return "_".into();
     }
     let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    if cut.chars().all(plain) {
-        return cut.into();
+    if truncated.chars().all(plain) {
+        return truncated.into();
     }
-    let mut value = String::with_capacity(2 * cut.len());
-    for c in cut.chars() {
+    let mut value = String::with_capacity(2 * truncated.len());
+    for c in truncated.chars() {
         match (format, c) {
             (_, c) if c.is_control() || c == '\\' => value.push('_'),
             (Format::Influx, ',' | '=' | ' ') => value.extend(['\\', c]),
--- a/crates/observe/src/figures/tests.rs
+++ b/crates/observe/src/figures/tests.rs
@@ -1,4 +1,4 @@
-use super::line::LONGEST_TAG;
+use super::line::MAX_TAG_BYTES;
 use super::output::Sink;
 use super::*;
 use std::net::{Ipv4Addr, UdpSocket};
@@ -83,18 +83,22 @@
     for i in 0..20_000 {
         let state = &mut *figures.state.borrow_mut();
         for name in ["req.count", "req.time"] {
-            figures.add(state, name, &[("kind", "put"), ("host", "h")], i, Measure::Timer);
+            figures.add_line(state, name, &[("kind", "put"), ("host", "h")], i, MetricKind::Timer);
         }
-        assert!(state.lines.len() + state.flight.unwrap_or_default().bytes <= BUFFER);
-        assert!(state.lines.capacity() <= BUFFER);
+        assert!(state.lines.len() + state.in_flight.unwrap_or_default().bytes <= MAX_BUFFERED_BYTES);
+        assert!(state.lines.capacity() <= MAX_BUFFERED_BYTES);
     }
     let state = figures.state.borrow();
     let text = String::from_utf8(state.lines.iter().copied().collect()).unwrap();
-    assert!(state.lines.len() > BUFFER - CARRIED - 2 * figures.batch, "{} used", state.lines.len());
+    assert!(
+        state.lines.len() > MAX_BUFFERED_BYTES - LOSS_COUNTER_BYTES - 2 * figures.batch,
+        "{} used",
+        state.lines.len()
+    );
     assert!(text.starts_with("slatelink.") && text.ends_with("\n"), "whole lines only");
     assert!(text.lines().last().unwrap().starts_with("slatelink.req.time:19999|ms|"));
     let kept = text.lines().count() as u64;
-    let flown = state.flight.unwrap().bytes as u64;
+    let flown = state.in_flight.unwrap().bytes as u64;
     assert!(state.pushed_out > 0 && state.pushed_out + kept < 40_000 && flown > 0);
     assert!(40_000 - state.pushed_out - kept <= flown / 40, "no line is uncounted");
     drop(state);
@@ -123,13 +127,14 @@
     }
     let seconds = start.elapsed().as_secs() + 1;
     drop(release);
-    let ended = |state: &State| state.flight.is_none() && state.lines.is_empty() && state.counts.is_empty();
+    let ended =
+        |state: &State| state.in_flight.is_none() && state.lines.is_empty() && state.counts.is_empty();
     while !ended(&figures.state.borrow()) {
-        if figures.state.borrow().flight.is_some() {
+        if figures.state.borrow().in_flight.is_some() {
             let well = landed.blocking_recv().unwrap();
             let state = &mut *figures.state.borrow_mut();
-            figures.landed(state, well);
-            figures.send_on(state);
+            figures.batch_finished(state, well);
+            figures.send_batches(state);
         } else {
             figures.flush();
         }
@@ -142,7 +147,7 @@
     assert_eq!(sum("slatelink.req.count"), 100_000);
     assert_eq!(sum("slatelink.attempt.count"), 100_000);
     let timers = text.matches("slatelink.req.time:").count() as u64;
-    assert!(timers <= u64::from(TIMES) * seconds, "{timers} timers in {seconds} s");
+    assert!(timers <= u64::from(MAX_TIMERS_PER_SECOND) * seconds, "{timers} timers in {seconds} s");
     assert_eq!(sum("slatelink.figures.times_left_out") + timers, 100_000);
     std::fs::remove_file(&path).unwrap();
 }
@@ -171,12 +176,12 @@
     let state = &mut *figures.state.borrow_mut();
     for _ in 0..3 {
         figures.next_batch(state);
-        figures.landed(state, false);
+        figures.batch_finished(state, false);
     }
     let batch = figures.next_batch(state);
     assert_eq!(batch, b"slatelink.figures.dropped:3|c\n");
-    figures.landed(state, true);
-    assert_eq!((state.dropped, state.dropped_ever), (0, 3));
+    figures.batch_finished(state, true);
+    assert_eq!((state.dropped, state.dropped_total), (0, 3));
     assert_eq!(figures.next_batch(state), b"");
 }
 
@@ -185,18 +190,19 @@
 fn the_longest_line_fits_the_smallest_batch() {
     let writer = Writer::start().unwrap();
     let (figures, _landed) = figures("format = \"influx\"\nmax_batch_bytes = 512", &writer);
-    let long = tag(Format::Influx, &"=".repeat(1000)).into_owned();
-    assert_eq!(long.len(), 2 * LONGEST_TAG);
+    let long = escape_tag(Format::Influx, &"=".repeat(1000)).into_owned();
+    assert_eq!(long.len(), 2 * MAX_TAG_BYTES);
     let state = &mut State::default();
-    let mut size =
-        |name, tags: &[(&str, &str)], value, measure| figures.line(state, name, tags, value, measure).len();
+    let mut size = |name, tags: &[(&str, &str)], value, metric_kind| {
+        figures.format_line(state, name, tags, value, metric_kind).len()
+    };
     let tags = [("kind", &*long), ("host", &long), ("outcome", "canceled")];
-    let attempt = size("attempt.count", &tags, 1, Measure::Counter);
-    let time = size("req.time", &tags[..2], u64::MAX, Measure::Timer);
-    let carried = size("figures.dropped", &[], u64::MAX, Measure::Counter)
-        + size("figures.pushed_out", &[], u64::MAX, Measure::Counter);
+    let attempt = size("attempt.count", &tags, 1, MetricKind::Counter);
+    let time = size("req.time", &tags[..2], u64::MAX, MetricKind::Timer);
+    let carried = size("figures.dropped", &[], u64::MAX, MetricKind::Counter)
+        + size("figures.pushed_out", &[], u64::MAX, MetricKind::Counter);
     assert!(carried + attempt.max(time) <= figures.batch, "{carried} {attempt} {time}");
-    assert!(carried <= CARRIED);
+    assert!(carried <= LOSS_COUNTER_BYTES);
 }
 
 // Guards against a file whose line broke off and swallows the next one, and against a FIFO's reader that is
