Name the parts of the audit trail in the terms of the field

catch, but, cut, spoiled, rest and Trail::take are catch_signals, except, truncated, write_failed, unwritten and Trail::write; RECORDS, LONGEST, NONE_BEFORE, BEGIN and STOPS are MAX_QUEUED_RECORDS, MAX_LINE_BYTES, FIRST_PREVIOUS_HASH, FIRST_RECORD_START and TERMINATING_SIGNALS.

--- a/crates/observe/src/audit.rs
+++ b/crates/observe/src/audit.rs
@@ -5,7 +5,7 @@
 mod trail;
 mod verify;
 
-pub use signals::{catch, Stop};
+pub use signals::{catch_signals, Stop};
 pub use verify::{verify, Verdict};
 
 use crate::writer::{Lane, Writer};
@@ -20,9 +20,9 @@
 use trail::{Event, Trail};
 
 /// Records that may wait for the disk.
-const RECORDS: usize = 768;
+const MAX_QUEUED_RECORDS: usize = 768;
 /// Longer names in discovery's words are cut.
-const LONGEST_NAME: usize = 256;
+const MAX_NAME_BYTES: usize = 256;
 /// What a host is before discovery names it and once its whole list lacks it.
 const ABSENT: &str = "absent";
 
@@ -48,7 +48,7 @@
             Some(path) => Trail::open(path).map_err(|error| format!("audit: {}: {error}", path.display()))?,
         };
         let audit = Self {
-            lane: writer.lane(RECORDS),
+            lane: writer.lane(MAX_QUEUED_RECORDS),
             trail: Arc::new(Mutex::new(trail)),
             lost: Cell::default(),
             stopped: Cell::default(),
@@ -60,7 +60,7 @@
 
     pub fn start(&self, node: &str) {
         let (pid, version) = (std::process::id(), env!("CARGO_PKG_VERSION"));
-        self.record(Event::Start { node: cut(node), pid, version });
+        self.record(Event::Start { node: truncated(node), pid, version });
     }
 
     pub fn stop(&self, stop: Stop) {
@@ -76,22 +76,22 @@
     /// Discovery's word of hosts.
     pub fn learned(&self, listing: &Listing) {
         let mut health = self.health.borrow_mut();
-        let mut before = if listing.whole { std::mem::take(&mut *health) } else { BTreeMap::new() };
+        let mut previous = if listing.whole { std::mem::take(&mut *health) } else { BTreeMap::new() };
         for host in &listing.hosts {
-            let (id, to) = (host.entry().id, cut(host.health()));
-            let from = health.remove(&id).or_else(|| before.remove(&id));
+            let (id, to) = (host.entry().id, truncated(host.health()));
+            let from = health.remove(&id).or_else(|| previous.remove(&id));
             let known = from.is_some();
             let from = from.unwrap_or_else(|| ABSENT.to_owned());
             let gone = to == "gone";
             if from != to && (known || !gone) {
-                self.record(Event::Health { host: cut(id.as_str()), from, to: to.clone() });
+                self.record(Event::Health { host: truncated(id.as_str()), from, to: to.clone() });
             }
             if !gone {
                 health.insert(id, to);
             }
         }
-        for (id, from) in before {
-            self.record(Event::Health { host: cut(id.as_str()), from, to: ABSENT.to_owned() });
+        for (id, from) in previous {
+            self.record(Event::Health { host: truncated(id.as_str()), from, to: ABSENT.to_owned() });
         }
     }
 
@@ -99,24 +99,24 @@
         if self.stopped.get() {
             return;
         }
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let at_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
-        let (trail, missing) = (self.trail.clone(), self.lost.get());
-        let put = self.lane.put(move |stderr| {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let at_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
+        let (trail, lost) = (self.trail.clone(), self.lost.get());
+        let queued = self.lane.put(move |stderr| {
             let mut trail = trail.lock().unwrap_or_else(PoisonError::into_inner);
-            trail.lost += missing;
-            if let Err(error) = trail.take(stderr, at_ms, &event) {
+            trail.lost += lost;
+            if let Err(error) = trail.write(stderr, at_ms, &event) {
                 trail.lost += 1;
                 // There is nowhere else to report it to.
                 let _ = writeln!(stderr, "audit: a record is not written: {error}");
             }
         });
-        self.lost.set(if put { 0 } else { missing + 1 });
+        self.lost.set(if queued { 0 } else { lost + 1 });
     }
 }
 
-fn cut(text: &str) -> String {
-    text[..text.floor_char_boundary(LONGEST_NAME)].to_owned()
+fn truncated(text: &str) -> String {
+    text[..text.floor_char_boundary(MAX_NAME_BYTES)].to_owned()
 }
 
 #[cfg(test)]
--- a/crates/observe/src/audit/signals.rs
+++ b/crates/observe/src/audit/signals.rs
@@ -17,7 +17,7 @@
 }
 
 /// Signals that end a process which does nothing about them, and that can be caught without harm.
-const STOPS: [(&str, i32); 12] = [
+const TERMINATING_SIGNALS: [(&str, i32); 12] = [
     ("SIGINT", libc::SIGINT),
     ("SIGQUIT", libc::SIGQUIT),
     ("SIGABRT", libc::SIGABRT),
@@ -32,10 +32,10 @@
     ("SIGSTKFLT", libc::SIGSTKFLT),
 ];
 
-/// Catches them from now on, but for those in `but`, which have another use.
-pub fn catch(but: &[i32]) -> io::Result<UnboundedReceiver<Stop>> {
+/// Catches them from now on, but for those in `except`, which have another use.
+pub fn catch_signals(except: &[i32]) -> io::Result<UnboundedReceiver<Stop>> {
     let (caught, stops) = unbounded_channel();
-    for (name, number) in STOPS.iter().filter(|(_, number)| !but.contains(number)) {
+    for (name, number) in TERMINATING_SIGNALS.iter().filter(|(_, number)| !except.contains(number)) {
         let mut signals = signal(SignalKind::from_raw(*number))?;
         let (caught, stop) = (caught.clone(), Stop { signal: name, number: *number as u8 });
         tokio::task::spawn_local(async move {
--- a/crates/observe/src/audit/tests.rs
+++ b/crates/observe/src/audit/tests.rs
@@ -1,4 +1,4 @@
-use super::trail::{LONGEST, NONE_BEFORE};
+use super::trail::{FIRST_PREVIOUS_HASH, MAX_LINE_BYTES};
 use super::*;
 use slatelink_config::digest;
 use std::fs::File;
@@ -36,7 +36,7 @@
 fn a_record_is_as_the_operators_describe_it() {
     let (path, bytes) = trail("form", 2);
     let lines: Vec<_> = std::str::from_utf8(&bytes).unwrap().lines().collect();
-    let mut prev = NONE_BEFORE.to_owned();
+    let mut prev = FIRST_PREVIOUS_HASH.to_owned();
     for (i, line) in lines.iter().enumerate() {
         let body = format!(
             "{{\"seq\":{},\"at_ms\":1718000000123,\"event\":\"health\",\"host\":\"s-\u{e9}{i}\",\
@@ -87,7 +87,7 @@
     assert_eq!(verify(&edited[..]).unwrap(), Verdict::Broken(1));
     assert_eq!(verify(&b""[..]).unwrap(), Verdict::Ok(0));
     assert_eq!(verify(&b"\n"[..]).unwrap(), Verdict::Broken(1));
-    let long = vec![b' '; 3 * LONGEST];
+    let long = vec![b' '; 3 * MAX_LINE_BYTES];
     assert_eq!(verify(&long[..]).unwrap(), Verdict::Torn(1));
     assert_eq!(verify(&[&long[..], b"\n"].concat()[..]).unwrap(), Verdict::Broken(1));
     // A line taken out breaks the one that came after it.
@@ -138,7 +138,7 @@
     let (path, _) = trail("spoiled", 1);
     let (mut trail, _) = Trail::open(&path).unwrap();
     trail.file.as_mut().unwrap().write_all(b"{\"seq\":2,\"at").unwrap();
-    trail.spoiled = true;
+    trail.write_failed = true;
     trail.append(&mut stderr(), 1, &Event::Lost { records: 1 }).unwrap();
     assert_eq!(verify(&std::fs::read(&path).unwrap()[..]).unwrap(), Verdict::Ok(2));
     std::fs::remove_file(path).unwrap();
@@ -151,7 +151,7 @@
     let (mut trail, _) = Trail::open(&path).unwrap();
     let moved = path.with_extension("1");
     std::fs::rename(&path, &moved).unwrap();
-    trail.take(&mut stderr(), 1, &health("s-1")).unwrap();
+    trail.write(&mut stderr(), 1, &health("s-1")).unwrap();
     let [old, new] = [&moved, &path].map(|path| std::fs::read_to_string(path).unwrap());
     assert_eq!(verify(old.as_bytes()).unwrap(), Verdict::Ok(2));
     assert_eq!(verify(new.as_bytes()).unwrap(), Verdict::Ok(2));
@@ -174,7 +174,7 @@
     let long = health(&"h".repeat(5_000));
     let mut lost = 0;
     while lost < 3 {
-        if trail.take(&mut stderr(), 1, &long).is_err() {
+        if trail.write(&mut stderr(), 1, &long).is_err() {
             trail.lost += 1;
             lost += 1;
         }
@@ -182,7 +182,7 @@
     let (mut text, mut bytes) = (Vec::new(), [0; 1 << 16]);
     let n = reader.read(&mut bytes).unwrap();
     text.extend_from_slice(&bytes[..n]);
-    trail.take(&mut stderr(), 1, &health("after")).unwrap();
+    trail.write(&mut stderr(), 1, &health("after")).unwrap();
     while !text.ends_with(b"\n") || !String::from_utf8_lossy(&text).contains("after") {
         let n = reader.read(&mut bytes).unwrap();
         text.extend_from_slice(&bytes[..n]);
@@ -200,7 +200,7 @@
     let audit = Audit::open(Some(&path), &writer).unwrap();
     let (release, held) = std::sync::mpsc::channel::<()>();
     assert!(writer.lane(1).put(move |_| held.recv().unwrap_or_default()));
-    (0..RECORDS + 5).for_each(|i| audit.record(health(&i.to_string())));
+    (0..MAX_QUEUED_RECORDS + 5).for_each(|i| audit.record(health(&i.to_string())));
     release.send(()).unwrap();
     let lines = || std::fs::read_to_string(&path).unwrap().lines().count();
     let start = std::time::Instant::now();
@@ -210,13 +210,13 @@
             std::thread::sleep(std::time::Duration::from_millis(5));
         }
     };
-    wait(RECORDS);
+    wait(MAX_QUEUED_RECORDS);
     audit.stop(Stop::TERMINATE);
     audit.record(health("after the stop"));
-    wait(RECORDS + 2);
+    wait(MAX_QUEUED_RECORDS + 2);
     let text = std::fs::read_to_string(&path).unwrap();
-    assert_eq!(verify(text.as_bytes()).unwrap(), Verdict::Ok(RECORDS as u64 + 2));
-    let last: Vec<_> = text.lines().skip(RECORDS).collect();
+    assert_eq!(verify(text.as_bytes()).unwrap(), Verdict::Ok(MAX_QUEUED_RECORDS as u64 + 2));
+    let last: Vec<_> = text.lines().skip(MAX_QUEUED_RECORDS).collect();
     assert!(last[0].contains("\"event\":\"lost\",\"records\":5,"), "{}", last[0]);
     assert!(last[1].contains("\"event\":\"stop\",\"signal\":\"SIGTERM\""), "{}", last[1]);
     std::fs::remove_file(path).unwrap();
--- a/crates/observe/src/audit/trail.rs
+++ b/crates/observe/src/audit/trail.rs
@@ -10,11 +10,12 @@
 use std::path::{Path, PathBuf};
 
 /// The first line's `prev`.
-pub(super) const NONE_BEFORE: &str = "0000000000000000000000000000000000000000000000000000000000000000";
+pub(super) const FIRST_PREVIOUS_HASH: &str =
+    "0000000000000000000000000000000000000000000000000000000000000000";
 /// A line is longer than this in no trail, and at a start no more is read to find the last ones.
-pub(super) const LONGEST: usize = 64 << 10;
+pub(super) const MAX_LINE_BYTES: usize = 64 << 10;
 /// How the first record of a trail begins.
-const BEGIN: &[u8] = b"{\"seq\":1,";
+const FIRST_RECORD_START: &[u8] = b"{\"seq\":1,";
 
 /// What a record tells.
 #[derive(Debug, Serialize)]
@@ -75,9 +76,9 @@
     /// Bytes of whole records.
     len: u64,
     /// A write broke off: what it left must go before the next one.
-    pub(super) spoiled: bool,
+    pub(super) write_failed: bool,
     /// What a FIFO or device did not take of a record that it has begun: this goes first.
-    rest: Vec<u8>,
+    unwritten: Vec<u8>,
     /// Records that the trail lacks and does not tell of yet.
     pub(super) lost: u64,
     seq: u64,
@@ -86,80 +87,91 @@
 
 impl Default for Trail {
     fn default() -> Self {
-        let prev = NONE_BEFORE.to_owned();
-        let (path, rest) = (PathBuf::new(), Vec::new());
-        Self { file: None, path, regular: false, len: 0, spoiled: false, rest, lost: 0, seq: 0, prev }
+        let prev = FIRST_PREVIOUS_HASH.to_owned();
+        let (path, unwritten) = (PathBuf::new(), Vec::new());
+        Self {
+            file: None,
+            path,
+            regular: false,
+            len: 0,
+            write_failed: false,
+            unwritten,
+            lost: 0,
+            seq: 0,
+            prev,
+        }
     }
 }
 
 impl Trail {
     /// Goes on where the file ends. A last line that broke off is cut, and the event tells of it.
     pub(super) fn open(path: &Path) -> Result<(Self, Option<Event>), String> {
-        let text = |error: io::Error| error.to_string();
-        let new = !path.exists();
+        let describe = |error: io::Error| error.to_string();
+        let is_new = !path.exists();
         let mut options = File::options();
         // Neither opening nor writing waits for a FIFO's reader.
         options.read(true).append(true).create(true).custom_flags(libc::O_NONBLOCK);
-        let mut file = options.open(path).map_err(text)?;
-        if new {
+        let mut file = options.open(path).map_err(describe)?;
+        if is_new {
             // The name must outlive a crash as well. Where the folder cannot be synced the file still is.
             let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty());
             let _ = File::open(folder.unwrap_or(Path::new("."))).and_then(|folder| folder.sync_all());
         }
-        let state = file.metadata().map_err(text)?;
+        let state = file.metadata().map_err(describe)?;
         // A device holds no trail that two could break.
         if state.is_file() {
             file.try_lock().map_err(|error| match error {
                 TryLockError::WouldBlock => "another node writes there".to_owned(),
-                TryLockError::Error(error) => text(error),
+                TryLockError::Error(error) => describe(error),
             })?;
         }
         // Its length only once no other node writes.
-        let state = file.metadata().map_err(text)?;
+        let state = file.metadata().map_err(describe)?;
         let (regular, len) = (state.is_file(), if state.is_file() { state.len() } else { 0 });
-        let from = len.saturating_sub(2 * LONGEST as u64);
-        let mut end = Vec::new();
+        let from = len.saturating_sub(2 * MAX_LINE_BYTES as u64);
+        let mut last_bytes = Vec::new();
         if len > 0 {
-            file.seek(SeekFrom::Start(from)).map_err(text)?;
-            (&mut file).take(len - from).read_to_end(&mut end).map_err(text)?;
+            file.seek(SeekFrom::Start(from)).map_err(describe)?;
+            (&mut file).take(len - from).read_to_end(&mut last_bytes).map_err(describe)?;
         }
-        let whole = end.iter().rposition(|&byte| byte == b'\n').map_or(0, |last| last + 1);
-        let (lines, tail) = end.split_at(whole);
+        let whole_lines = last_bytes.iter().rposition(|&byte| byte == b'\n').map_or(0, |last| last + 1);
+        let (lines, tail) = last_bytes.split_at(whole_lines);
         let (file, path) = (Some(file), path.to_owned());
-        let mut trail = Self { file, path, regular, len: from + whole as u64, ..Self::default() };
+        let mut trail = Self { file, path, regular, len: from + whole_lines as u64, ..Self::default() };
         if let Some(lines) = lines.strip_suffix(b"\n") {
             let last = lines.rsplit(|&byte| byte == b'\n').next().unwrap_or_default();
             let found = check(last).and_then(|record| Some((record.seq?, record.hash)));
             (trail.seq, trail.prev) = found.ok_or("its last whole line is no record of an audit trail")?;
-        } else if from > 0 || !(tail.starts_with(BEGIN) || BEGIN.starts_with(tail)) {
+        } else if from > 0 || !(tail.starts_with(FIRST_RECORD_START) || FIRST_RECORD_START.starts_with(tail))
+        {
             return Err("it is no audit trail".to_owned());
         }
         if tail.is_empty() {
             return Ok((trail, None));
         }
-        let torn = String::from_utf8_lossy(&tail[..tail.len().min(LONGEST / 16)]).into_owned();
+        let torn = String::from_utf8_lossy(&tail[..tail.len().min(MAX_LINE_BYTES / 16)]).into_owned();
         let torn = Event::Torn { bytes: tail.len(), sha256: digest(tail), text: torn };
-        trail.cut().map_err(text)?;
+        trail.truncate_to_last_record().map_err(describe)?;
         Ok((trail, Some(torn)))
     }
 
     /// Cuts off what is no whole record.
-    fn cut(&mut self) -> io::Result<()> {
+    fn truncate_to_last_record(&mut self) -> io::Result<()> {
         if let Some(file) = self.file.as_ref().filter(|_| self.regular) {
             file.set_len(self.len)?;
             file.sync_all()?;
         }
-        self.spoiled = false;
+        self.write_failed = false;
         Ok(())
     }
 
     /// Writes a record, and before it one of those that are missing there.
-    pub(super) fn take(&mut self, stderr: &mut File, at_ms: u64, event: &Event) -> io::Result<()> {
+    pub(super) fn write(&mut self, stderr: &mut File, at_ms: u64, event: &Event) -> io::Result<()> {
         if self.file.as_ref().is_some_and(|file| has_vanished(file, &self.path).unwrap_or(false)) {
-            let (mut new, torn) = Self::open(&self.path).map_err(io::Error::other)?;
-            new.lost = self.lost;
+            let (mut reopened, torn) = Self::open(&self.path).map_err(io::Error::other)?;
+            reopened.lost = self.lost;
             let vanished = Event::Vanished { records: self.seq, last: self.prev.clone() };
-            *self = new;
+            *self = reopened;
             for event in torn.iter().chain([&vanished]) {
                 self.append(stderr, at_ms, event)?;
             }
@@ -173,8 +185,8 @@
 
     /// Writes a record and has it on disk before it returns.
     pub(super) fn append(&mut self, stderr: &mut File, at_ms: u64, event: &Event) -> io::Result<()> {
-        if self.spoiled {
-            self.cut()?;
+        if self.write_failed {
+            self.truncate_to_last_record()?;
         }
         let seq = self.seq + 1;
         let mut line = serde_json::to_string(&Record { seq, at_ms, event, prev: &self.prev })?;
@@ -185,14 +197,14 @@
             None => stderr.write_all(line.as_bytes()),
             Some(file) if self.regular => file.write_all(line.as_bytes()).and_then(|()| file.sync_all()),
             Some(file) => {
-                let (taken, written) = write_part(file, &self.rest);
-                self.rest.drain(..taken);
+                let (taken, written) = write_part(file, &self.unwritten);
+                self.unwritten.drain(..taken);
                 written?;
                 let (taken, written) = write_part(file, line.as_bytes());
                 match written {
                     // Once begun it is a record of the trail: its reader gets the rest of it with the next one.
                     Err(_) if taken > 0 => {
-                        self.rest.extend_from_slice(&line.as_bytes()[taken..]);
+                        self.unwritten.extend_from_slice(&line.as_bytes()[taken..]);
                         Ok(())
                     }
                     written => written,
@@ -200,9 +212,9 @@
             }
         };
         if let Err(error) = written {
-            self.spoiled = true;
+            self.write_failed = true;
             // At once, if that can be: a reader must not see half a record longer than need be.
-            let _ = self.cut();
+            let _ = self.truncate_to_last_record();
             return Err(error);
         }
         self.len += line.len() as u64;
--- a/crates/observe/src/audit/verify.rs
+++ b/crates/observe/src/audit/verify.rs
@@ -1,6 +1,6 @@
 //! The check of a trail: whether each line's hash holds and names the line before it.
 
-use super::trail::{LONGEST, NONE_BEFORE};
+use super::trail::{FIRST_PREVIOUS_HASH, MAX_LINE_BYTES};
 use serde::Deserialize;
 use slatelink_config::digest;
 use std::fmt;
@@ -52,11 +52,11 @@
 
 /// Checks a trail from its first line on.
 pub fn verify(mut trail: impl BufRead) -> io::Result<Verdict> {
-    let (mut prev, mut line, mut count) = (NONE_BEFORE.to_owned(), Vec::new(), 0);
+    let (mut prev, mut line, mut count) = (FIRST_PREVIOUS_HASH.to_owned(), Vec::new(), 0);
     loop {
         count += 1;
         line.clear();
-        (&mut trail).take(LONGEST as u64 + 1).read_until(b'\n', &mut line)?;
+        (&mut trail).take(MAX_LINE_BYTES as u64 + 1).read_until(b'\n', &mut line)?;
         if line.is_empty() {
             return Ok(Verdict::Ok(count - 1));
         }
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -141,8 +141,8 @@
 
     /// The signals, beside those that have a use, which end the node: caught where their names are wanted.
     pub fn stops(&self) -> io::Result<Option<UnboundedReceiver<Stop>>> {
-        let but: &[i32] = if self.hotlist.is_some() { &[libc::SIGUSR1] } else { &[] };
-        self.audit.as_ref().map(|_| audit::catch(but)).transpose()
+        let except: &[i32] = if self.hotlist.is_some() { &[libc::SIGUSR1] } else { &[] };
+        self.audit.as_ref().map(|_| audit::catch_signals(except)).transpose()
     }
 
     /// The node of this name listens.
