Name the writer's queue in the terms of the field

Lane, lane(most), put and settle are BoundedSender, sender(capacity), try_send and flush, as channels call them; the stop's two waits say what they wait for.

--- a/crates/observe/src/audit.rs
+++ b/crates/observe/src/audit.rs
@@ -8,7 +8,7 @@
 pub use signals::{catch_signals, Stop};
 pub use verify::{verify, Verdict};
 
-use crate::writer::{Lane, Writer};
+use crate::writer::{BoundedSender, Writer};
 use slatelink_config::Listing;
 use slatelink_decide::ServerId;
 use std::cell::{Cell, RefCell};
@@ -28,7 +28,7 @@
 
 /// The node's side of the trail. Records are made here and written by the writer's thread.
 pub struct Audit {
-    lane: Lane,
+    sender: BoundedSender,
     trail: Arc<Mutex<Trail>>,
     /// Records that found no place in the queue since the last one that did.
     lost: Cell<u64>,
@@ -48,7 +48,7 @@
             Some(path) => Trail::open(path).map_err(|error| format!("audit: {}: {error}", path.display()))?,
         };
         let audit = Self {
-            lane: writer.lane(MAX_QUEUED_RECORDS),
+            sender: writer.sender(MAX_QUEUED_RECORDS),
             trail: Arc::new(Mutex::new(trail)),
             lost: Cell::default(),
             stopped: Cell::default(),
@@ -102,7 +102,7 @@
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let at_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
         let (trail, lost) = (self.trail.clone(), self.lost.get());
-        let queued = self.lane.put(move |stderr| {
+        let queued = self.sender.try_send(move |stderr| {
             let mut trail = trail.lock().unwrap_or_else(PoisonError::into_inner);
             trail.lost += lost;
             if let Err(error) = trail.write(stderr, at_ms, &event) {
--- a/crates/observe/src/audit/tests.rs
+++ b/crates/observe/src/audit/tests.rs
@@ -199,7 +199,7 @@
     let writer = Writer::start().unwrap();
     let audit = Audit::open(Some(&path), &writer).unwrap();
     let (release, held) = std::sync::mpsc::channel::<()>();
-    assert!(writer.lane(1).put(move |_| held.recv().unwrap_or_default()));
+    assert!(writer.sender(1).try_send(move |_| held.recv().unwrap_or_default()));
     (0..MAX_QUEUED_RECORDS + 5).for_each(|i| audit.record(health(&i.to_string())));
     release.send(()).unwrap();
     let lines = || std::fs::read_to_string(&path).unwrap().lines().count();
--- a/crates/observe/src/figures/batch.rs
+++ b/crates/observe/src/figures/batch.rs
@@ -24,9 +24,9 @@
                     let sent = socket.send(batch.trim_ascii_end());
                     self.batch_finished(state, sent.is_ok());
                 }
-                Output::Queue { lane, sink, results } => {
+                Output::Queue { sender, sink, results } => {
                     let (sink, results) = (sink.clone(), results.clone());
-                    let put = lane.put(move |stderr| {
+                    let queued = sender.try_send(move |stderr| {
                         let written = match &sink {
                             None => stderr.write_all(&batch),
                             Some(sink) => sink.lock().unwrap_or_else(PoisonError::into_inner).write(&batch),
@@ -34,7 +34,7 @@
                         // The node may have stopped meanwhile.
                         let _ = results.send(written.is_ok());
                     });
-                    if !put {
+                    if !queued {
                         self.batch_finished(state, false);
                     }
                 }
--- a/crates/observe/src/figures/output.rs
+++ b/crates/observe/src/figures/output.rs
@@ -1,6 +1,6 @@
 //! Where figures go: a file, standard error or UDP.
 
-use crate::writer::{has_vanished, write_part, Lane, Writer};
+use crate::writer::{has_vanished, write_part, BoundedSender, Writer};
 use slatelink_config::operators::Target;
 use std::fs::File;
 use std::io::{self, Write as _};
@@ -15,7 +15,7 @@
     Udp(UdpSocket),
     /// By the writer's thread, one batch at a time: what waits here can still give way to what is newer.
     Queue {
-        lane: Lane,
+        sender: BoundedSender,
         /// `None` for standard error.
         sink: Option<Arc<Mutex<Sink>>>,
         results: UnboundedSender<bool>,
@@ -30,7 +30,7 @@
         results: UnboundedSender<bool>,
     ) -> Result<Self, String> {
         // A second place: the first is given back only after its batch's result is told.
-        let queue = |sink| Self::Queue { lane: writer.lane(2), sink, results };
+        let queue = |sink| Self::Queue { sender: writer.sender(2), sink, results };
         Ok(match target {
             Target::Stderr => queue(None),
             Target::File(path) => {
--- a/crates/observe/src/figures/tests.rs
+++ b/crates/observe/src/figures/tests.rs
@@ -76,9 +76,9 @@
 fn the_buffer_keeps_its_bound_and_the_oldest_lines_go_first() {
     let writer = Writer::start().unwrap();
     let (figures, mut landed) = figures("target = \"file:/dev/null\"", &writer);
-    let stuck = writer.lane(1);
+    let stuck = writer.sender(1);
     let (release, held) = channel::<()>();
-    assert!(stuck.put(move |_| held.recv().unwrap_or_default()));
+    assert!(stuck.try_send(move |_| held.recv().unwrap_or_default()));
     // The first batch is handed over and stays; what follows must share the rest of the room.
     for i in 0..20_000 {
         let state = &mut *figures.state.borrow_mut();
@@ -113,9 +113,9 @@
     let path = std::env::temp_dir().join(format!("slatelink-merged-{}", std::process::id()));
     let _ = std::fs::remove_file(&path);
     let (figures, mut landed) = figures(&format!("target = \"file:{}\"", path.display()), &writer);
-    let stuck = writer.lane(1);
+    let stuck = writer.sender(1);
     let (release, held) = channel::<()>();
-    assert!(stuck.put(move |_| held.recv().unwrap_or_default()));
+    assert!(stuck.try_send(move |_| held.recv().unwrap_or_default()));
     let (host, start) = (ServerId::from("h"), std::time::Instant::now());
     for i in 0..100_000 {
         figures.taken(ClassId(1));
--- a/crates/observe/src/hotlist.rs
+++ b/crates/observe/src/hotlist.rs
@@ -1,7 +1,7 @@
 //! The hottest keys of each class of requests, counted in bounded memory with the Space-Saving method: of a full list
 //! the entry with the least count gives way, and its successor goes on from that count.
 
-use crate::writer::{Lane, Writer};
+use crate::writer::{BoundedSender, Writer};
 use slatelink_decide::{ClassId, Name};
 use std::cell::RefCell;
 use std::fs::File;
@@ -115,7 +115,7 @@
     window: f64,
     since: Instant,
     lists: RefCell<Vec<List>>,
-    lane: Lane,
+    sender: BoundedSender,
 }
 
 impl HotList {
@@ -134,7 +134,7 @@
             since: Instant::now(),
             lists: RefCell::new(classes.iter().map(list).collect()),
             // One print at a time: another signal meanwhile adds nothing.
-            lane: writer.lane(1),
+            sender: writer.sender(1),
         })
     }
 
@@ -159,7 +159,7 @@
                 print(&mut out, list, capacity, |entry| faded(entry.recent, now - entry.at, window) / span)
             });
         };
-        self.lane.put(write);
+        self.sender.try_send(write);
     }
 }
 
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -74,9 +74,9 @@
 }
 
 /// At a stop the figures wait no longer than this for a pipe that is read slowly.
-const FLUSH: Duration = Duration::from_millis(500);
+const FIGURES_FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 /// And then all features for the writer: a record that it has begun should be on disk.
-const SETTLE: Duration = Duration::from_secs(2);
+const WRITER_FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The features that are on.
 pub struct Observers {
@@ -165,12 +165,12 @@
     /// The node stops: what waits goes out, or is left after a while.
     pub async fn stop(&self, by: Stop) {
         if let Some(figures) = &self.figures {
-            figures.stop(FLUSH).await;
+            figures.stop(FIGURES_FLUSH_TIMEOUT).await;
         }
         if let Some(audit) = &self.audit {
             audit.stop(by);
         }
-        self.writer.settle(SETTLE).await;
+        self.writer.flush(WRITER_FLUSH_TIMEOUT).await;
     }
 }
 
--- a/crates/observe/src/log.rs
+++ b/crates/observe/src/log.rs
@@ -2,7 +2,7 @@
 //! line would stall the node where nobody reads. What may come often goes by topic, a few lines whole and the rest counted:
 //! under overload the log must not become the load.
 
-use crate::writer::{Lane, Writer};
+use crate::writer::{BoundedSender, Writer};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io::{self, Write};
@@ -88,7 +88,7 @@
 impl Log {
     /// A log that writes through `writer`.
     pub(crate) fn new(writer: &Writer, format: Format) -> Self {
-        let sink = Sink { lane: Arc::new(writer.lane(LINES)), lost: Arc::default(), format };
+        let sink = Sink { sender: Arc::new(writer.sender(LINES)), lost: Arc::default(), format };
         let lines = tracing_subscriber::fmt().with_writer(sink).with_ansi(false).with_target(false);
         let lines = match format {
             Format::Text => Dispatch::new(lines.with_level(false).without_time().finish()),
@@ -127,7 +127,7 @@
 /// Where lines go.
 #[derive(Clone, Debug)]
 struct Sink {
-    lane: Arc<Lane>,
+    sender: Arc<BoundedSender>,
     lost: Arc<AtomicU64>,
     format: Format,
 }
@@ -159,7 +159,7 @@
 impl Drop for Line {
     fn drop(&mut self) {
         let line = std::mem::take(&mut self.bytes);
-        let Sink { lane, lost, format } = &self.sink;
+        let Sink { sender, lost, format } = &self.sink;
         let missing = lost.load(Ordering::Relaxed);
         let mut lines = match (missing, format) {
             (0, _) => Vec::new(),
@@ -170,8 +170,8 @@
         };
         lines.extend_from_slice(&line);
         // Where it cannot be written there is nowhere to report that to.
-        let put = lane.put(move |stderr| drop(stderr.write_all(&lines)));
-        lost.store(if put { 0 } else { missing + 1 }, Ordering::Relaxed);
+        let queued = sender.try_send(move |stderr| drop(stderr.write_all(&lines)));
+        lost.store(if queued { 0 } else { missing + 1 }, Ordering::Relaxed);
     }
 }
 
--- a/crates/observe/src/writer.rs
+++ b/crates/observe/src/writer.rs
@@ -14,11 +14,11 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-/// Places in the queue, at least as many as all lanes have together: a lane that has one gets it.
-const QUEUE: usize = 1024;
+/// Places in the queue, at least as many as all senders have together: a sender with room always gets one.
+const QUEUE_CAPACITY: usize = 1024;
 type Job = Box<dyn FnOnce(&mut File) + Send>;
 
-/// The way to the thread. It ends with the process, or when the last lane has gone.
+/// The way to the thread. It ends with the process, or when the last sender has gone.
 #[derive(Debug)]
 pub struct Writer {
     jobs: SyncSender<Job>,
@@ -30,7 +30,7 @@
 
     pub fn start() -> io::Result<Self> {
         let mut stderr = File::from(io::stderr().as_fd().try_clone_to_owned()?);
-        let (jobs, queue) = sync_channel::<Job>(QUEUE);
+        let (jobs, queue) = sync_channel::<Job>(QUEUE_CAPACITY);
         thread::Builder::new().name("writer".to_owned()).spawn(move || {
             for job in queue {
                 job(&mut stderr);
@@ -40,19 +40,19 @@
     }
 
     /// A share of the queue: one that is full takes no place from the others.
-    pub fn lane(&self, most: usize) -> Lane {
-        Lane { jobs: self.jobs.clone(), used: Arc::default(), most }
+    pub fn sender(&self, capacity: usize) -> BoundedSender {
+        BoundedSender { jobs: self.jobs.clone(), queued: Arc::default(), capacity }
     }
 
     /// Waits until all that was put before is written, or for `limit`: a stop must not wait for a stuck pipe.
-    pub async fn settle(&self, limit: Duration) {
+    pub async fn flush(&self, limit: Duration) {
         let (done, settled) = oneshot::channel();
-        let last = self.lane(1);
-        let told = last.put(move |_| {
+        let last = self.sender(1);
+        let queued = last.try_send(move |_| {
             // Nobody waits any more where it came too late.
             let _ = done.send(());
         });
-        if told {
+        if queued {
             let _ = timeout(limit, settled).await;
         }
     }
@@ -64,7 +64,7 @@
     while taken < bytes.len() {
         match file.write(&bytes[taken..]) {
             Ok(0) => return (taken, Err(io::ErrorKind::WriteZero.into())),
-            Ok(n) => taken += n,
+            Ok(written) => taken += written,
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             Err(error) => return (taken, Err(error)),
         }
@@ -80,29 +80,29 @@
     Ok(held.is_file() && named.ok() != Some((held.dev(), held.ino())))
 }
 
-/// See [`Writer::lane`].
+/// See [`Writer::sender`].
 #[derive(Debug)]
-pub struct Lane {
+pub struct BoundedSender {
     jobs: SyncSender<Job>,
-    used: Arc<AtomicUsize>,
-    most: usize,
+    queued: Arc<AtomicUsize>,
+    capacity: usize,
 }
 
-impl Lane {
+impl BoundedSender {
     /// Has the thread do this, with standard error at hand; `false` where no place is left. Never waits.
-    pub fn put(&self, job: impl FnOnce(&mut File) + Send + 'static) -> bool {
+    pub fn try_send(&self, job: impl FnOnce(&mut File) + Send + 'static) -> bool {
         // Only the node's own thread puts, so no other takes the place in between.
-        if self.used.load(Ordering::Acquire) >= self.most {
+        if self.queued.load(Ordering::Acquire) >= self.capacity {
             return false;
         }
-        self.used.fetch_add(1, Ordering::AcqRel);
-        let used = self.used.clone();
+        self.queued.fetch_add(1, Ordering::AcqRel);
+        let queued = self.queued.clone();
         let sent = self.jobs.try_send(Box::new(move |stderr| {
             job(stderr);
-            used.fetch_sub(1, Ordering::AcqRel);
+            queued.fetch_sub(1, Ordering::AcqRel);
         }));
         if sent.is_err() {
-            self.used.fetch_sub(1, Ordering::AcqRel);
+            self.queued.fetch_sub(1, Ordering::AcqRel);
         }
         sent.is_ok()
     }
