Name the log's topics and the hot list's bounds in the terms of the field

Log: span, whole, left_out, take, turn, SPAN, WHOLE and QUIET of a topic are window_start, written_in_window, omitted, admit, summary, WINDOW, LINES_PER_WINDOW and TOPIC_EXPIRY. Hot list: faded, is, cut, CUT, MEMORY and ENTRY are decayed, matches, truncated, TRUNCATION_MARK, MAX_MEMORY_BYTES and ENTRY_BYTES. Names only; what is printed is the same.

--- a/crates/observe/src/hotlist.rs
+++ b/crates/observe/src/hotlist.rs
@@ -11,12 +11,12 @@
 use tokio::time::Instant;
 
 /// A longer key is cut to so many bytes, the mark of the cut included.
-const LONGEST_KEY: usize = 128;
-const CUT: char = '…';
+const MAX_KEY_BYTES: usize = 128;
+const TRUNCATION_MARK: char = '…';
 /// What the allocator may add to a key.
-const OVERHEAD: usize = 16;
+const ALLOCATION_OVERHEAD: usize = 16;
 /// All lists and the copy that is being printed.
-const MEMORY: usize = 1_000_000;
+const MAX_MEMORY_BYTES: usize = 1_000_000;
 
 /// What is known of a key.
 #[derive(Clone, Debug)]
@@ -31,7 +31,7 @@
 }
 
 /// The most that an entry takes: as it is held, and copied to be printed.
-const ENTRY: usize = 2 * (size_of::<Entry>() + LONGEST_KEY + OVERHEAD);
+const ENTRY_BYTES: usize = 2 * (size_of::<Entry>() + MAX_KEY_BYTES + ALLOCATION_OVERHEAD);
 
 /// The list of one class.
 #[derive(Clone, Debug)]
@@ -47,14 +47,14 @@
         let key = Key::new(key);
         let (hash, full) = (key.hash(), self.entries.len() >= capacity);
         // Walked as a whole: of a few hundred entries that takes less than the request's other work.
-        let place = self.entries.iter().position(|entry| entry.hash == hash && key.is(&entry.key));
-        let place = place.unwrap_or_else(|| {
+        let index = self.entries.iter().position(|entry| entry.hash == hash && key.matches(&entry.key));
+        let index = index.unwrap_or_else(|| {
             let new = |count| Entry { key: key.text(), hash, count, recent: 0.0, at: now };
-            let least = self.entries.iter_mut().enumerate().min_by_key(|(_, entry)| entry.count);
-            match least.filter(|_| full) {
-                Some((place, least)) => {
-                    *least = new(least.count);
-                    place
+            let smallest = self.entries.iter_mut().enumerate().min_by_key(|(_, entry)| entry.count);
+            match smallest.filter(|_| full) {
+                Some((index, smallest)) => {
+                    *smallest = new(smallest.count);
+                    index
                 }
                 None => {
                     self.entries.push(new(0));
@@ -62,49 +62,52 @@
                 }
             }
         });
-        let entry = &mut self.entries[place];
+        let entry = &mut self.entries[index];
         entry.count += 1;
-        entry.recent = faded(entry.recent, now - entry.at, window) + 1.0;
+        entry.recent = decayed(entry.recent, now - entry.at, window) + 1.0;
         entry.at = now;
     }
 }
 
-fn faded(recent: f64, age: Duration, window: f64) -> f64 {
+fn decayed(recent: f64, age: Duration, window: f64) -> f64 {
     recent * (-age.as_secs_f64() / window).exp()
 }
 
 /// A key as it is held: whole, or cut with a mark.
 struct Key<'a> {
     head: &'a str,
-    cut: bool,
+    truncated: bool,
 }
 
 impl<'a> Key<'a> {
     fn new(key: &'a str) -> Self {
-        if key.len() <= LONGEST_KEY {
-            return Self { head: key, cut: false };
+        if key.len() <= MAX_KEY_BYTES {
+            return Self { head: key, truncated: false };
+        }
+        Self {
+            head: &key[..key.floor_char_boundary(MAX_KEY_BYTES - TRUNCATION_MARK.len_utf8())],
+            truncated: true,
         }
-        Self { head: &key[..key.floor_char_boundary(LONGEST_KEY - CUT.len_utf8())], cut: true }
     }
 
     fn hash(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
         hasher.write(self.head.as_bytes());
-        hasher.write_u8(u8::from(self.cut));
+        hasher.write_u8(u8::from(self.truncated));
         hasher.finish()
     }
 
-    fn is(&self, held: &str) -> bool {
-        match self.cut {
+    fn matches(&self, held: &str) -> bool {
+        match self.truncated {
             false => held == self.head,
-            true => held.strip_suffix(CUT) == Some(self.head),
+            true => held.strip_suffix(TRUNCATION_MARK) == Some(self.head),
         }
     }
 
     fn text(&self) -> Box<str> {
-        let mut text = String::with_capacity(LONGEST_KEY);
+        let mut text = String::with_capacity(MAX_KEY_BYTES);
         text.push_str(self.head);
-        text.extend(self.cut.then_some(CUT));
+        text.extend(self.truncated.then_some(TRUNCATION_MARK));
         text.into()
     }
 }
@@ -121,9 +124,11 @@
 impl HotList {
     /// `capacity` entries for each class. More than fit the memory is an error.
     pub fn new(capacity: usize, window: Duration, classes: &[Name], writer: &Writer) -> Result<Self, String> {
-        let most = MEMORY / (ENTRY * classes.len().max(1));
-        if capacity > most {
-            return Err(format!("hotlist: a capacity of {capacity} would take over 1 MB, {most} would not"));
+        let max_capacity = MAX_MEMORY_BYTES / (ENTRY_BYTES * classes.len().max(1));
+        if capacity > max_capacity {
+            return Err(format!(
+                "hotlist: a capacity of {capacity} would take over 1 MB, {max_capacity} would not"
+            ));
         }
         // All room that there will be: a list that grew would take twice what it needs.
         let list =
@@ -156,7 +161,7 @@
             let mut out = io::BufWriter::new(stderr);
             // There is nowhere to report an error to.
             let _ = lists.into_iter().try_for_each(|list| {
-                print(&mut out, list, capacity, |entry| faded(entry.recent, now - entry.at, window) / span)
+                print(&mut out, list, capacity, |entry| decayed(entry.recent, now - entry.at, window) / span)
             });
         };
         self.sender.try_send(write);
@@ -185,17 +190,17 @@
 
 /// Text that is one word of one line, whatever a client has put into it.
 fn escaped(text: &str) -> String {
-    let mut word = String::with_capacity(text.len());
+    let mut escaped = String::with_capacity(text.len());
     for c in text.chars() {
         match c {
-            '\\' => word.push_str("\\\\"),
-            '\'' | '"' => word.push(c),
-            c if c.is_whitespace() => word.extend(c.escape_unicode()),
+            '\\' => escaped.push_str("\\\\"),
+            '\'' | '"' => escaped.push(c),
+            c if c.is_whitespace() => escaped.extend(c.escape_unicode()),
             // What would not be seen as itself.
-            c => word.extend(c.escape_debug()),
+            c => escaped.extend(c.escape_debug()),
         }
     }
-    word
+    escaped
 }
 
 #[cfg(test)]
--- a/crates/observe/src/hotlist/tests.rs
+++ b/crates/observe/src/hotlist/tests.rs
@@ -73,7 +73,7 @@
         list.count(&key, 4, 60.0, Instant::now());
         list.count(&key.clone(), 4, 60.0, Instant::now());
         assert_eq!((&*list.entries[0].key, list.entries[0].count), (&*held, 2));
-        assert!(held.len() <= LONGEST_KEY);
+        assert!(held.len() <= MAX_KEY_BYTES);
     }
     assert_eq!(
         escaped("a\\b\nhot lookup x\u{1b}[2K\u{2028}\u{202e}'\"é"),
@@ -87,7 +87,7 @@
     let writer = Writer::start().unwrap();
     let classes: Vec<Name> = ["a", "b", "c"].map(Name::from).into();
     let window = Duration::from_secs(60);
-    let most = MEMORY / (ENTRY * classes.len());
+    let most = MAX_MEMORY_BYTES / (ENTRY_BYTES * classes.len());
     assert!(most >= 256, "{most}");
     assert!(HotList::new(most + 1, window, &classes, &writer).is_err());
     let hot = HotList::new(most, window, &classes, &writer).unwrap();
@@ -98,12 +98,12 @@
     }
     let lists = hot.lists.borrow();
     let held = |list: &List| {
-        let keys: usize = list.entries.iter().map(|entry| entry.key.len() + OVERHEAD).sum();
+        let keys: usize = list.entries.iter().map(|entry| entry.key.len() + ALLOCATION_OVERHEAD).sum();
         list.entries.capacity() * size_of::<Entry>() + keys
     };
     let all: usize = lists.iter().map(held).sum();
     assert!(lists.iter().all(|list| list.entries.len() == most));
-    assert!(2 * all <= MEMORY, "{all}");
+    assert!(2 * all <= MAX_MEMORY_BYTES, "{all}");
 }
 
 // Guards against a rate that never falls, or a count that does.
@@ -113,7 +113,7 @@
     (0..600).for_each(|i| list.count("k", 4, 60.0, start + Duration::from_secs(i)));
     let recent = list.entries[0].recent;
     assert!((recent / 60.0 - 1.0).abs() < 0.02, "one a second: {recent}");
-    let later = faded(recent, Duration::from_secs(60), 60.0);
+    let later = decayed(recent, Duration::from_secs(60), 60.0);
     assert!((later / recent - (-1.0f64).exp()).abs() < 1e-9);
     assert_eq!(list.entries[0].count, 600);
 }
--- a/crates/observe/src/log.rs
+++ b/crates/observe/src/log.rs
@@ -15,12 +15,12 @@
 use tracing_subscriber::fmt::MakeWriter;
 
 /// Lines that may wait for the writer.
-const LINES: usize = 128;
+const MAX_QUEUED_LINES: usize = 128;
 /// Of a topic, so many lines are written whole in such a span.
-const WHOLE: u64 = 8;
-const SPAN: Duration = Duration::from_secs(10);
+const LINES_PER_WINDOW: u64 = 8;
+const WINDOW: Duration = Duration::from_secs(10);
 /// A topic with no line for so long is over.
-const QUIET: Duration = Duration::from_secs(2);
+const TOPIC_EXPIRY: Duration = Duration::from_secs(2);
 
 /// How lines are written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -37,64 +37,72 @@
 pub struct Log {
     lines: Dispatch,
     /// By topic; the names are the program's own, and so few.
-    often: Rc<RefCell<BTreeMap<&'static str, Topic>>>,
+    topics: Rc<RefCell<BTreeMap<&'static str, Topic>>>,
 }
 
 /// Lines alike, from the first until there was none for a while.
 #[derive(Debug)]
 struct Topic {
-    began: Instant,
+    started_at: Instant,
     count: u64,
-    span: Instant,
-    whole: u64,
-    left_out: u64,
+    window_start: Instant,
+    written_in_window: u64,
+    omitted: u64,
     last: Instant,
     text: String,
 }
 
 impl Topic {
     fn new(now: Instant) -> Self {
-        Self { began: now, count: 0, span: now, whole: 0, left_out: 0, last: now, text: String::new() }
+        Self {
+            started_at: now,
+            count: 0,
+            window_start: now,
+            written_in_window: 0,
+            omitted: 0,
+            last: now,
+            text: String::new(),
+        }
     }
 
     /// Counts a line; whether it is to be written whole.
-    fn take(&mut self, now: Instant, text: &str) -> bool {
+    fn admit(&mut self, now: Instant, text: &str) -> bool {
         (self.count, self.last) = (self.count + 1, now);
-        if now - self.span >= SPAN {
-            (self.span, self.whole) = (now, 0);
+        if now - self.window_start >= WINDOW {
+            (self.window_start, self.written_in_window) = (now, 0);
         }
-        let whole = self.whole < WHOLE;
-        if whole {
-            self.whole += 1;
+        let admitted = self.written_in_window < LINES_PER_WINDOW;
+        if admitted {
+            self.written_in_window += 1;
         } else {
-            self.left_out += 1;
+            self.omitted += 1;
             text.clone_into(&mut self.text);
         }
-        whole
+        admitted
     }
 
-    /// What there is to say of lines that were left out: once a span, and at the end.
-    fn turn(&mut self, now: Instant) -> Option<String> {
-        let due = now - self.span >= SPAN || now - self.last >= QUIET;
-        if !due || self.left_out == 0 {
+    /// What there is to say of lines that were left out: once a window, and at the end.
+    fn summary(&mut self, now: Instant) -> Option<String> {
+        let due = now - self.window_start >= WINDOW || now - self.last >= TOPIC_EXPIRY;
+        if !due || self.omitted == 0 {
             return None;
         }
-        let left_out = std::mem::take(&mut self.left_out);
-        let (count, took) = (self.count, (self.last - self.began).as_secs_f64());
-        Some(format!("{left_out} more lines left out, {count} in {took:.1} s; the last: {}", self.text))
+        let omitted = std::mem::take(&mut self.omitted);
+        let (count, took) = (self.count, (self.last - self.started_at).as_secs_f64());
+        Some(format!("{omitted} more lines left out, {count} in {took:.1} s; the last: {}", self.text))
     }
 }
 
 impl Log {
     /// A log that writes through `writer`.
     pub(crate) fn new(writer: &Writer, format: Format) -> Self {
-        let sink = Sink { sender: Arc::new(writer.sender(LINES)), lost: Arc::default(), format };
+        let sink = Sink { sender: Arc::new(writer.sender(MAX_QUEUED_LINES)), lost: Arc::default(), format };
         let lines = tracing_subscriber::fmt().with_writer(sink).with_ansi(false).with_target(false);
         let lines = match format {
             Format::Text => Dispatch::new(lines.with_level(false).without_time().finish()),
             Format::Json => Dispatch::new(lines.json().flatten_event(true).finish()),
         };
-        Self { lines, often: Rc::default() }
+        Self { lines, topics: Rc::default() }
     }
 
     /// Writes a line.
@@ -106,8 +114,9 @@
     /// Writes a line of a topic that may have very many: past a few they are counted, and [`Log::turn`] tells of them.
     pub fn often(&self, topic: &'static str, text: &str) {
         let now = Instant::now();
-        let whole = self.often.borrow_mut().entry(topic).or_insert_with(|| Topic::new(now)).take(now, text);
-        if whole {
+        let admitted =
+            self.topics.borrow_mut().entry(topic).or_insert_with(|| Topic::new(now)).admit(now, text);
+        if admitted {
             self.line(text);
         }
     }
@@ -116,9 +125,9 @@
     pub fn turn(&self) {
         let now = Instant::now();
         let mut due = Vec::new();
-        self.often.borrow_mut().retain(|name, topic| {
-            due.extend(topic.turn(now).map(|text| format!("{name}: {text}")));
-            now - topic.last < QUIET
+        self.topics.borrow_mut().retain(|name, topic| {
+            due.extend(topic.summary(now).map(|text| format!("{name}: {text}")));
+            now - topic.last < TOPIC_EXPIRY
         });
         due.iter().for_each(|text| self.line(text));
     }
@@ -160,18 +169,18 @@
     fn drop(&mut self) {
         let line = std::mem::take(&mut self.bytes);
         let Sink { sender, lost, format } = &self.sink;
-        let missing = lost.load(Ordering::Relaxed);
-        let mut lines = match (missing, format) {
+        let lost_lines = lost.load(Ordering::Relaxed);
+        let mut lines = match (lost_lines, format) {
             (0, _) => Vec::new(),
             (_, Format::Text) => {
-                format!("{missing} lines of the log are lost: standard error is not read\n").into_bytes()
+                format!("{lost_lines} lines of the log are lost: standard error is not read\n").into_bytes()
             }
-            (_, Format::Json) => format!("{{\"level\":\"WARN\",\"lost\":{missing}}}\n").into_bytes(),
+            (_, Format::Json) => format!("{{\"level\":\"WARN\",\"lost\":{lost_lines}}}\n").into_bytes(),
         };
         lines.extend_from_slice(&line);
         // Where it cannot be written there is nowhere to report that to.
         let queued = sender.try_send(move |stderr| drop(stderr.write_all(&lines)));
-        lost.store(if queued { 0 } else { missing + 1 }, Ordering::Relaxed);
+        lost.store(if queued { 0 } else { lost_lines + 1 }, Ordering::Relaxed);
     }
 }
 
--- a/crates/observe/src/writer.rs
+++ b/crates/observe/src/writer.rs
@@ -44,7 +44,7 @@
         BoundedSender { jobs: self.jobs.clone(), queued: Arc::default(), capacity }
     }
 
-    /// Waits until all that was put before is written, or for `limit`: a stop must not wait for a stuck pipe.
+    /// Waits until all that was sent before is written, or for `limit`: a stop must not wait for a stuck pipe.
     pub async fn flush(&self, limit: Duration) {
         let (done, settled) = oneshot::channel();
         let last = self.sender(1);
