Type the faults and unknown requests of a record, and a server's load

Three bare tuples are AppliedFault, UnknownRequest and ServerLoad, with named fields. The tuples of lives and changes stay, since nodes.rs and discovery.rs make them.

--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -88,6 +88,17 @@
     pub fetches: u64,
 }
 
+/// What a server is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Cores at work.
+    pub busy: usize,
+    /// Requests that wait for a core.
+    pub waiting: usize,
+    /// Cores there are.
+    pub cores: usize,
+}
+
 /// Whether a server accepts a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -128,10 +139,10 @@
         self.servers[server].in_progress.len() + self.servers[server].waiting.len()
     }
 
-    /// Cores at work, requests that wait for one, and how many cores there are.
-    pub fn load(&self, server: usize) -> (usize, usize, usize) {
+    /// What a server is doing.
+    pub fn load(&self, server: usize) -> ServerLoad {
         let state = &self.servers[server];
-        (state.busy, state.waiting.len(), state.settings.cores)
+        ServerLoad { busy: state.busy, waiting: state.waiting.len(), cores: state.settings.cores }
     }
 
     /// Calls that the database holds.
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -156,6 +156,30 @@
     pub fetches: usize,
 }
 
+/// A fault, as it was played on one server or node.
+#[derive(Clone, Copy, Debug)]
+pub struct AppliedFault {
+    /// What.
+    pub kind: Kind,
+    /// From when.
+    pub from: u64,
+    /// Until when; `None` for one without an end of its own.
+    pub until: Option<u64>,
+    /// Position of the server or node; 0 for discovery.
+    pub target: usize,
+}
+
+/// A request with an id that no client had sent.
+#[derive(Clone, Debug)]
+pub struct UnknownRequest {
+    /// The server that it came to.
+    pub server: usize,
+    /// Its `Req-Id`.
+    pub id: String,
+    /// When its last byte came.
+    pub at: u64,
+}
+
 /// Everything.
 #[derive(Debug, Default)]
 pub struct Record {
@@ -173,14 +197,14 @@
     pub lives: Vec<(usize, Life, u64, String)>,
     /// Of the servers, ten times a second.
     pub samples: Vec<Sample>,
-    /// Of the faults: what, from when to when, on whom.
-    pub faults: Vec<(Kind, u64, Option<u64>, usize)>,
+    /// Of the faults, one for each server or node that they hit.
+    pub faults: Vec<AppliedFault>,
     /// How late tries were sent, in microseconds: the rig's own doing.
     pub late: Vec<u32>,
     /// Fetches and writes that the database was sent.
     pub fetches: u64,
     /// Requests to servers that bore an id which no client had sent.
-    pub unknown_requests: Vec<(usize, String, u64)>,
+    pub unknown_requests: Vec<UnknownRequest>,
 }
 
 impl Record {
@@ -195,10 +219,10 @@
         self.overloads.iter_mut().for_each(|entry| shift(&mut entry.at));
         self.lives.iter_mut().for_each(|entry| shift(&mut entry.2));
         self.samples.iter_mut().for_each(|entry| shift(&mut entry.at));
-        self.unknown_requests.iter_mut().for_each(|entry| shift(&mut entry.2));
-        for (_, from, until, _) in &mut self.faults {
-            shift(from);
-            until.iter_mut().for_each(shift);
+        self.unknown_requests.iter_mut().for_each(|entry| shift(&mut entry.at));
+        for fault in &mut self.faults {
+            shift(&mut fault.from);
+            fault.until.iter_mut().for_each(shift);
         }
     }
 }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -1,6 +1,6 @@
 //! What a run comes to: figures by class and second, the verdict, and its page.
 
-use crate::record::{End, Record, TryId};
+use crate::record::{AppliedFault, End, Record, TryId};
 use crate::rules::Breach;
 use crate::run::Played;
 use crate::scenario::{Kind, Scenario};
@@ -334,11 +334,11 @@
         let (from, to) = (start.min(seconds), (start + duration).min(seconds));
         Some(FaultSpan { kind: kind.to_owned(), whom: "the load".to_owned(), from, to })
     });
-    let faults = record.faults.iter().map(|(kind, from, until, whom)| FaultSpan {
+    let faults = record.faults.iter().map(|AppliedFault { kind, from, until, target }| FaultSpan {
         kind: name(kind).unwrap_or_default(),
         whom: match kind {
-            kind if kind.targets_servers() => format!("server {whom}"),
-            kind if kind.targets_nodes() => format!("node {whom}"),
+            kind if kind.targets_servers() => format!("server {target}"),
+            kind if kind.targets_nodes() => format!("node {target}"),
             _ => "discovery".to_owned(),
         },
         from: *from as f64 / 1e6,
--- a/crates/lab/src/rules.rs
+++ b/crates/lab/src/rules.rs
@@ -1,6 +1,6 @@
 //! The rules, checked on what stand-ins and clients saw. Nothing here comes from the node under test.
 
-use crate::record::{Attempt, AttemptOutcome, End, Life, Record, Try, TryId};
+use crate::record::{Attempt, AttemptOutcome, End, Life, Record, Try, TryId, UnknownRequest};
 use crate::scenario::{Class, Effect};
 use serde::Serialize;
 use std::collections::{HashMap, HashSet};
@@ -79,7 +79,7 @@
     for id in ids {
         repeats(id, attempts_of(id), class_by_id(id), &mut breaches);
     }
-    for (server, id, at) in &record.unknown_requests {
+    for UnknownRequest { server, id, at } in &record.unknown_requests {
         let what = format!(
             "server {server} got a request with id {id:?} at {}, which no client sent",
             milliseconds(*at)
--- a/crates/lab/src/run/faults.rs
+++ b/crates/lab/src/run/faults.rs
@@ -1,6 +1,7 @@
 //! The faults of servers and discovery, set and lifted on the time line.
 
 use crate::discovery::Directory;
+use crate::record::AppliedFault;
 use crate::scenario::{Fault, Kind, Scenario};
 use crate::servers::{Floor, ServerMode};
 use std::rc::Rc;
@@ -33,7 +34,8 @@
         let duration = fault.for_s.map(|seconds| Duration::from_secs_f64(seconds.get()));
         let from = (load_start + at).saturating_duration_since(floor.start).as_micros() as u64;
         let until = duration.map(|duration| from + duration.as_micros() as u64);
-        floor.record.borrow_mut().faults.push((fault.kind, from, until, server));
+        let applied = AppliedFault { kind: fault.kind, from, until, target: server };
+        floor.record.borrow_mut().faults.push(applied);
         if fault.kind.targets_nodes() {
             continue;
         }
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -6,9 +6,9 @@
 //! reset.
 
 use crate::http::{listen, reset, Conn, ReadError};
-use crate::model::{Admission, CacheResult, Cluster, Job, JobId, JobResult};
+use crate::model::{Admission, CacheResult, Cluster, Job, JobId, JobResult, ServerLoad};
 use crate::plan::{mix, Plan};
-use crate::record::{Attempt, AttemptOutcome, Record, Sample, TryId};
+use crate::record::{Attempt, AttemptOutcome, Record, Sample, TryId, UnknownRequest};
 use crate::scenario::{Class, Effect, Scenario};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -189,7 +189,8 @@
             let known = TryId::parse(&text).filter(|id| (id.arrival as usize) < self.plan.arrivals.len());
             let sent_by_hand = self.by_hand && text.starts_with(BY_HAND);
             if known.is_none() && !sent_by_hand {
-                self.record.borrow_mut().unknown_requests.push((server, text, self.since_start_us(received)));
+                let unknown = UnknownRequest { server, id: text, at: self.since_start_us(received) };
+                self.record.borrow_mut().unknown_requests.push(unknown);
                 conn.write(&response_head(400, "", 0)).await.map_err(drop)?;
                 continue;
             }
@@ -331,7 +332,7 @@
 
     /// A server's load report.
     fn load_report(&self, server: usize) -> String {
-        let (busy, waiting, cores) = self.cluster.borrow().load(server);
+        let ServerLoad { busy, waiting, cores } = self.cluster.borrow().load(server);
         format!("inflight={},queue={waiting},util={:.2}", busy + waiting, busy as f64 / cores as f64)
     }
 
