--- /dev/null
+++ b/crates/lab/src/run/stand_ins.rs
@@ -0,0 +1,123 @@
+//! The stand-ins' thread of a run: cache servers, database and discovery.
+
+use super::faults::{faults_by_target, schedule_faults};
+use super::{Addresses, Command};
+use crate::discovery::Directory;
+use crate::model::{Cluster, DatabaseSettings, ServerSettings};
+use crate::plan::{mix, Plan};
+use crate::record::Record;
+use crate::scenario::{Kind, Scenario};
+use crate::servers::Floor;
+use std::io;
+use std::rc::Rc;
+use std::sync::{mpsc, Arc};
+use std::time::{Duration, Instant};
+use tokio::runtime;
+use tokio::sync::{mpsc as channel, watch};
+use tokio::task::{spawn_local, LocalSet};
+
+/// The stand-ins' thread.
+pub(super) fn stand_ins(
+    scenario: Scenario,
+    plan: Arc<Plan>,
+    start: Instant,
+    by_hand: bool,
+    addresses: mpsc::Sender<Addresses>,
+    received_commands: channel::UnboundedReceiver<Command>,
+    mut shutdown: watch::Receiver<bool>,
+) -> io::Result<Record> {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let fleet = &scenario.fleet;
+        // Machines that replace others stand ready, unknown to discovery.
+        let spares: usize =
+            faults_by_target(&scenario).filter(|(fault, ..)| fault.kind == Kind::Replace).count();
+        let server_count = fleet.servers + spares;
+        let floor = Floor::new(
+            &scenario,
+            plan.clone(),
+            initial_cluster(&scenario, &plan, server_count),
+            server_count,
+            start,
+            by_hand,
+        );
+        let mut dials = vec![Vec::new(); fleet.nodes];
+        for (node, dials) in dials.iter_mut().enumerate() {
+            for server in 0..server_count {
+                dials.push(floor.listen(server, node).await?);
+            }
+        }
+        let servers = dials[0][..fleet.servers].to_vec();
+        let directory = Directory::new(floor.clone(), fleet, server_count, dials);
+        let mut discovery_addresses = Vec::new();
+        for node in 0..fleet.nodes {
+            discovery_addresses.push([directory.listen(node, 0).await?, directory.listen(node, 1).await?]);
+        }
+        spawn_local(floor.clone().run_model());
+        spawn_local(floor.clone().sample());
+        spawn_local(follow_commands(scenario.clone(), floor.clone(), directory, received_commands));
+        // The run may have ended before it began.
+        let _ = addresses.send(Addresses { discovery: discovery_addresses, servers });
+        let _ = shutdown.wait_for(|requested| *requested).await;
+        let mut record = floor.record.take();
+        let cluster = floor.cluster.borrow();
+        (record.overloads, record.fetches) = (cluster.overloads.clone(), cluster.fetches);
+        Ok(record)
+    })
+}
+
+async fn follow_commands(
+    scenario: Scenario,
+    floor: Rc<Floor>,
+    directory: Rc<Directory>,
+    mut received_commands: channel::UnboundedReceiver<Command>,
+) {
+    while let Some(command) = received_commands.recv().await {
+        match command {
+            Command::StartFaults => schedule_faults(&scenario, &floor, &directory),
+            Command::CloseOldAddress { node, which } => directory.close_old(node, which),
+        }
+    }
+}
+
+/// The servers as they stand when the run begins: warm, and holding the keys that are asked for most.
+fn initial_cluster(scenario: &Scenario, plan: &Plan, server_count: usize) -> Cluster {
+    let fleet = &scenario.fleet;
+    let [slowest, fastest] = fleet.speed.map(|speed| speed.get());
+    let step = (fastest - slowest) / (fleet.servers.max(2) - 1) as f64;
+    let settings = |server: usize| ServerSettings {
+        cores: fleet.cores,
+        speed: slowest + step * (server % fleet.servers) as f64,
+        queue: fleet.queue,
+        memory: fleet.memory_kib << 10,
+        cold_share: fleet.cold_share.get(),
+        warm: Duration::from_secs_f64(fleet.warm_s.get()),
+        fall_times: fleet.fall_times.get(),
+        fall_span: Duration::from_secs_f64(fleet.fall_s.get()),
+        drops_cancelled: fleet.drops_cancelled,
+    };
+    let database = &scenario.database;
+    let database_settings = DatabaseSettings {
+        workers: database.workers,
+        work: Duration::from_secs_f64(database.work_ms.get() / 1e3),
+        queue: database.queue,
+        fall_times: database.fall_times.get(),
+        fall_span: Duration::from_secs_f64(database.fall_s.get()),
+        down: Duration::from_secs_f64(database.down_s.get()),
+    };
+    let mut cluster = Cluster::new((0..server_count).map(settings).collect(), database_settings, plan.seed);
+    // Placement is the nodes' own affair: each server begins with the hottest keys that fit.
+    let mut total_size = 0;
+    let hottest: Vec<_> = (1..=u64::from(scenario.load.keys))
+        .map(|rank| (mix(plan.seed ^ rank), plan.size(mix(plan.seed ^ rank))))
+        .take_while(|(_, size)| {
+            total_size += size;
+            total_size <= fleet.memory_kib << 10
+        })
+        .collect();
+    for server in 0..fleet.servers {
+        // The hottest last: it is the last to be evicted.
+        hottest.iter().rev().for_each(|(key, size)| cluster.warm_up(server, *key, *size));
+    }
+    cluster
+}
--- a/crates/observe/src/figures.rs
+++ b/crates/observe/src/figures.rs
@@ -1,114 +1,37 @@
 //! Counters, gauges and timers of requests and attempts, in batches to a file, standard error or UDP.
 
+mod batch;
+mod line;
+mod output;
+
 use crate::log::Log;
-use crate::writer::{has_vanished, write_part, Lane, Writer};
+use crate::writer::Writer;
 use crate::End;
-use slatelink_config::operators::{Figures as Settings, Format, Target};
+use batch::InFlightBatch;
+use line::{escape_tag, outcome_tag, MetricKind};
+use output::Output;
+use slatelink_config::operators::{Figures as Settings, Format};
 use slatelink_config::{Host, Listing};
 use slatelink_decide::{Availability, ClassId, Name, ServerId, Status};
 use slatelink_front::{Cause, Figures as Connections, Phase};
-use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
-use std::fmt::Write as _;
-use std::fs::File;
-use std::io::{self, Write as _};
-use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, UdpSocket};
-use std::os::unix::fs::OpenOptionsExt;
-use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use std::time::Duration;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 use tokio::time::{interval, timeout, Instant, MissedTickBehavior};
 
 /// What waits to go out, the batch that is being written included, is never more bytes than this.
-const BUFFER: usize = 256 << 10;
+const MAX_BUFFERED_BYTES: usize = 256 << 10;
 /// Of these, kept free for the counters of what was lost, which a batch gets as it goes out.
-const CARRIED: usize = 256;
-/// A longer name of a class or host is cut.
-const LONGEST_TAG: usize = 64;
+const LOSS_COUNTER_BYTES: usize = 256;
 /// So many series of counters are merged between two flushes; one more, and they go out before the flush.
-const SERIES: usize = 2048;
+const MAX_SERIES: usize = 2048;
 /// So many timers are written whole each second; what is past them is counted.
-const TIMES: u32 = 500;
+const MAX_TIMERS_PER_SECOND: u32 = 500;
 /// Stands for the host where none was picked.
 const NO_HOST: &str = "none";
 
-const fn outcome(status: Status) -> &'static str {
-    match status {
-        Status::Ok => "ok",
-        Status::Failed => "failed",
-        Status::QueueFull => "full",
-        Status::TimedOut => "timeout",
-        Status::ConnectError => "connect",
-        Status::Reset => "reset",
-        Status::Canceled => "canceled",
-        Status::Ignored => "unsent",
-        Status::Miss => "miss",
-    }
-}
-
-#[derive(Clone, Copy)]
-enum Measure {
-    Counter,
-    Gauge,
-    Timer,
-}
-
-/// Where batches go.
-enum Output {
-    Udp(UdpSocket),
-    /// By the writer's thread, one batch at a time: what waits here can still give way to what is newer.
-    Queue {
-        lane: Lane,
-        /// `None` for standard error.
-        sink: Option<Arc<Mutex<Sink>>>,
-        results: UnboundedSender<bool>,
-    },
-}
-
-/// A file that batches are appended to.
-struct Sink {
-    path: PathBuf,
-    /// `None` while it cannot be opened: a FIFO that nobody reads.
-    file: Option<File>,
-    /// The last write broke off within a line.
-    torn: bool,
-}
-
-impl Sink {
-    fn open(path: &Path) -> io::Result<File> {
-        // Neither opening nor writing waits for a FIFO's reader.
-        File::options().append(true).create(true).custom_flags(libc::O_NONBLOCK).open(path)
-    }
-
-    fn write(&mut self, batch: &[u8]) -> io::Result<()> {
-        if self.file.as_ref().is_some_and(|file| has_vanished(file, &self.path).unwrap_or(false)) {
-            (self.file, self.torn) = (None, false);
-        }
-        let file = match &mut self.file {
-            Some(file) => file,
-            none => none.insert(Self::open(&self.path)?),
-        };
-        if self.torn {
-            file.write_all(b"\n")?;
-            self.torn = false;
-        }
-        let (taken, written) = write_part(file, batch);
-        self.torn = taken > 0 && taken < batch.len();
-        written
-    }
-}
-
-/// A batch on its way to the writer.
-#[derive(Clone, Copy, Default)]
-struct Flight {
-    bytes: usize,
-    dropped: u64,
-    pushed_out: u64,
-}
-
 /// A counter's name, class, host and last tag.
 type Series = (&'static str, usize, ServerId, &'static str);
 
@@ -117,27 +40,27 @@
     /// Counted since the last flush. Where what was written before is stuck they are merged on: no count is lost.
     counts: BTreeMap<Series, u64>,
     /// The second that timers are counted in, how many went out in it, and how many of all were left out.
-    second: Option<Instant>,
-    timed: u32,
-    times_left_out: u64,
+    timer_second: Option<Instant>,
+    timers_this_second: u32,
+    timers_omitted: u64,
     /// Whole lines, the oldest first.
     lines: VecDeque<u8>,
     /// So many of these bytes have waited for a flush: they go out also where they fill no batch.
-    due: usize,
-    flight: Option<Flight>,
+    due_bytes: usize,
+    in_flight: Option<InFlightBatch>,
     /// Batches dropped, and lines pushed out of a full buffer, that no batch that got out has told of.
     dropped: u64,
     pushed_out: u64,
-    dropped_ever: u64,
+    dropped_total: u64,
     /// As standard error has it.
-    dropped_told: u64,
-    open: Vec<u64>,
+    dropped_reported: u64,
+    open_requests: Vec<u64>,
     /// As they were told last.
     connections: Connections,
     /// By host: whether its breaker has tripped and nothing was sent there since.
     blocked: BTreeMap<ServerId, bool>,
     /// Points of one instant and the same tags would replace each other in InfluxDB.
-    stamp: u128,
+    last_timestamp: u128,
 }
 
 /// See the module's page.
@@ -163,51 +86,25 @@
         writer: &Writer,
         log: Log,
     ) -> Result<(Self, UnboundedReceiver<bool>), String> {
-        let (results, landed) = unbounded_channel();
-        // A second place: the first is given back only after its batch's result is told.
-        let queue = |sink| Output::Queue { lane: writer.lane(2), sink, results };
-        let output = match &settings.target {
-            Target::Stderr => queue(None),
-            Target::File(path) => {
-                let file = match Sink::open(path) {
-                    Ok(file) => Some(file),
-                    // A FIFO without a reader: one may come.
-                    Err(error) if error.raw_os_error() == Some(libc::ENXIO) => None,
-                    Err(error) => return Err(format!("figures: cannot open {}: {error}", path.display())),
-                };
-                queue(Some(Arc::new(Mutex::new(Sink { path: path.clone(), file, torn: false }))))
-            }
-            Target::Udp(address) => {
-                let any = match address.ip() {
-                    IpAddr::V4(_) => IpAddr::V4(Ipv4Addr::UNSPECIFIED),
-                    IpAddr::V6(_) => IpAddr::V6(Ipv6Addr::UNSPECIFIED),
-                };
-                let socket = UdpSocket::bind((any, 0)).and_then(|socket| {
-                    socket.set_nonblocking(true)?;
-                    // Connected, it hears that nobody listens there.
-                    socket.connect(address)?;
-                    Ok(socket)
-                });
-                Output::Udp(socket.map_err(|error| format!("figures: cannot send to {address}: {error}"))?)
-            }
-        };
+        let (results, finished_batches) = unbounded_channel();
+        let output = Output::open(&settings.target, writer, results)?;
         let format = settings.format;
         let figures = Self {
             format,
             batch: settings.batch(),
             flush: settings.flush(),
-            classes: classes.iter().map(|name| tag(format, name.as_str()).into_owned()).collect(),
+            classes: classes.iter().map(|name| escape_tag(format, name.as_str()).into_owned()).collect(),
             no_host: NO_HOST.into(),
             output,
             log,
-            state: RefCell::new(State { open: vec![0; classes.len()], ..State::default() }),
+            state: RefCell::new(State { open_requests: vec![0; classes.len()], ..State::default() }),
         };
-        Ok((figures, landed))
+        Ok((figures, finished_batches))
     }
 
     /// A request of this class was taken.
     pub fn taken(&self, class: ClassId) {
-        if let Some(open) = self.state.borrow_mut().open.get_mut(class.0) {
+        if let Some(open) = self.state.borrow_mut().open_requests.get_mut(class.0) {
             *open += 1;
         }
     }
@@ -215,28 +112,34 @@
     /// It has its final answer; `host` is the server that served it, or was tried last.
     pub fn answered(&self, class: ClassId, host: Option<&ServerId>, took: Duration, end: End) {
         let state = &mut *self.state.borrow_mut();
-        if let Some(open) = state.open.get_mut(class.0) {
+        if let Some(open) = state.open_requests.get_mut(class.0) {
             *open = open.saturating_sub(1);
         }
         let host = host.unwrap_or(&self.no_host);
         self.count(state, ("req.count", class.0, host.clone(), end.word()));
         let now = Instant::now();
-        if state.second.is_none_or(|second| now - second >= Duration::from_secs(1)) {
-            (state.second, state.timed) = (Some(now), 0);
+        if state.timer_second.is_none_or(|second| now - second >= Duration::from_secs(1)) {
+            (state.timer_second, state.timers_this_second) = (Some(now), 0);
         }
-        if state.timed == TIMES {
-            state.times_left_out += 1;
+        if state.timers_this_second == MAX_TIMERS_PER_SECOND {
+            state.timers_omitted += 1;
             return;
         }
-        state.timed += 1;
-        let host = tag(self.format, host.as_str());
+        state.timers_this_second += 1;
+        let host = escape_tag(self.format, host.as_str());
         let ms = u64::try_from((took + Duration::from_micros(500)).as_millis()).unwrap_or(u64::MAX);
-        self.add(state, "req.time", &[("kind", self.kind(class)), ("host", &host)], ms, Measure::Timer);
+        self.add_line(
+            state,
+            "req.time",
+            &[("kind", self.class_name(class)), ("host", &host)],
+            ms,
+            MetricKind::Timer,
+        );
     }
 
     fn count(&self, state: &mut State, series: Series) {
         *state.counts.entry(series).or_default() += 1;
-        if state.counts.len() >= SERIES {
+        if state.counts.len() >= MAX_SERIES {
             self.write_counts(state);
         }
     }
@@ -245,13 +148,13 @@
     fn write_counts(&self, state: &mut State) {
         for ((name, class, host, last), count) in std::mem::take(&mut state.counts) {
             let last = (if name == "req.count" { "status" } else { "outcome" }, last);
-            let host = tag(self.format, host.as_str());
-            let tags = [("kind", self.kind(ClassId(class))), ("host", &*host), last];
-            self.add(state, name, &tags, count, Measure::Counter);
+            let host = escape_tag(self.format, host.as_str());
+            let tags = [("kind", self.class_name(ClassId(class))), ("host", &*host), last];
+            self.add_line(state, name, &tags, count, MetricKind::Counter);
         }
-        let left_out = std::mem::take(&mut state.times_left_out);
-        if left_out > 0 {
-            self.add(state, "figures.times_left_out", &[], left_out, Measure::Counter);
+        let omitted = std::mem::take(&mut state.timers_omitted);
+        if omitted > 0 {
+            self.add_line(state, "figures.times_left_out", &[], omitted, MetricKind::Counter);
         }
     }
 
@@ -264,20 +167,20 @@
 
     /// An attempt has ended.
     pub fn ended(&self, class: ClassId, host: &ServerId, status: Status) {
-        let series = ("attempt.count", class.0, host.clone(), outcome(status));
+        let series = ("attempt.count", class.0, host.clone(), outcome_tag(status));
         self.count(&mut self.state.borrow_mut(), series);
     }
 
     /// Discovery's word of hosts.
     pub fn learned(&self, listing: &Listing) {
         let blocked = &mut self.state.borrow_mut().blocked;
-        let mut held = if listing.whole { std::mem::take(blocked) } else { BTreeMap::new() };
+        let mut previous = if listing.whole { std::mem::take(blocked) } else { BTreeMap::new() };
         for entry in listing.hosts.iter().map(Host::entry) {
             if entry.availability == Availability::Gone {
                 blocked.remove(&entry.id);
             } else {
-                let was = held.remove(&entry.id).unwrap_or(false);
-                blocked.entry(entry.id).or_insert(was);
+                let was_blocked = previous.remove(&entry.id).unwrap_or(false);
+                blocked.entry(entry.id).or_insert(was_blocked);
             }
         }
     }
@@ -285,19 +188,19 @@
     /// What the table of clients' connections is like.
     pub fn connections(&self, now: &Connections) {
         let state = &mut *self.state.borrow_mut();
-        let was = std::mem::replace(&mut state.connections, now.clone());
+        let previous = std::mem::replace(&mut state.connections, now.clone());
         for (phase, count) in Phase::ALL.iter().zip(now.phases) {
-            self.add(state, "conn.open", &[("phase", phase.word())], count as u64, Measure::Gauge);
+            self.add_line(state, "conn.open", &[("phase", phase.word())], count as u64, MetricKind::Gauge);
         }
-        self.add(state, "conn.waiting", &[], now.waiting as u64, Measure::Gauge);
-        for (i, cause) in Cause::ALL.iter().enumerate() {
+        self.add_line(state, "conn.waiting", &[], now.waiting as u64, MetricKind::Gauge);
+        for (index, cause) in Cause::ALL.iter().enumerate() {
             let tags = [("cause", cause.word())];
             for (name, count) in [
-                ("conn.closed", now.closed[i] - was.closed[i]),
-                ("conn.refused", now.refused[i] - was.refused[i]),
+                ("conn.closed", now.closed[index] - previous.closed[index]),
+                ("conn.refused", now.refused[index] - previous.refused[index]),
             ] {
                 if count > 0 {
-                    self.add(state, name, &tags, count, Measure::Counter);
+                    self.add_line(state, name, &tags, count, MetricKind::Counter);
                 }
             }
         }
@@ -311,16 +214,16 @@
     }
 
     /// Sends what waits each `flush_ms`, and on as the writer is done with a batch; never returns.
-    pub async fn run(self: Rc<Self>, mut landed: UnboundedReceiver<bool>) {
-        let mut turns = interval(self.flush);
-        turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    pub async fn run(self: Rc<Self>, mut finished_batches: UnboundedReceiver<bool>) {
+        let mut flush_timer = interval(self.flush);
+        flush_timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
-                _ = turns.tick() => self.flush(),
-                Some(well) = landed.recv() => {
+                _ = flush_timer.tick() => self.flush(),
+                Some(succeeded) = finished_batches.recv() => {
                     let state = &mut *self.state.borrow_mut();
-                    self.landed(state, well);
-                    self.send_on(state);
+                    self.batch_finished(state, succeeded);
+                    self.send_batches(state);
                 }
             }
         }
@@ -328,414 +231,90 @@
 
     /// Flushes and waits until all is out, or for `limit`. [`Figures::run`] must be running.
     pub async fn stop(&self, limit: Duration) {
-        const STEP: Duration = Duration::from_millis(2);
+        const POLL_INTERVAL: Duration = Duration::from_millis(2);
         self.flush();
-        let waits = |state: &State| state.flight.is_some() || !state.lines.is_empty();
+        let has_unsent = |state: &State| state.in_flight.is_some() || !state.lines.is_empty();
         let empty = async {
-            while waits(&self.state.borrow()) || !self.state.borrow().counts.is_empty() {
-                tokio::time::sleep(STEP).await;
-                if !waits(&self.state.borrow()) {
+            while has_unsent(&self.state.borrow()) || !self.state.borrow().counts.is_empty() {
+                tokio::time::sleep(POLL_INTERVAL).await;
+                if !has_unsent(&self.state.borrow()) {
                     self.flush();
                 }
             }
         };
         // What a stuck pipe does not take by then is lost.
         let _ = timeout(limit, empty).await;
-        self.tell_dropped(&mut self.state.borrow_mut());
+        self.report_dropped(&mut self.state.borrow_mut());
     }
 
     fn flush(&self) {
         let state = &mut *self.state.borrow_mut();
-        if state.lines.len() < BUFFER / 2 {
+        if state.lines.len() < MAX_BUFFERED_BYTES / 2 {
             self.write_counts(state);
         }
         for class in 0..self.classes.len() {
-            let open = state.open[class];
-            self.add(state, "req.open", &[("kind", self.kind(ClassId(class)))], open, Measure::Gauge);
+            let open = state.open_requests[class];
+            self.add_line(
+                state,
+                "req.open",
+                &[("kind", self.class_name(ClassId(class)))],
+                open,
+                MetricKind::Gauge,
+            );
         }
         let blocked = std::mem::take(&mut state.blocked);
         for (host, &blocked) in &blocked {
-            let host = tag(self.format, host.as_str());
-            self.add(state, "host.blocked", &[("host", &host)], u64::from(blocked), Measure::Gauge);
+            let host = escape_tag(self.format, host.as_str());
+            self.add_line(state, "host.blocked", &[("host", &host)], u64::from(blocked), MetricKind::Gauge);
         }
         state.blocked = blocked;
-        state.due = state.lines.len();
-        self.send_on(state);
-        self.tell_dropped(state);
+        state.due_bytes = state.lines.len();
+        self.send_batches(state);
+        self.report_dropped(state);
     }
 
     /// Where no batch gets out, their number can only be told beside them.
-    fn tell_dropped(&self, state: &mut State) {
-        if state.dropped_ever > state.dropped_told {
-            state.dropped_told = state.dropped_ever;
-            let total = state.dropped_ever;
+    fn report_dropped(&self, state: &mut State) {
+        if state.dropped_total > state.dropped_reported {
+            state.dropped_reported = state.dropped_total;
+            let total = state.dropped_total;
             self.log.line(&format!("slatelink.figures.dropped: {total} batches so far"));
         }
     }
 
-    fn kind(&self, class: ClassId) -> &str {
+    fn class_name(&self, class: ClassId) -> &str {
         self.classes.get(class.0).map_or(NO_HOST, String::as_str)
     }
 
-    fn add(&self, state: &mut State, name: &str, tags: &[(&str, &str)], value: u64, measure: Measure) {
-        let line = self.line(state, name, tags, value, measure);
-        let flying = state.flight.map_or(0, |flight| flight.bytes);
-        while state.lines.len() + flying + line.len() > BUFFER - CARRIED {
-            // At most a batch is being written, so some line of those that wait can go.
-            let oldest = state.lines.iter().position(|&byte| byte == b'\n').map_or(0, |end| end + 1);
-            if oldest == 0 {
-                return;
-            }
-            state.lines.drain(..oldest);
-            state.due = state.due.saturating_sub(oldest);
-            state.pushed_out += 1;
-        }
-        let whole = state.lines.len() + line.len();
-        if whole > state.lines.capacity() {
-            // Grown by itself, it could take twice its bound.
-            state.lines.reserve_exact(whole.next_power_of_two().min(BUFFER) - state.lines.len());
-        }
-        state.lines.extend(line.as_bytes());
-        self.send_on(state);
-    }
-
-    fn line(
+    fn add_line(
         &self,
         state: &mut State,
         name: &str,
         tags: &[(&str, &str)],
         value: u64,
-        measure: Measure,
-    ) -> String {
-        let mut line = format!("slatelink.{name}");
-        // Writing to a string does not fail.
-        let _ = match self.format {
-            Format::Statsd => {
-                let unit = match measure {
-                    Measure::Counter => "c",
-                    Measure::Gauge => "g",
-                    Measure::Timer => "ms",
-                };
-                let _ = write!(line, ":{value}|{unit}");
-                for (i, (name, value)) in tags.iter().enumerate() {
-                    let _ = write!(line, "{}{name}:{value}", if i == 0 { "|#" } else { "," });
-                }
-                writeln!(line)
-            }
-            Format::Influx => {
-                let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos();
-                state.stamp = now.max(state.stamp + 1);
-                for (name, value) in tags {
-                    let _ = write!(line, ",{name}={value}");
-                }
-                writeln!(line, " value={value}i {}", state.stamp)
-            }
-        };
-        line
-    }
-
-    /// Sends batches while one is full or due and none is on its way.
-    fn send_on(&self, state: &mut State) {
-        while state.flight.is_none() && (state.lines.len() >= self.batch || state.due > 0) {
-            let batch = self.next_batch(state);
-            match &self.output {
-                Output::Udp(socket) => {
-                    let sent = socket.send(batch.trim_ascii_end());
-                    self.landed(state, sent.is_ok());
-                }
-                Output::Queue { lane, sink, results } => {
-                    let (sink, results) = (sink.clone(), results.clone());
-                    let put = lane.put(move |stderr| {
-                        let written = match &sink {
-                            None => stderr.write_all(&batch),
-                            Some(sink) => sink.lock().unwrap_or_else(PoisonError::into_inner).write(&batch),
-                        };
-                        // The node may have stopped meanwhile.
-                        let _ = results.send(written.is_ok());
-                    });
-                    if !put {
-                        self.landed(state, false);
-                    }
-                }
-            }
-        }
-    }
-
-    /// The oldest lines that make a batch, and before them what was lost so far.
-    fn next_batch(&self, state: &mut State) -> Vec<u8> {
-        let mut batch = Vec::with_capacity(self.batch);
-        let (dropped, pushed_out) = (state.dropped, state.pushed_out);
-        for (name, count) in [("figures.dropped", dropped), ("figures.pushed_out", pushed_out)] {
-            if count > 0 {
-                batch.extend(self.line(state, name, &[], count, Measure::Counter).bytes());
+        metric_kind: MetricKind,
+    ) {
+        let line = self.format_line(state, name, tags, value, metric_kind);
+        let in_flight_bytes = state.in_flight.map_or(0, |flight| flight.bytes);
+        while state.lines.len() + in_flight_bytes + line.len() > MAX_BUFFERED_BYTES - LOSS_COUNTER_BYTES {
+            // At most a batch is being written, so some line of those that wait can go.
+            let oldest_end = state.lines.iter().position(|&byte| byte == b'\n').map_or(0, |end| end + 1);
+            if oldest_end == 0 {
+                return;
             }
+            state.lines.drain(..oldest_end);
+            state.due_bytes = state.due_bytes.saturating_sub(oldest_end);
+            state.pushed_out += 1;
         }
-        let room = self.batch - batch.len();
-        let mut ends = state.lines.iter().enumerate().take(room).filter(|(_, &byte)| byte == b'\n');
-        let taken = ends.next_back().map_or(0, |(end, _)| end + 1);
-        batch.extend(state.lines.drain(..taken));
-        state.due = state.due.saturating_sub(taken);
-        state.flight = Some(Flight { bytes: batch.len(), dropped, pushed_out });
-        batch
-    }
-
-    fn landed(&self, state: &mut State, well: bool) {
-        let flight = state.flight.take().unwrap_or_default();
-        if well {
-            state.dropped -= flight.dropped;
-            state.pushed_out -= flight.pushed_out;
-        } else {
-            state.dropped += 1;
-            state.dropped_ever += 1;
-        }
-    }
-}
-
-/// A tag's value as the format takes it. StatsD has no escapes: what it would read otherwise is replaced.
-fn tag(format: Format, text: &str) -> Cow<'_, str> {
-    let cut = &text[..text.floor_char_boundary(LONGEST_TAG)];
-    if cut.is_empty() {
-        return "_".into();
-    }
-    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    if cut.chars().all(plain) {
-        return cut.into();
-    }
-    let mut value = String::with_capacity(2 * cut.len());
-    for c in cut.chars() {
-        match (format, c) {
-            (_, c) if c.is_control() || c == '\\' => value.push('_'),
-            (Format::Influx, ',' | '=' | ' ') => value.extend(['\\', c]),
-            (Format::Statsd, ',' | ':' | '|' | '#' | '@') => value.push('_'),
-            (_, c) if c.is_whitespace() => value.push('_'),
-            (_, c) => value.push(c),
+        let needed = state.lines.len() + line.len();
+        if needed > state.lines.capacity() {
+            // Grown by itself, it could take twice its bound.
+            state.lines.reserve_exact(needed.next_power_of_two().min(MAX_BUFFERED_BYTES) - state.lines.len());
         }
+        state.lines.extend(line.as_bytes());
+        self.send_batches(state);
     }
-    value.into()
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::net::Ipv4Addr;
-    use std::sync::mpsc::channel;
-
-    fn figures(text: &str, writer: &Writer) -> (Figures, UnboundedReceiver<bool>) {
-        let settings: Settings = toml::from_str(text).unwrap();
-        Figures::open(
-            &settings,
-            &["look up".into(), "put".into()],
-            writer,
-            Log::new(writer, crate::Format::Text),
-        )
-        .unwrap()
-    }
-
-    /// The lines that `events` come to, sent in one datagram or more.
-    fn lines(format: &str, events: impl Fn(&Figures)) -> Vec<String> {
-        let receiver = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-        let target = receiver.local_addr().unwrap();
-        let writer = Writer::start().unwrap();
-        let (figures, _) = figures(&format!("format = \"{format}\"\ntarget = \"udp:{target}\""), &writer);
-        events(&figures);
-        figures.flush();
-        let (mut lines, mut buffer) = (Vec::new(), [0; 2000]);
-        receiver.set_read_timeout(Some(Duration::from_secs(60))).unwrap();
-        while !lines
-            .iter()
-            .any(|line: &String| line.starts_with("slatelink.req.open") && line.contains("put"))
-        {
-            let n = receiver.recv(&mut buffer).unwrap();
-            assert!(n <= 1400, "{n} bytes in a datagram");
-            lines.extend(std::str::from_utf8(&buffer[..n]).unwrap().lines().map(str::to_owned));
-        }
-        lines
-    }
-
-    fn some_events(figures: &Figures) {
-        let host = ServerId::from("s,=1 x");
-        figures.taken(ClassId(0));
-        figures.taken(ClassId(0));
-        figures.sent(&host);
-        figures.ended(ClassId(0), &host, Status::TimedOut);
-        figures.answered(ClassId(0), None, Duration::from_micros(411_600), End::Refused);
-    }
-
-    // Guards against lines that a StatsD server reads as something else.
-    #[test]
-    fn statsd_lines_carry_their_tags_with_what_the_format_reserves_replaced() {
-        assert_eq!(
-            lines("statsd", some_events),
-            [
-                "slatelink.req.time:412|ms|#kind:look_up,host:none",
-                "slatelink.attempt.count:1|c|#kind:look_up,host:s_=1_x,outcome:timeout",
-                "slatelink.req.count:1|c|#kind:look_up,host:none,status:503",
-                "slatelink.req.open:1|g|#kind:look_up",
-                "slatelink.req.open:0|g|#kind:put",
-            ]
-        );
-    }
-
-    // Guards against points that InfluxDB cannot read, or that replace each other.
-    #[test]
-    fn influx_lines_are_escaped_and_no_two_are_of_one_instant() {
-        let lines = lines("influx", some_events);
-        let (texts, stamps): (Vec<_>, Vec<_>) =
-            lines.iter().map(|line| line.rsplit_once(' ').unwrap()).unzip();
-        assert_eq!(
-            texts,
-            [
-                "slatelink.req.time,kind=look\\ up,host=none value=412i",
-                "slatelink.attempt.count,kind=look\\ up,host=s\\,\\=1\\ x,outcome=timeout value=1i",
-                "slatelink.req.count,kind=look\\ up,host=none,status=503 value=1i",
-                "slatelink.req.open,kind=look\\ up value=1i",
-                "slatelink.req.open,kind=put value=0i",
-            ]
-        );
-        let stamps: Vec<u64> = stamps.iter().map(|stamp| stamp.parse().unwrap()).collect();
-        assert!(stamps.windows(2).all(|pair| pair[0] < pair[1]), "{stamps:?}");
-    }
-
-    // Guards against memory that grows behind a writer that is stuck, and against losing the newest lines.
-    #[test]
-    fn the_buffer_keeps_its_bound_and_the_oldest_lines_go_first() {
-        let writer = Writer::start().unwrap();
-        let (figures, mut landed) = figures("target = \"file:/dev/null\"", &writer);
-        let stuck = writer.lane(1);
-        let (release, held) = channel::<()>();
-        assert!(stuck.put(move |_| held.recv().unwrap_or_default()));
-        // The first batch is handed over and stays; what follows must share the rest of the room.
-        for i in 0..20_000 {
-            let state = &mut *figures.state.borrow_mut();
-            for name in ["req.count", "req.time"] {
-                figures.add(state, name, &[("kind", "put"), ("host", "h")], i, Measure::Timer);
-            }
-            assert!(state.lines.len() + state.flight.unwrap_or_default().bytes <= BUFFER);
-            assert!(state.lines.capacity() <= BUFFER);
-        }
-        let state = figures.state.borrow();
-        let text = String::from_utf8(state.lines.iter().copied().collect()).unwrap();
-        assert!(state.lines.len() > BUFFER - CARRIED - 2 * figures.batch, "{} used", state.lines.len());
-        assert!(text.starts_with("slatelink.") && text.ends_with("\n"), "whole lines only");
-        assert!(text.lines().last().unwrap().starts_with("slatelink.req.time:19999|ms|"));
-        let kept = text.lines().count() as u64;
-        let flown = state.flight.unwrap().bytes as u64;
-        assert!(state.pushed_out > 0 && state.pushed_out + kept < 40_000 && flown > 0);
-        assert!(40_000 - state.pushed_out - kept <= flown / 40, "no line is uncounted");
-        drop(state);
-        drop(release);
-        assert_eq!(landed.blocking_recv(), Some(true));
-    }
-
-    // Guards against figures that become the load, and against counts that are lost where lines are merged or stuck.
-    #[test]
-    fn counters_are_exact_and_timers_bounded_however_many_requests_there_are() {
-        let writer = Writer::start().unwrap();
-        let path = std::env::temp_dir().join(format!("slatelink-merged-{}", std::process::id()));
-        let _ = std::fs::remove_file(&path);
-        let (figures, mut landed) = figures(&format!("target = \"file:{}\"", path.display()), &writer);
-        let stuck = writer.lane(1);
-        let (release, held) = channel::<()>();
-        assert!(stuck.put(move |_| held.recv().unwrap_or_default()));
-        let (host, start) = (ServerId::from("h"), std::time::Instant::now());
-        for i in 0..100_000 {
-            figures.taken(ClassId(1));
-            figures.ended(ClassId(1), &host, Status::Ok);
-            figures.answered(ClassId(1), Some(&host), Duration::from_millis(5), End::Served);
-            if i % 1_000 == 0 {
-                figures.flush();
-            }
-        }
-        let seconds = start.elapsed().as_secs() + 1;
-        drop(release);
-        let ended =
-            |state: &State| state.flight.is_none() && state.lines.is_empty() && state.counts.is_empty();
-        while !ended(&figures.state.borrow()) {
-            if figures.state.borrow().flight.is_some() {
-                let well = landed.blocking_recv().unwrap();
-                let state = &mut *figures.state.borrow_mut();
-                figures.landed(state, well);
-                figures.send_on(state);
-            } else {
-                figures.flush();
-            }
-        }
-        let text = std::fs::read_to_string(&path).unwrap();
-        let sum = |name: &str| -> u64 {
-            let values = text.lines().filter_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
-            values.map(|rest| rest.split('|').next().unwrap().parse::<u64>().unwrap()).sum()
-        };
-        assert_eq!(sum("slatelink.req.count"), 100_000);
-        assert_eq!(sum("slatelink.attempt.count"), 100_000);
-        let timers = text.matches("slatelink.req.time:").count() as u64;
-        assert!(timers <= u64::from(TIMES) * seconds, "{timers} timers in {seconds} s");
-        assert_eq!(sum("slatelink.figures.times_left_out") + timers, 100_000);
-        std::fs::remove_file(&path).unwrap();
-    }
-
-    // Guards against figures that go on into a file which has lost its name.
-    #[test]
-    fn a_file_that_was_moved_away_is_made_anew() {
-        let path = std::env::temp_dir().join(format!("slatelink-moved-{}", std::process::id()));
-        let mut sink = Sink { path: path.clone(), file: None, torn: false };
-        sink.write(b"one\n").unwrap();
-        let moved = path.with_extension("1");
-        std::fs::rename(&path, &moved).unwrap();
-        sink.write(b"two\n").unwrap();
-        assert_eq!(
-            (std::fs::read(&moved).unwrap(), std::fs::read(&path).unwrap()),
-            (b"one\n".to_vec(), b"two\n".to_vec())
-        );
-        [path, moved].iter().for_each(|path| std::fs::remove_file(path).unwrap());
-    }
-
-    // Guards against a count of lost batches that is lost with the next batch.
-    #[test]
-    fn what_was_dropped_is_told_by_the_first_batch_that_gets_out() {
-        let writer = Writer::start().unwrap();
-        let (figures, _landed) = figures("target = \"file:/dev/null\"", &writer);
-        let state = &mut *figures.state.borrow_mut();
-        for _ in 0..3 {
-            figures.next_batch(state);
-            figures.landed(state, false);
-        }
-        let batch = figures.next_batch(state);
-        assert_eq!(batch, b"slatelink.figures.dropped:3|c\n");
-        figures.landed(state, true);
-        assert_eq!((state.dropped, state.dropped_ever), (0, 3));
-        assert_eq!(figures.next_batch(state), b"");
-    }
-
-    // Guards against a line that no batch can take: it would never leave.
-    #[test]
-    fn the_longest_line_fits_the_smallest_batch() {
-        let writer = Writer::start().unwrap();
-        let (figures, _landed) = figures("format = \"influx\"\nmax_batch_bytes = 512", &writer);
-        let long = tag(Format::Influx, &"=".repeat(1000)).into_owned();
-        assert_eq!(long.len(), 2 * LONGEST_TAG);
-        let state = &mut State::default();
-        let mut size = |name, tags: &[(&str, &str)], value, measure| {
-            figures.line(state, name, tags, value, measure).len()
-        };
-        let tags = [("kind", &*long), ("host", &long), ("outcome", "canceled")];
-        let attempt = size("attempt.count", &tags, 1, Measure::Counter);
-        let time = size("req.time", &tags[..2], u64::MAX, Measure::Timer);
-        let carried = size("figures.dropped", &[], u64::MAX, Measure::Counter)
-            + size("figures.pushed_out", &[], u64::MAX, Measure::Counter);
-        assert!(carried + attempt.max(time) <= figures.batch, "{carried} {attempt} {time}");
-        assert!(carried <= CARRIED);
-    }
-
-    // Guards against a file whose line broke off and swallows the next one, and against a FIFO's reader that is
-    // waited for.
-    #[test]
-    fn a_line_that_broke_off_does_not_take_the_next_one_with_it() {
-        let path = std::env::temp_dir().join(format!("slatelink-torn-{}", std::process::id()));
-        let mut sink = Sink { path: path.clone(), file: None, torn: false };
-        sink.write(b"half").unwrap();
-        sink.torn = true;
-        sink.write(b"whole\n").unwrap();
-        assert_eq!(std::fs::read(&path).unwrap(), b"half\nwhole\n");
-        std::fs::remove_file(&path).unwrap();
-    }
-}
+mod tests;
