--- a/docs/capacity/fits.py
+++ b/docs/capacity/fits.py
@@ -13,11 +13,14 @@
 
 FOLDER = pathlib.Path(sys.argv[1]) if len(sys.argv) > 1 else pathlib.Path(__file__).parent
 SERVERS, SERVERS_HELD_BACK = [100, 500, 1500, 4600], 2500
-NODES, NODES_HELD_BACK = [100, 300, 1000, 3000], 2000
+NODES, NODES_HELD_BACK = [100, 300, 1000, 3000, 5000], 2000
 # Without changes nodes renew their watches instead: a line of its own.
 RATES, RATES_HELD_BACK = ["0.2", "1", "5"], "2"
 
 
+REQUESTS, REQUESTS_HELD_BACK = [100, 1000, 4600], 2500
+
+
 def run(name):
     return json.loads((FOLDER / f"scale-{name}.json").read_text())
 
@@ -52,7 +55,19 @@
 
 
 def discovery_us_per_answer(report):
-    return report["discovery"]["processor_ms_per_s"] * 1e3 / report["discovery"]["traffic"]["answers_per_s"]
+    return report["discovery"]["processor_us_per_s"] / report["discovery"]["traffic"]["answers_per_s"]
+
+
+def real_us_per_request(report):
+    """Without what a node takes at rest (the fit by changes, at 0.2 a second)."""
+    at_rest = run("rate-0.2")["real_node"]["processor_us_per_s"]
+    seconds = report["measured_s"]
+    return (report["real_node"]["processor_us_per_s"] - at_rest) * seconds / report["clients"]["asked"]
+
+
+def decision_us_per_request(report):
+    node = report["simulated_node"]
+    return (node["processor_us_per_s"] - node["control_processor_us_per_s"]) / node["requests_per_s"]
 
 
 def each(kind, *path):
@@ -66,8 +81,8 @@
 
 
 def main():
-    def by_servers(figure, what):
-        series("servers", SERVERS, SERVERS_HELD_BACK, figure, "x servers", what)
+    def by_servers(figure, what, relative=True):
+        series("servers", SERVERS, SERVERS_HELD_BACK, figure, "x servers", what, relative)
 
     def by_nodes(figure, what, relative=True):
         series("nodes", NODES, NODES_HELD_BACK, figure, "x nodes", what, relative)
@@ -78,16 +93,22 @@
     by_servers(whole_list_bytes, "bytes of a whole list")
     by_servers(each("simulated_node", "resident_kib"), "simulated node's memory, KiB")
     by_servers(each("real_node", "resident_kib"), "real node's memory, KiB")
+    by_servers(each("start", "simulated", "worst_ms"), "start of 300 nodes, the last, ms", relative=False)
+    by_nodes(each("start", "simulated", "worst_ms"), "start of all nodes, the last, ms", relative=False)
     by_nodes(each("discovery", "resident_kib"), "discovery's process, KiB")
     by_nodes(each("discovery", "traffic", "calls_per_s"), "calls at discovery a second at 0.5 changes")
-    by_nodes(each("discovery", "processor_ms_per_s"), "discovery's processor time at 0.5 changes, ms/s")
+    by_nodes(each("discovery", "processor_us_per_s"), "discovery's processor time at 0.5 changes, us/s")
     by_nodes(each("list_change", "to_last_node", "p50_ms"), "change to the last node, median, ms", relative=False)
     by_nodes(each("list_change", "to_last_node", "worst_ms"), "change to the last node, worst, ms", relative=False)
+    series("requests", REQUESTS, REQUESTS_HELD_BACK, real_us_per_request, "x servers",
+           "real node's processor time for a request, 100 a second, us", relative=False)
+    series("requests", REQUESTS, REQUESTS_HELD_BACK, decision_us_per_request, "x servers",
+           "decision in a simulated node, 100 a second, us", relative=False)
     by_rate(each("simulated_node", "traffic", "call_bytes_per_s"), "bytes a node sends, a second")
     by_rate(each("simulated_node", "traffic", "answer_bytes_per_s"), "bytes a node gets, a second")
     by_rate(each("simulated_node", "processor_us_per_s"), "simulated node's processor time, us/s")
     by_rate(each("real_node", "processor_us_per_s"), "real node's processor time, us/s")
-    by_rate(each("discovery", "processor_ms_per_s"), "discovery's processor time, 301 nodes, ms/s")
+    by_rate(each("discovery", "processor_us_per_s"), "discovery's processor time, 301 nodes, us/s")
     for value in ["0.2", "1", "2", "5"]:
         print(f"discovery's processor time for an answer at {value} changes a second: "
               f"{discovery_us_per_answer(run('rate-' + value)):.1f} us")
