--- a/crates/node/src/discovery/departures.rs
+++ b/crates/node/src/discovery/departures.rs
@@ -7,7 +7,7 @@
 use super::in_flight::Source;
 use slatelink_config::Listing;
 use slatelink_decide::Availability;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -23,10 +23,20 @@
     announced: Instant,
 }
 
+/// The newest list that was taken.
+struct Newest {
+    source: Source,
+    version: u64,
+    taken: Instant,
+}
+
 /// The departures of late, by server. As many as the lists of `REMEMBERED` named.
 #[derive(Default)]
 pub struct Departures {
     servers: HashMap<String, Departure>,
+    newest: Option<Newest>,
+    /// Who is listed, since the last whole list; a whole list tells by what it lacks, too.
+    listed: Option<HashSet<String>>,
 }
 
 impl Departures {
@@ -35,6 +45,7 @@
     pub fn amend(&mut self, listing: &mut Listing, source: Source, now: Instant) -> bool {
         self.servers.retain(|_, departure| now - departure.announced < REMEMBERED);
         let version = listing.seq;
+        let newer = self.advance(listing, source, now);
         let mut amended = false;
         for host in &mut listing.hosts {
             if host.availability() != Availability::Ready {
@@ -42,7 +53,14 @@
                 self.note(host.id(), departure);
                 continue;
             }
-            let Some(departure) = self.servers.get(host.id()) else { continue };
+            let Some(departure) = self.servers.get(host.id()) else {
+                let unlisted = self.listed.as_ref().is_some_and(|listed| !listed.contains(host.id()));
+                if unlisted && !newer {
+                    host.set_draining();
+                    amended = true;
+                }
+                continue;
+            };
             let newer = source == departure.source && version > departure.version;
             if newer || host.started_ms() > departure.started {
                 self.servers.remove(host.id());
@@ -54,6 +72,29 @@
         amended
     }
 
+    /// Takes in who is listed, unless the list is not newer than one of the same source. Whether it was newer.
+    fn advance(&mut self, listing: &Listing, source: Source, now: Instant) -> bool {
+        let outweighs = |newest: &&Newest| {
+            let fresh = now - newest.taken < REMEMBERED;
+            fresh && newest.source == source && newest.version >= listing.seq
+        };
+        if self.newest.as_ref().filter(outweighs).is_some() {
+            return false;
+        }
+        self.newest = Some(Newest { source, version: listing.seq, taken: now });
+        if listing.whole {
+            self.listed = Some(listing.hosts.iter().map(|host| host.id().to_owned()).collect());
+        } else if let Some(listed) = &mut self.listed {
+            for host in &listing.hosts {
+                match host.availability() {
+                    Availability::Gone => drop(listed.remove(host.id())),
+                    _ => drop(listed.insert(host.id().to_owned())),
+                }
+            }
+        }
+        true
+    }
+
     fn note(&mut self, server: &str, departure: Departure) {
         match self.servers.get_mut(server) {
             // An older list that repeats it takes nothing from the newer one's weight.
