--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -10,7 +10,7 @@
     lanes.0.hard_limit_us=400000 lanes.1.name=log lanes.1.effect=keyed lanes.1.dedup_scope=zone lanes.1.repeat_window_us=600000 \
     orgs.count=1 orgs.0.name=t1 orgs.0.quota_per_s=12.5 family_info.mode=aside family_info.origin_kind=1 shapes=std,origin \
     limits.most_tries=6 limits.second_copies=true limits.retry_after=true limits.max_retry_after_us=1000000 \
-    membership_mode=subscribe safety.cold_share=0.31 safety.ask_within_us=7000000 novelty.of=1";
+    membership_mode=subscribe safety.cold_share=0.31 safety.ask_within_us=7000000 safety.stop_sending_within_us=60000 novelty.of=1";
 
 fn parse(lines: &[&str]) -> Vec<Input> {
     let mut parser = Parser::default();
@@ -28,6 +28,7 @@
     assert_eq!(settings.max_retry_after, Duration::from_secs(1));
     assert!(settings.must_follow);
     assert_eq!(settings.ask_within, Duration::from_secs(7));
+    assert_eq!(settings.stop_sending_within, Duration::from_millis(60));
     assert_eq!(
         settings.fall_multiple,
         Settings::default().fall_multiple,
