Serve four tests by one server that holds the first request

Cause: four tests wrote the same stand-in again (node_crossings 66 and node_clients 153, node_lifecycle 10 and 169). Change: `CacheServer::holding_first`; no assertion is touched.

--- a/crates/cli/tests/node_clients.rs
+++ b/crates/cli/tests/node_clients.rs
@@ -151,16 +151,7 @@
 #[test]
 fn nothing_more_is_sent_for_a_client_that_left() {
     let gate = Gate::default();
-    let server = || {
-        let held = gate.clone();
-        CacheServer::start(move |asked| {
-            if asked.header("req-id") != Some("1") {
-                return Does::Answer(answer("200 OK", "", "value"));
-            }
-            held.pass();
-            Does::Close(String::new())
-        })
-    };
+    let server = || CacheServer::holding_first(&gate, || Does::Close(String::new()));
     let (one, two) = (server(), server());
     let discovery = Discovery::start(&[one.entry("s-1", "ready"), two.entry("s-2", "ready")]);
     let node = Node::ready(&config(discovery.address));
--- a/crates/cli/tests/node_common/mod.rs
+++ b/crates/cli/tests/node_common/mod.rs
@@ -150,6 +150,18 @@
         Self::start(move |_| Does::Answer(answer("200 OK", "", body)))
     }
 
+    /// One that serves, but keeps the request with the id 1 until the gate opens and then does this.
+    pub fn holding_first(gate: &Gate, then: impl Fn() -> Does + Send + Sync + 'static) -> Self {
+        let held = gate.clone();
+        Self::start(move |asked| {
+            if asked.header("req-id") != Some("1") {
+                return Does::Answer(answer("200 OK", "", "value"));
+            }
+            held.pass();
+            then()
+        })
+    }
+
     pub fn count(&self) -> usize {
         self.asked.lock().unwrap().len()
     }
--- a/crates/cli/tests/node_crossings.rs
+++ b/crates/cli/tests/node_crossings.rs
@@ -64,16 +64,7 @@
 fn a_client_that_leaves_behind_further_bytes_gets_no_second_attempt() {
     for further in [read("read", 2, 20_000), "\r\n".into(), "x".repeat(300_000)] {
         let gate = Gate::default();
-        let server = || {
-            let held = gate.clone();
-            CacheServer::start(move |asked| {
-                if asked.header("req-id") != Some("1") {
-                    return Does::Answer(answer("200 OK", "", "value"));
-                }
-                held.pass();
-                Does::Close(String::new())
-            })
-        };
+        let server = || CacheServer::holding_first(&gate, || Does::Close(String::new()));
         let (one, two) = (server(), server());
         let discovery = Discovery::start(&[one.entry("s-1", "ready"), two.entry("s-2", "ready")]);
         let node = Node::ready(&config(discovery.address));
--- a/crates/cli/tests/node_lifecycle.rs
+++ b/crates/cli/tests/node_lifecycle.rs
@@ -10,13 +10,7 @@
 #[test]
 fn a_terminated_node_finishes_what_it_took_and_exits_well() {
     let gate = Gate::default();
-    let held = gate.clone();
-    let server = CacheServer::start(move |asked| {
-        if asked.header("req-id") == Some("1") {
-            held.pass();
-        }
-        Does::Answer(answer("200 OK", "", "value"))
-    });
+    let server = CacheServer::holding_first(&gate, || Does::Answer(answer("200 OK", "", "value")));
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
     let node = Node::ready(&config(discovery.address));
     let (mut waiting, mut idle) = (node.client(), node.client());
@@ -169,13 +163,7 @@
 #[test]
 fn further_signals_during_the_end_change_nothing() {
     let gate = Gate::default();
-    let held = gate.clone();
-    let server = CacheServer::start(move |asked| {
-        if asked.header("req-id") == Some("1") {
-            held.pass();
-        }
-        Does::Answer(answer("200 OK", "", "value"))
-    });
+    let server = CacheServer::holding_first(&gate, || Does::Answer(answer("200 OK", "", "value")));
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
     let node = Node::ready(&config(discovery.address));
     let (mut waiting, mut idle) = (node.client(), node.client());
