Say a call's place, a renewal's kind and one setting more simply in discovery's client

Cause, by reading the change again: `Limits` held one field; `renew` told a watch from a brief call by comparing its time-out with `OVERLAP`; `ask_now` took answers apart to put them together again; seven callers reckoned the time until which a superseded call is read; four types were `Debug` for nobody. Change: the same behaviour with a plain field, a flag, early returns and a duration.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -3,7 +3,7 @@
 //! It is the client of discovery and the decision module of a whole node, wired to each other as there, without listener,
 //! connections to cache servers and clients. Requests can be drawn at a rate; each attempt ends at once, as served.
 
-use crate::discovery::{Discovery, Limits};
+use crate::discovery::Discovery;
 use crate::driver::{Clock, Input};
 use slatelink_config::Listing;
 use slatelink_decide::{
@@ -64,7 +64,7 @@
         address: discovery,
         seq: None,
         pushed: !settings.must_follow,
-        limits: Limits::of(&settings),
+        stop_sending_within: settings.stop_sending_within,
         random: random.fork(),
         events,
         log,
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -9,7 +9,7 @@
 use departures::{Departures, REMEMBERED};
 use in_flight::{Answered, Call, CallId, InFlight, Source};
 use slatelink_config::Listing;
-use slatelink_decide::{Availability, Settings};
+use slatelink_decide::Availability;
 use slatelink_observe::Log;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -64,20 +64,6 @@
 /// leave for heeding a drain. The agent is the node's own, so that nobody else waits for that.
 const PUSHED_AGAIN_PART: f64 = 0.4;
 
-/// What the settings leave for hearing of changes.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// Nothing is sent to a server later than this after its departure was told.
-    pub stop_sending_within: Duration,
-}
-
-impl Limits {
-    /// Those of these settings.
-    pub fn of(settings: &Settings) -> Self {
-        Self { stop_sending_within: settings.stop_sending_within }
-    }
-}
-
 /// How the client of discovery begins.
 pub struct Discovery {
     /// Where it answers. A new address ends what was going on at the old one, but for reading what that still says.
@@ -86,8 +72,8 @@
     pub seq: Option<u64>,
     /// Whether changes come unprompted: a watch is open all the time then, and the module says nothing of it.
     pub pushed: bool,
-    /// What the settings leave for hearing of changes.
-    pub limits: Limits,
+    /// Nothing is sent to a server later than this after its departure was told.
+    pub stop_sending_within: Duration,
     pub random: fastrand::Rng,
     pub events: UnboundedSender<Input>,
     pub log: Log,
@@ -117,7 +103,7 @@
 struct Client {
     seq: Option<u64>,
     pushed: bool,
-    limits: Limits,
+    stop_sending_within: Duration,
     random: fastrand::Rng,
     events: UnboundedSender<Input>,
     log: Log,
@@ -134,11 +120,11 @@
 
 impl Client {
     fn new(begin: Discovery) -> Self {
-        let Discovery { seq, pushed, limits, random, events, log, .. } = begin;
+        let Discovery { seq, pushed, stop_sending_within, random, events, log, .. } = begin;
         Self {
             seq,
             pushed,
-            limits,
+            stop_sending_within,
             random,
             events,
             log,
@@ -153,7 +139,7 @@
 
     /// What the old address still writes counts as told.
     fn leave_address(&mut self) {
-        self.in_flight.supersede_all(Instant::now() + LATE_ANSWER);
+        self.in_flight.supersede_all(LATE_ANSWER);
         self.source = self.source.next();
         self.seq = None;
     }
@@ -202,7 +188,7 @@
     fn pause_after(&mut self, error: &CallError, unsure: bool, new_there: bool) -> Duration {
         let pause = match error {
             _ if self.pushed && !unsure => Duration::ZERO,
-            _ if self.pushed => self.limits.stop_sending_within.mul_f64(PUSHED_AGAIN_PART),
+            _ if self.pushed => self.stop_sending_within.mul_f64(PUSHED_AGAIN_PART),
             CallError::Overdue => Duration::ZERO,
             _ if new_there => MOVED_AGAIN,
             _ if self.failed_late => LATE_PAUSE,
@@ -230,24 +216,20 @@
         if !self.failed_late {
             return self.turn_of(first).await;
         }
-        match timeout(HEDGE, self.answer_to(&[first])).await {
-            Ok((_, (Ok(listing), link))) => return (Ok(listing), link),
-            Ok((_, failed)) => return failed,
-            Err(_) => {}
+        if let Ok((_, called)) = timeout(HEDGE, self.answer_to(&[first])).await {
+            return called;
         }
         let second = self.start(address, ask, None);
-        match timeout(TURN - HEDGE, self.answer_to(&[first, second])).await {
-            Ok((answered, (Ok(listing), link))) => {
-                let other = if answered == first { second } else { first };
-                self.in_flight.supersede(other, Instant::now() + OVERLAP);
-                (Ok(listing), link)
-            }
-            Ok((failed, _)) => self.turn_of(if failed == first { second } else { first }).await,
-            Err(_) => {
-                self.in_flight.supersede(first, Instant::now() + LATE_ANSWER);
-                self.turn_of(second).await
-            }
+        let Ok((ended, called)) = timeout(TURN - HEDGE, self.answer_to(&[first, second])).await else {
+            self.in_flight.supersede(first, LATE_ANSWER);
+            return self.turn_of(second).await;
+        };
+        let other = if ended == first { second } else { first };
+        if called.0.is_err() {
+            return self.turn_of(other).await;
         }
+        self.in_flight.supersede(other, OVERLAP);
+        called
     }
 
     /// The answer to a call that has had its turn within `TURN`, or has none in time.
@@ -255,7 +237,7 @@
         match timeout(TURN, self.answer_to(&[id])).await {
             Ok((_, called)) => called,
             Err(_) => {
-                self.in_flight.supersede(id, Instant::now() + LATE_ANSWER);
+                self.in_flight.supersede(id, LATE_ANSWER);
                 (Err(CallError::Overdue), None)
             }
         }
@@ -273,7 +255,7 @@
                 return called;
             }
             if over <= due {
-                self.in_flight.supersede(open, Instant::now());
+                self.in_flight.supersede(open, Duration::ZERO);
                 return (Err(CallError::Overdue), None);
             }
             match self.renew(address, seq, open).await {
@@ -283,7 +265,7 @@
                     if now.elapsed() >= renew_after + LATE_FAILURE {
                         // No time is left to wait before the next call. The one that is open is read on.
                         self.failed_late = true;
-                        self.in_flight.supersede(open, over);
+                        self.in_flight.supersede(open, over.saturating_duration_since(Instant::now()));
                         return (Err(error), None);
                     }
                     self.log.often("discovery", &format!("discovery: watch not renewed: {error}"));
@@ -297,20 +279,19 @@
     /// Makes a call beside an open watch, to stand in its place.
     async fn renew(&mut self, address: SocketAddr, seq: u64, open: CallId) -> Renewed {
         let confirm = self.confirm_at.is_some_and(|at| Instant::now() >= at);
-        let (ask, patience) = match () {
-            () if confirm => (Ask::Whole, TURN),
-            () if self.unsure => (Ask::After(seq, BRIEF), TURN),
-            () => (Ask::After(seq, WAIT), OVERLAP),
+        let is_watch = !confirm && !self.unsure;
+        let (ask, patience) = match is_watch {
+            true => (Ask::After(seq, WAIT), OVERLAP),
+            false if confirm => (Ask::Whole, TURN),
+            false => (Ask::After(seq, BRIEF), TURN),
         };
         let fresh = self.start(address, ask, None);
         match timeout(patience, self.answer_to(&[open, fresh])).await {
             // What is left of a watch that broke just now is the new one.
-            Ok((ended, (Err(_), _))) if ended == open => match ask {
-                Ask::After(_, WAIT) => Renewed::By(fresh),
-                _ => Renewed::Called(self.turn_of(fresh).await),
-            },
+            Ok((ended, (Err(_), _))) if ended == open && is_watch => Renewed::By(fresh),
+            Ok((ended, (Err(_), _))) if ended == open => Renewed::Called(self.turn_of(fresh).await),
             Ok((ended, called)) if ended == open => {
-                self.in_flight.supersede(fresh, Instant::now() + OVERLAP);
+                self.in_flight.supersede(fresh, OVERLAP);
                 Renewed::Called(called)
             }
             // The one that is open is as good as it was.
@@ -324,15 +305,15 @@
                 if confirm {
                     self.confirm_at = None;
                 }
-                self.in_flight.supersede(open, Instant::now() + OVERLAP);
+                self.in_flight.supersede(open, OVERLAP);
                 Renewed::Called((Ok(listing), link))
             }
-            Err(_) if patience == OVERLAP => {
-                self.in_flight.supersede(open, Instant::now() + OVERLAP);
+            Err(_) if is_watch => {
+                self.in_flight.supersede(open, OVERLAP);
                 Renewed::By(fresh)
             }
             Err(_) => {
-                self.in_flight.supersede(fresh, Instant::now() + LATE_ANSWER);
+                self.in_flight.supersede(fresh, LATE_ANSWER);
                 Renewed::Failed(CallError::Overdue)
             }
         }
--- a/crates/node/src/discovery/in_flight.rs
+++ b/crates/node/src/discovery/in_flight.rs
@@ -5,6 +5,7 @@
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// More calls than this are never out: of those that another has taken the place of, the oldest is dropped.
@@ -13,8 +14,8 @@
 /// A call that is out.
 pub type Call = Pin<Box<dyn Future<Output = Called>>>;
 
-/// Names a call; later ones have higher numbers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// Names a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallId(u64);
 
 /// Counts the addresses that discovery has had: versions of one mean nothing at another.
@@ -64,16 +65,17 @@
         id
     }
 
-    /// Another call takes this one's place: its answer is read until then.
-    pub fn supersede(&mut self, id: CallId, until: Instant) {
+    /// Another call takes this one's place: its answer is read for so long.
+    pub fn supersede(&mut self, id: CallId, read_for: Duration) {
         let call = self.calls.iter_mut().find(|open| open.id == id);
         if let Some(open) = call {
-            open.superseded = Some(until);
+            open.superseded = Some(Instant::now() + read_for);
         }
     }
 
     /// The same for all calls.
-    pub fn supersede_all(&mut self, until: Instant) {
+    pub fn supersede_all(&mut self, read_for: Duration) {
+        let until = Instant::now() + read_for;
         for open in &mut self.calls {
             open.superseded.get_or_insert(until);
         }
--- a/crates/node/src/discovery/leaving_tests.rs
+++ b/crates/node/src/discovery/leaving_tests.rs
@@ -2,6 +2,7 @@
 
 use super::tests::{client_at, list, play, QUEUE, TOLD_AFTER_FAILURE};
 use super::*;
+use slatelink_decide::Settings;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::net::Shutdown;
@@ -340,9 +341,16 @@
     let (told, heard) = unbounded_channel();
     let (addresses, address) = watch::channel(address);
     let random = fastrand::Rng::with_seed(seed);
-    let limits = Limits::of(&Settings::default());
-    let watching =
-        Discovery { address, seq: Some(1), pushed: false, limits, random, events, log: log.clone() };
+    let stop_sending_within = Settings::default().stop_sending_within;
+    let watching = Discovery {
+        address,
+        seq: Some(1),
+        pushed: false,
+        stop_sending_within,
+        random,
+        events,
+        log: log.clone(),
+    };
     let follow = Rc::new(Notify::new());
     follow.notify_one();
     spawn_local(watching.run(follow.clone()));
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -1,5 +1,6 @@
 use super::call::CONNECT_TIMEOUT;
 use super::*;
+use slatelink_decide::Settings;
 use slatelink_observe::{Format, Observers};
 use std::cell::RefCell;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -104,8 +105,9 @@
     let addresses = Rc::new(addresses);
     let kept = addresses.clone();
     let random = fastrand::Rng::with_seed(seed);
-    let limits = Limits::of(&Settings::default());
-    let watching = Discovery { address, seq: Some(1), pushed, limits, random, events, log: log.clone() };
+    let stop_sending_within = Settings::default().stop_sending_within;
+    let watching =
+        Discovery { address, seq: Some(1), pushed, stop_sending_within, random, events, log: log.clone() };
     let follow = Rc::new(Notify::new());
     if !pushed {
         follow.notify_one();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,7 @@
 mod table;
 mod upstream;
 
-use discovery::{Discovery, Limits};
+use discovery::Discovery;
 use driver::{Driver, Input};
 use multiget::MultiGet;
 use server::{serve, Connection, Front, Room, Stage, LARGEST_HEAD};
@@ -105,8 +105,9 @@
     let seq = (!known.hosts.is_empty() && !pushed).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let (addresses, address) = watch::channel(discovery);
-    let limits = Limits::of(&settings);
-    let discovery = Discovery { address, seq, pushed, limits, random, events: heard, log: log.clone() };
+    let stop_sending_within = settings.stop_sending_within;
+    let discovery =
+        Discovery { address, seq, pushed, stop_sending_within, random, events: heard, log: log.clone() };
 
     spawn_local(upstream.clone().sweep());
     spawn_local(table.clone().sweep());
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -121,7 +121,7 @@
 }
 
 /// Whether a request has left this machine's hands whole.
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct Written {
     begun: Cell<bool>,
     whole: Cell<bool>,
@@ -145,7 +145,6 @@
 
 /// Leave to begin a request. Between the attempt's own look and the first byte the connection's task has to get its turn,
 /// which takes long on a busy node: the server may have been told to leave, or the client may have gone, meanwhile.
-#[derive(Debug)]
 struct Permit {
     peer: Rc<Peer>,
     /// Of the server, when the connection was made.
@@ -288,7 +287,6 @@
 
 /// A connection. Dropping it closes the socket at once, also with an answer under way: that is how an
 /// attempt is given up.
-#[derive(Debug)]
 struct Connection {
     /// Of its server, when it was made.
     life: u64,
@@ -306,7 +304,6 @@
 }
 
 /// A cache server.
-#[derive(Debug)]
 struct Peer {
     dial: Cell<SocketAddr>,
     started: Cell<Option<Timestamp>>,
