Drive the decision module by one piece of code in the node and in simulated nodes

Cause: control.rs wrote the driver's loop over events and its turn from a list to an event again (control.rs 167 and driver.rs 356 in the tree before). Change: `Decisions` holds the module, its clock and the events that wait, for both.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -3,15 +3,16 @@
 //! It is the client of discovery and the decision module of a whole node, wired to each other as there, without listener,
 //! connections to cache servers and clients. Requests can be drawn at a rate; each attempt ends at once, as served.
 
+use crate::decisions::Decisions;
 use crate::discovery::Discovery;
-use crate::driver::{Clock, Input};
+use crate::driver::Input;
 use slatelink_config::Listing;
 use slatelink_decide::{
     Action, Balancer, ClassId, Event, LoadReport, Outcome, Request, RequestId, ServerEntry, ServerId,
     ServerList, Settings, Status,
 };
 use slatelink_observe::Log;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -74,11 +75,9 @@
     tasks.spawn_local(client.run(follow.clone()));
     let driver = ControlDriver {
         requests: Requests::new(&settings, request_rate, random),
-        balancer: Balancer::new(settings, seed),
-        clock: Clock::start(),
+        decisions: Decisions::new(Balancer::new(settings, seed)),
         follow,
         wakes: BTreeSet::new(),
-        due: VecDeque::new(),
         sent: 0,
         processor_clock,
         observer,
@@ -88,11 +87,9 @@
 
 /// Delivers events to the decision module and carries out what of its actions concerns control.
 struct ControlDriver {
-    balancer: Balancer,
-    clock: Clock,
+    decisions: Decisions,
     follow: Rc<Notify>,
     wakes: BTreeSet<Instant>,
-    due: VecDeque<Event>,
     requests: Requests,
     /// Attempts so far.
     sent: u64,
@@ -102,7 +99,7 @@
 
 impl ControlDriver {
     async fn run(mut self, mut inputs: UnboundedReceiver<Input>) {
-        self.due.push_back(Event::Restored(Arc::from([])));
+        self.decisions.push(Event::Restored(Arc::from([])));
         self.handle_due();
         loop {
             let (wake, request) = (self.wakes.first().copied(), self.requests.next);
@@ -121,7 +118,7 @@
         match input {
             Input::Listing(listing) => self.learn(&listing),
             Input::ListingFailed => {
-                self.due.push_back(Event::Servers(ServerList::Unavailable));
+                self.decisions.push(Event::Servers(ServerList::Unavailable));
                 self.handle_due();
                 self.observer.discovery_failed();
             }
@@ -132,8 +129,7 @@
 
     fn learn(&mut self, listing: &Listing) {
         let entries: Arc<[ServerEntry]> = listing.hosts.iter().map(|host| host.entry()).collect();
-        let list = if listing.whole { ServerList::Full(entries) } else { ServerList::Changes(entries) };
-        self.due.push_back(Event::Servers(list));
+        self.decisions.push_list(entries, listing.whole);
         self.handle_due();
         self.observer.in_force(listing.seq, listing.whole);
     }
@@ -142,7 +138,7 @@
         let now = Instant::now();
         while self.wakes.first().is_some_and(|at| *at <= now) {
             self.wakes.pop_first();
-            self.due.push_back(Event::Timer);
+            self.decisions.push(Event::Timer);
         }
         self.handle_due();
     }
@@ -155,10 +151,10 @@
         let request = Request {
             class: Some(class),
             key: Some(key),
-            ..Request::new(id.as_str(), self.clock.at(now + patience))
+            ..Request::new(id.as_str(), self.decisions.at(now + patience))
         };
         let sent_before = self.sent;
-        self.due.push_back(Event::Request(request));
+        self.decisions.push(Event::Request(request));
         self.handle_due();
         let processor = (self.processor_clock)().saturating_sub(begun);
         self.observer.request_handled(self.sent > sent_before, processor);
@@ -166,8 +162,7 @@
 
     fn handle_due(&mut self) {
         let mut actions = Vec::new();
-        while let Some(event) = self.due.pop_front() {
-            self.balancer.handle(self.clock.at(Instant::now()), event, &mut actions);
+        while self.decisions.handle_next(&mut actions) {
             for action in actions.drain(..) {
                 self.carry_out(action);
             }
@@ -178,7 +173,7 @@
         match action {
             Action::Send { id, server, .. } => {
                 self.sent += 1;
-                self.due.push_back(served(id, server));
+                self.decisions.push(served(id, server));
             }
             Action::Wake { after } => {
                 self.wakes.insert(Instant::now() + after);
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,20 +1,21 @@
 //! Drives the module: the only owner of the `Balancer` and of what is open. Events come in by channel and the
 //! module's actions are carried out in order; nothing is picked, repeated or refused here.
 
+use crate::decisions::Decisions;
 use crate::upstream::{Bounds, Ended, Message, Upstream};
 use bytes::Bytes;
 use hyper::StatusCode;
 use slatelink_config::Listing;
 use slatelink_decide::{
     Action, Availability, Balancer, ClassId, Event, Outcome, Request, RequestId, ServerEntry, ServerId,
-    ServerList, Timestamp,
+    ServerList,
 };
 use slatelink_observe::{End, Observer};
 use std::cell::Cell;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep_until, Instant};
@@ -80,27 +81,6 @@
     ListingFailed,
 }
 
-/// The one clock: it runs evenly, from the system's time at the start, which discovery's times are told in.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    origin: Instant,
-    unix: Duration,
-}
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { origin: Instant::now(), unix }
-    }
-
-    /// This instant on it.
-    pub fn at(&self, instant: Instant) -> Timestamp {
-        let time = self.unix + instant.saturating_duration_since(self.origin);
-        Timestamp::from_micros(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
-    }
-}
-
 struct Open {
     message: Rc<Message>,
     /// `None` once the final answer is given, or its client has gone.
@@ -141,8 +121,7 @@
 
 /// See the module's page.
 pub struct Driver {
-    balancer: Balancer,
-    clock: Clock,
+    decisions: Decisions,
     upstream: Rc<Upstream>,
     follow: Rc<Notify>,
     ready: Rc<Cell<bool>>,
@@ -153,7 +132,6 @@
     observer: Rc<dyn Observer>,
     open: HashMap<RequestId, Open>,
     timers: BTreeSet<(Instant, Timer)>,
-    due: VecDeque<Event>,
 }
 
 impl Driver {
@@ -168,8 +146,7 @@
         observer: Rc<dyn Observer>,
     ) -> Self {
         Self {
-            balancer,
-            clock: Clock::start(),
+            decisions: Decisions::new(balancer),
             upstream,
             follow,
             ready,
@@ -179,7 +156,6 @@
             observer,
             open: HashMap::new(),
             timers: BTreeSet::new(),
-            due: VecDeque::new(),
         }
     }
 
@@ -192,7 +168,7 @@
         mut inputs: UnboundedReceiver<Input>,
     ) {
         let entries = self.learn(&Listing { whole: true, ..known });
-        self.due.push_back(Event::Restored(entries));
+        self.decisions.push(Event::Restored(entries));
         self.handle_due();
         loop {
             let next = self.timers.first().map(|(at, _)| *at);
@@ -226,7 +202,7 @@
                 if let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) {
                     drop(open.close());
                     self.observer.answered(open.class, open.last(), open.at.elapsed(), End::Left);
-                    self.due.push_back(Event::Abandoned(id.clone()));
+                    self.decisions.push(Event::Abandoned(id.clone()));
                     self.tidy(&id);
                 }
             }
@@ -234,14 +210,12 @@
             Input::Listing(listing) => {
                 self.awaits = None;
                 let entries = self.learn(&listing);
-                let list =
-                    if listing.whole { ServerList::Full(entries) } else { ServerList::Changes(entries) };
-                self.due.push_back(Event::Servers(list));
+                self.decisions.push_list(entries, listing.whole);
             }
             Input::ListingFailed => {
                 self.awaits = self.awaits.filter(|until| Instant::now() < *until);
                 self.be_ready();
-                self.due.push_back(Event::Servers(ServerList::Unavailable));
+                self.decisions.push(Event::Servers(ServerList::Unavailable));
             }
         }
     }
@@ -287,11 +261,11 @@
         };
         self.open.insert(id.clone(), open);
         self.timers.insert((until + GUARD, Timer::Guard(id.clone())));
-        self.due.push_back(Event::Request(Request {
+        self.decisions.push(Event::Request(Request {
             id,
             class: Some(taken.class),
             key: taken.key,
-            valid_until: self.clock.at(until),
+            valid_until: self.decisions.at(until),
             expected_work: taken.expected_work,
             write: taken.write,
             over_share: taken.over_share,
@@ -310,7 +284,7 @@
         let finished = open.answer.is_none();
         let Ended { status, note, load, .. } = ended;
         self.tidy(&id);
-        self.due.push_back(Event::Outcome(Outcome {
+        self.decisions.push(Event::Outcome(Outcome {
             id,
             attempt,
             server,
@@ -336,7 +310,7 @@
         let now = Instant::now();
         while self.timers.first().is_some_and(|(at, _)| *at <= now) {
             match self.timers.pop_first() {
-                Some((_, Timer::Wake)) => self.due.push_back(Event::Timer),
+                Some((_, Timer::Wake)) => self.decisions.push(Event::Timer),
                 Some((_, Timer::Guard(id))) => self.guard(id),
                 None => {}
             }
@@ -350,13 +324,12 @@
         let last = open.last().cloned();
         reply(&*self.observer, open, last.as_ref(), Answer::Failed);
         self.tidy(&id);
-        self.due.push_back(Event::Abandoned(id));
+        self.decisions.push(Event::Abandoned(id));
     }
 
     fn handle_due(&mut self) {
         let mut actions = Vec::new();
-        while let Some(event) = self.due.pop_front() {
-            self.balancer.handle(self.clock.at(Instant::now()), event, &mut actions);
+        while self.decisions.handle_next(&mut actions) {
             for action in actions.drain(..) {
                 self.carry_out(action);
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! through an `Observer`.
 
 pub mod control;
+mod decisions;
 mod discovery;
 mod driver;
 mod multiget;
