Wait for all first attempts before the test of a repeat's window takes stock of them

Cause: `a_repeat_whose_connection_comes_up_after_its_window_is_not_begun` read which requests the broken server had been asked as soon as one had reached it; one that reached it later was taken for one that waits at the slow server, and is refused by right once its window is over. The node is not at fault. Change: the broken server holds its requests until all eleven first attempts are seen, so that none can be repeated before; the window is 2 s in place of 0.3 s and a connection may take 20 s, so that a busy machine breaks neither. It now also asserts that both sets have members and add up to eleven, that a repeat was on its way within the window, that the slow server is asked exactly its own and that the broken one is asked nothing again.

--- a/crates/cli/tests/node_crossings.rs
+++ b/crates/cli/tests/node_crossings.rs
@@ -83,18 +83,39 @@
 // Guards against a repeat that was decided within its window and begins after it: servers know it for one no more.
 #[test]
 fn a_repeat_whose_connection_comes_up_after_its_window_is_not_begun() {
+    const REQUESTS: u64 = 11;
     let slow = SlowServer::start();
-    let broken = CacheServer::start(|_| Does::Close(String::new()));
+    let gate = Gate::default();
+    let held = gate.clone();
+    let broken = CacheServer::start(move |_| {
+        held.pass();
+        Does::Close(String::new())
+    });
     let discovery = Discovery::start(&[broken.entry("s-1", "ready"), host("s-2", slow.address, "ready")]);
     let mut config = config(discovery.address);
-    config["settings"]["lanes"][2]["repeat_window_us"] = json!(300_000);
+    config["settings"]["lanes"][2]["repeat_window_us"] = json!(2_000_000);
+    // The first attempts at the slow one outlast the window.
+    config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
     let node = Node::ready(&config);
     // Each is asked of one of the two first; those of the slow one wait there.
-    let mut clients: Vec<_> = (1..12).map(|key| (key, node.client())).collect();
+    let mut clients: Vec<_> = (1..=REQUESTS).map(|key| (key, node.client())).collect();
     clients.iter_mut().for_each(|(key, client)| client.send(&read("keyed", *key, 20_000)));
-    wait_for("those of the broken one", || broken.count() > 0);
+    // None can be repeated before the gate opens: each stands for one first attempt.
+    wait_for("all first attempts", || slow.waited_for() + broken.count() >= clients.len());
+    let first_at_slow = slow.waited_for();
     let repeated: Vec<_> =
         broken.asked.lock().unwrap().iter().map(|asked| asked.header("req-id").unwrap().to_owned()).collect();
+    assert!(
+        !repeated.is_empty() && first_at_slow > 0,
+        "{repeated:?} at the broken one, {first_at_slow} at the slow one"
+    );
+    assert_eq!(
+        repeated.len() + first_at_slow,
+        clients.len(),
+        "{repeated:?}, {first_at_slow} at the slow one"
+    );
+    gate.open();
+    wait_for("a repeat on its way", || slow.waited_for() > first_at_slow);
     // Answered once the window is over: no server may be asked any more.
     for (key, client) in &mut clients {
         if repeated.contains(&format!("{key:x}")) {
@@ -108,9 +129,11 @@
         }
     }
     let asked = slow.asked();
+    assert_eq!(asked.len(), first_at_slow, "{asked:?}");
     for id in &repeated {
         assert!(!asked.iter().any(|asked| asked.contains(&format!("req-id: {id}\r\n"))), "{id}: {asked:?}");
     }
+    assert_eq!(broken.count(), repeated.len(), "none was asked of the broken one again");
     assert_eq!(broken.connections.load(Ordering::SeqCst) as usize, broken.count());
 }
 
