Keep the renewed watch open, verify watches after failures, and renew a first one early

The old watch now stays open until the next renewal (`watches.rs`); whichever speaks first ends both. - A first watch that was swallowed was renewed after 12 to 18 s; a node that discovery has not heard of counts as told after the settings' time for asking (10 s). A node that has had no answer at all renews its first watch after 0.2 to 0.77 of that time. - After a failed call a brief one came before the watch, and if the watch was refused both were made again. Now the watch comes first, and a brief call beside it verifies it 2.1 s later; nodes that lost their watches together need one turn for the list. Who was answered less than 1 s ago and is refused waits 1.8 s.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -66,6 +66,7 @@
         seq: None,
         pushed: !settings.must_follow,
         stop_sending_within: settings.stop_sending_within,
+        ask_within: settings.ask_within,
         random: random.fork(),
         events,
         log,
--- /dev/null
+++ b/crates/node/src/discovery/watching.rs
@@ -0,0 +1,245 @@
+//! Watches on the list: opened, verified after failures, renewed, and what stands beside them.
+
+use super::call::{Ask, CallError, Called, Link};
+use super::in_flight::CallId;
+use super::timing::*;
+use super::watches::Watches;
+use super::Client;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::time::Duration;
+use tokio::time::{timeout_at, Instant};
+
+/// How a call that has nothing to wait for but its turn ended, or what a watch brought meanwhile.
+enum Prompt {
+    Answered(Called),
+    Watch(Called),
+    Failed(CallError),
+}
+
+/// What became of a call beside the open watches.
+enum Beside {
+    /// Discovery has said something, or no watch is left: the next watch is to be opened.
+    Called(Called),
+    /// The watches stand, verified or renewed.
+    Stands,
+    /// It failed, and the watches stay as they were.
+    Failed(CallError),
+}
+
+impl Client {
+    /// Discovery's next word: the whole list where none is held, or what a watch brings.
+    pub(super) async fn ask(&mut self, address: SocketAddr, link: Option<Link>) -> Called {
+        match self.seq {
+            Some(seq) => self.watch(address, seq, link).await,
+            None => self.whole_list(address, link).await,
+        }
+    }
+
+    async fn whole_list(&mut self, address: SocketAddr, link: Option<Link>) -> Called {
+        let asked = Instant::now();
+        let hedge = self.failed_late.then_some(HEDGE);
+        let called = match self.prompt(address, Ask::Whole, link, hedge, &mut Watches::default()).await {
+            Prompt::Answered(called) | Prompt::Watch(called) => called,
+            Prompt::Failed(error) => (Err(error), None),
+        };
+        self.failed_late = called.0.is_err() && asked.elapsed() >= LATE_FAILURE;
+        called
+    }
+
+    /// What a watch brings, or one of those that renew it.
+    async fn watch(&mut self, address: SocketAddr, seq: u64, link: Option<Link>) -> Called {
+        let mut opened = Instant::now();
+        let mut unverified = self.unsure;
+        let mut next_call = opened + self.first_call_beside();
+        let mut watches = Watches::new(self.start(address, Ask::After(seq, WAIT), link));
+        loop {
+            let over = opened + WAIT + OVERDUE;
+            if let Ok(called) = timeout_at(next_call.min(over), self.answer_of(&mut watches)).await {
+                let waited = opened.elapsed();
+                self.failed_late = unverified && called.0.is_err() && (LATE_FAILURE..TURN).contains(&waited);
+                return called;
+            }
+            if over <= next_call {
+                watches.supersede(&mut self.in_flight, Duration::ZERO);
+                return (Err(CallError::Overdue), None);
+            }
+            let asked = Instant::now();
+            let beside = match unverified {
+                true => self.verify(address, seq, &mut watches).await,
+                false => self.renew(address, seq, &mut watches).await,
+            };
+            match beside {
+                Beside::Called(called) => return called,
+                Beside::Stands => {
+                    // A watch that was verified is as young as before.
+                    opened = if unverified { opened } else { asked };
+                    unverified = false;
+                    next_call = asked + self.renewal();
+                }
+                Beside::Failed(error) if asked.elapsed() >= LATE_FAILURE => {
+                    // No time is left to wait before the next call. Those that are open are read on.
+                    self.failed_late = true;
+                    let left = over.saturating_duration_since(Instant::now());
+                    watches.supersede(&mut self.in_flight, left);
+                    return (Err(error), None);
+                }
+                Beside::Failed(error) => {
+                    self.log.often("discovery", &format!("discovery: watch not renewed: {error}"));
+                    self.unsure = true;
+                    next_call = Instant::now() + self.spread(RENEW_AGAIN, RENEW_AGAIN_SPREAD);
+                }
+            }
+        }
+    }
+
+    /// What the watches bring: the answer of either, or the failure of the newest.
+    async fn answer_of(&mut self, watches: &mut Watches) -> Called {
+        loop {
+            let (ended, called) = self.answer_to(&watches.open().collect::<Vec<_>>()).await;
+            watches.remove(ended);
+            if called.0.is_ok() || watches.is_broken() {
+                watches.supersede(&mut self.in_flight, OVERLAP);
+                return called;
+            }
+        }
+    }
+
+    /// Makes sure of a watch that was opened after a failed call.
+    async fn verify(&mut self, address: SocketAddr, seq: u64, watches: &mut Watches) -> Beside {
+        let ask = Ask::After(seq, BRIEF);
+        match self.prompt(address, ask, None, Some(VERIFY_HEDGE), watches).await {
+            Prompt::Answered((Ok(listing), _)) if listing.seq == seq && !watches.is_broken() => {
+                self.unsure = false;
+                self.failed_late = false;
+                self.answered = Some(Instant::now());
+                Beside::Stands
+            }
+            Prompt::Answered(called) => {
+                watches.supersede(&mut self.in_flight, OVERLAP);
+                Beside::Called(called)
+            }
+            Prompt::Watch(called) => Beside::Called(called),
+            Prompt::Failed(error) if watches.is_broken() => Beside::Called((Err(error), None)),
+            Prompt::Failed(error) => Beside::Failed(error),
+        }
+    }
+
+    /// Makes a call that stands in the newest watch's place, or shows what that has missed.
+    async fn renew(&mut self, address: SocketAddr, seq: u64, watches: &mut Watches) -> Beside {
+        let confirm = self.confirm_at.is_some_and(|at| Instant::now() >= at);
+        if !confirm && !self.unsure {
+            return self.renew_by_watch(address, seq, watches).await;
+        }
+        let ask = if confirm { Ask::Whole } else { Ask::After(seq, BRIEF) };
+        match self.prompt(address, ask, None, None, watches).await {
+            Prompt::Answered(called) => {
+                if confirm {
+                    self.confirm_at = None;
+                }
+                watches.supersede(&mut self.in_flight, OVERLAP);
+                Beside::Called(called)
+            }
+            Prompt::Watch(called) => Beside::Called(called),
+            Prompt::Failed(error) if watches.is_broken() => Beside::Called((Err(error), None)),
+            Prompt::Failed(error) => Beside::Failed(error),
+        }
+    }
+
+    async fn renew_by_watch(&mut self, address: SocketAddr, seq: u64, watches: &mut Watches) -> Beside {
+        let fresh = self.start(address, Ask::After(seq, WAIT), None);
+        let until = Instant::now() + OVERLAP;
+        loop {
+            let calls: Vec<_> = watches.open().chain([fresh]).collect();
+            let Ok((ended, called)) = timeout_at(until, self.answer_to(&calls)).await else {
+                watches.renew(fresh, &mut self.in_flight);
+                return Beside::Stands;
+            };
+            match called {
+                (Ok(listing), link) => {
+                    if ended == fresh && listing.seq > seq {
+                        let news = listing.seq;
+                        let text = format!("discovery: list {news} came by a new watch, not by the old one");
+                        self.log.often("discovery", &text);
+                    }
+                    watches.remove(ended);
+                    watches.supersede(&mut self.in_flight, OVERLAP);
+                    if ended != fresh {
+                        self.in_flight.supersede(fresh, OVERLAP);
+                    }
+                    return Beside::Called((Ok(listing), link));
+                }
+                // Those that are open are as good as they were.
+                (Err(error), _) if ended == fresh && !watches.is_broken() => return Beside::Failed(error),
+                (Err(error), link) if ended == fresh => return Beside::Called((Err(error), link)),
+                // What is left of a watch that broke just now is the new one.
+                (Err(_), _) => watches.remove(ended),
+            }
+        }
+    }
+
+    /// A call that has nothing to wait for but its turn, beside these watches. Where it has no answer after `hedge`, a second
+    /// one is made.
+    async fn prompt(
+        &mut self,
+        address: SocketAddr,
+        ask: Ask,
+        link: Option<Link>,
+        hedge: Option<Duration>,
+        watches: &mut Watches,
+    ) -> Prompt {
+        let mut calls = vec![self.start(address, ask, link)];
+        let mut until = Instant::now() + hedge.unwrap_or(TURN);
+        let mut hedged = hedge.is_none();
+        loop {
+            let all: Vec<_> = watches.open().chain(calls.iter().copied()).collect();
+            let Ok((ended, called)) = timeout_at(until, self.answer_to(&all)).await else {
+                if std::mem::replace(&mut hedged, true) {
+                    self.supersede(&calls, LATE_ANSWER);
+                    return Prompt::Failed(CallError::Overdue);
+                }
+                calls.push(self.start(address, ask, None));
+                until = Instant::now() + TURN;
+                continue;
+            };
+            let by_watch = watches.contains(ended);
+            watches.remove(ended);
+            calls.retain(|call| *call != ended);
+            match called {
+                (Ok(listing), link) => {
+                    self.supersede(&calls, OVERLAP);
+                    if by_watch {
+                        watches.supersede(&mut self.in_flight, OVERLAP);
+                        return Prompt::Watch((Ok(listing), link));
+                    }
+                    return Prompt::Answered((Ok(listing), link));
+                }
+                (Err(error), _) if calls.is_empty() => return Prompt::Failed(error),
+                (Err(_), _) => {}
+            }
+        }
+    }
+
+    fn supersede(&mut self, calls: &[CallId], read_for: Duration) {
+        calls.iter().for_each(|call| self.in_flight.supersede(*call, read_for));
+    }
+
+    /// How long after a watch was opened another call is made beside it.
+    fn first_call_beside(&mut self) -> Duration {
+        match self.unsure {
+            true if self.failed_late => HEDGE,
+            true => self.spread(VERIFY, VERIFY_SPREAD),
+            false => self.renewal(),
+        }
+    }
+
+    /// How long after it was opened a watch is renewed.
+    fn renewal(&mut self) -> Duration {
+        if self.answered.is_some() || self.pushed {
+            return self.spread(RENEW, RENEW_SPREAD);
+        }
+        let Range { start, end } = FIRST_RENEWAL_PART;
+        let part = start + (end - start) * self.random.f64();
+        self.ask_within.mul_f64(part).min(RENEW)
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -106,9 +106,16 @@
     let seq = (!known.hosts.is_empty() && !pushed).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let (addresses, address) = watch::channel(discovery);
-    let stop_sending_within = settings.stop_sending_within;
-    let discovery =
-        Discovery { address, seq, pushed, stop_sending_within, random, events: heard, log: log.clone() };
+    let discovery = Discovery {
+        address,
+        seq,
+        pushed,
+        stop_sending_within: settings.stop_sending_within,
+        ask_within: settings.ask_within,
+        random,
+        events: heard,
+        log: log.clone(),
+    };
 
     spawn_local(upstream.clone().sweep());
     spawn_local(table.clone().sweep());
