--- a/crates/node/src/discovery/leaving_tests.rs
+++ b/crates/node/src/discovery/leaving_tests.rs
@@ -304,6 +304,33 @@
     assert!(late.is_empty(), "change after the renewal, seed, brought so long after it: {late:?}");
 }
 
+// Guards against a node that hears a change by the watch that it renewed, and goes on with the silent one that renewed it: what
+// changes within 200 ms of that answer counts as told, unless a call follows.
+#[test]
+fn after_a_change_that_only_the_renewed_watch_brought_a_call_follows_for_the_next_one() {
+    for seed in 0..3 {
+        let took = play(async |log| {
+            let (address, mut calls) = manual().await;
+            let mut heard = client_at(address, seed, false, &log).0;
+            let old = calls.recv().await.unwrap();
+            let silent = calls.recv().await.unwrap();
+            sleep_until(silent.at + OVERLAP + Duration::from_secs(1)).await;
+            assert!(old.stands(), "a closed watch is a call that was given up");
+            let answered = Instant::now();
+            old.answer(&changes(2, &[("s-1", "draining")]));
+            spawn_local(async move {
+                while let Some(call) = calls.recv().await {
+                    sleep(QUEUE).await;
+                    call.answer(&changes(3, &[("s-2", "draining")]));
+                }
+                drop(silent);
+            });
+            list(&mut heard, 3).await - answered
+        });
+        assert!(took < QUEUE + AT_ONCE, "seed {seed}: {took:?}");
+    }
+}
+
 /// What a call takes of the one discovery, by the number of nodes: as measured at 6 and 300, and the latter for 350.
 const FLEETS: [(u64, Duration); 3] = [
     (6, Duration::from_millis(350)),
