Name the lab's cache servers by what they are: `CacheServers` in place of `Floor`

Cause: `Floor` and `floor` are a metaphor. Change: names, and the doc comment of `Directory::new`, which named an argument that it has not; nothing else.

--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -6,7 +6,7 @@
 use crate::list_protocol::{ListAnswer, ListCall, ListedHost, NOT_FOUND, REFUSED};
 use crate::record::Told;
 use crate::scenario::Fleet;
-use crate::servers::Floor;
+use crate::servers::CacheServers;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -33,7 +33,7 @@
 
 /// Discovery.
 pub struct Directory {
-    floor: Rc<Floor>,
+    cache_servers: Rc<CacheServers>,
     fleet: Fleet,
     entries: RefCell<Vec<Entry>>,
     /// What each server is called.
@@ -53,11 +53,16 @@
 }
 
 impl Directory {
-    /// With `listed` of the floor's servers ready, and the rest unknown.
-    pub fn new(floor: Rc<Floor>, fleet: &Fleet, all: usize, dials: Vec<Vec<SocketAddr>>) -> Rc<Self> {
+    /// With the fleet's servers listed as ready, and the spare ones, up to `all`, unknown.
+    pub fn new(
+        cache_servers: Rc<CacheServers>,
+        fleet: &Fleet,
+        all: usize,
+        dials: Vec<Vec<SocketAddr>>,
+    ) -> Rc<Self> {
         let entry = |i| Entry { health: "ready", born_ms: 0, seq: u64::from(i < fleet.servers) };
         Rc::new(Self {
-            floor,
+            cache_servers,
             fleet: fleet.clone(),
             entries: RefCell::new((0..all).map(entry).collect()),
             names: (0..all).map(|server| format!("s-{server:03}")).collect(),
@@ -79,8 +84,8 @@
             let seq = *directory.seq.borrow() + 1;
             directory.entries.borrow_mut()[server] = Entry { health, born_ms, seq };
             directory.seq.send_replace(seq);
-            let at = directory.floor.now().as_micros() as u64;
-            directory.floor.record.borrow_mut().changed.push((server, health == "ready", at));
+            let at = directory.cache_servers.now().as_micros() as u64;
+            directory.cache_servers.record.borrow_mut().changed.push((server, health == "ready", at));
         });
     }
 
@@ -93,11 +98,11 @@
     pub fn set_lies(&self, lies: bool) {
         self.lies.set(lies);
         // All of it is news.
-        let at = self.floor.now().as_micros() as u64;
+        let at = self.cache_servers.now().as_micros() as u64;
         let words =
             self.entries.borrow().iter().map(|entry| lies || entry.health == "ready").collect::<Vec<_>>();
         let words = words.into_iter().enumerate().map(|(server, ready)| (server, ready, at));
-        self.floor.record.borrow_mut().changed.extend(words);
+        self.cache_servers.record.borrow_mut().changed.extend(words);
         let seq = *self.seq.borrow() + 1;
         self.entries.borrow_mut().iter_mut().filter(|entry| entry.seq > 0).for_each(|entry| entry.seq = seq);
         self.seq.send_replace(seq);
@@ -156,9 +161,9 @@
             let (message, told) = self.list(node, call.after).map_err(drop)?;
             conn.write(&message).await.map_err(drop)?;
             // It counts as told once it is written.
-            let at = self.floor.now().as_micros() as u64;
+            let at = self.cache_servers.now().as_micros() as u64;
             let words = told.into_iter().map(|(server, ready)| Told { node, server, ready, at });
-            self.floor.record.borrow_mut().told.extend(words);
+            self.cache_servers.record.borrow_mut().told.extend(words);
         }
     }
 
--- a/crates/lab/src/run/faults.rs
+++ b/crates/lab/src/run/faults.rs
@@ -3,7 +3,7 @@
 use crate::discovery::Directory;
 use crate::record::AppliedFault;
 use crate::scenario::{Fault, Kind, Scenario};
-use crate::servers::{Floor, ServerMode};
+use crate::servers::{CacheServers, ServerMode};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::task::spawn_local;
@@ -25,33 +25,37 @@
 }
 
 /// Starts a task for each fault of servers and discovery, counted from now.
-pub(super) fn schedule_faults(scenario: &Scenario, floor: &Rc<Floor>, directory: &Rc<Directory>) {
+pub(super) fn schedule_faults(
+    scenario: &Scenario,
+    cache_servers: &Rc<CacheServers>,
+    directory: &Rc<Directory>,
+) {
     let load_start = Instant::now();
     let mut spare = scenario.fleet.servers;
     for (fault, server, at) in faults_by_target(scenario) {
         let replacement = spare;
         spare += usize::from(fault.kind == Kind::Replace);
         let duration = fault.for_s.map(|seconds| Duration::from_secs_f64(seconds.get()));
-        let from = (load_start + at).saturating_duration_since(floor.start).as_micros() as u64;
+        let from = (load_start + at).saturating_duration_since(cache_servers.start).as_micros() as u64;
         let until = duration.map(|duration| from + duration.as_micros() as u64);
         let applied = AppliedFault { kind: fault.kind, from, until, target: server };
-        floor.record.borrow_mut().faults.push(applied);
+        cache_servers.record.borrow_mut().faults.push(applied);
         if fault.kind.targets_nodes() {
             continue;
         }
-        let (floor, directory) = (floor.clone(), directory.clone());
+        let (cache_servers, directory) = (cache_servers.clone(), directory.clone());
         spawn_local(async move {
             sleep_until((load_start + at).into()).await;
             tracing::info!(kind = ?fault.kind, whom = server, "a fault begins");
-            apply(&fault, server, replacement, &floor, &directory);
+            apply(&fault, server, replacement, &cache_servers, &directory);
             if let Some(duration) = duration {
                 sleep(duration).await;
                 tracing::info!(kind = ?fault.kind, whom = server, "a fault ends");
-                revert(&fault, server, &floor, &directory);
+                revert(&fault, server, &cache_servers, &directory);
             }
             if let Some(back) = fault.back_s.filter(|_| fault.kind == Kind::Drain) {
                 sleep(Duration::from_secs_f64(back.get())).await;
-                floor.set_mode(server, ServerMode::Healthy);
+                cache_servers.set_mode(server, ServerMode::Healthy);
                 directory.change(server, "ready", unix_ms());
             }
         });
@@ -62,25 +66,31 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
 }
 
-fn apply(fault: &Fault, server: usize, replacement: usize, floor: &Rc<Floor>, directory: &Rc<Directory>) {
+fn apply(
+    fault: &Fault,
+    server: usize,
+    replacement: usize,
+    cache_servers: &Rc<CacheServers>,
+    directory: &Rc<Directory>,
+) {
     let by = fault.by.map_or(1.0, |by| by.get());
     match fault.kind {
         Kind::Kill => {
-            floor.set_mode(server, ServerMode::Down);
+            cache_servers.set_mode(server, ServerMode::Down);
             directory.change(server, "gone", 0);
         }
-        Kind::Hang => floor.set_mode(server, ServerMode::Hang),
-        Kind::Slow => floor.cluster.borrow_mut().set_slowdown(server, by),
-        Kind::Reset => floor.set_mode(server, ServerMode::Reset),
-        Kind::Half => floor.set_mode(server, ServerMode::Truncate),
-        Kind::Garbage => floor.set_mode(server, ServerMode::Garbage),
-        Kind::Refuse => floor.set_mode(server, ServerMode::Refuse),
-        Kind::Cut => floor.set_mode(server, ServerMode::Partitioned),
+        Kind::Hang => cache_servers.set_mode(server, ServerMode::Hang),
+        Kind::Slow => cache_servers.cluster.borrow_mut().set_slowdown(server, by),
+        Kind::Reset => cache_servers.set_mode(server, ServerMode::Reset),
+        Kind::Half => cache_servers.set_mode(server, ServerMode::Truncate),
+        Kind::Garbage => cache_servers.set_mode(server, ServerMode::Garbage),
+        Kind::Refuse => cache_servers.set_mode(server, ServerMode::Refuse),
+        Kind::Cut => cache_servers.set_mode(server, ServerMode::Partitioned),
         Kind::Drain => directory.change(server, "draining", 0),
         Kind::Replace => {
-            floor.set_mode(server, ServerMode::Down);
-            floor.set_mode(replacement, ServerMode::Down);
-            floor.set_mode(replacement, ServerMode::Healthy);
+            cache_servers.set_mode(server, ServerMode::Down);
+            cache_servers.set_mode(replacement, ServerMode::Down);
+            cache_servers.set_mode(replacement, ServerMode::Healthy);
             directory.change(server, "gone", 0);
             directory.change(replacement, "ready", unix_ms());
         }
@@ -92,19 +102,19 @@
     }
 }
 
-fn revert(fault: &Fault, server: usize, floor: &Rc<Floor>, directory: &Rc<Directory>) {
+fn revert(fault: &Fault, server: usize, cache_servers: &Rc<CacheServers>, directory: &Rc<Directory>) {
     let by = fault.by.map_or(1.0, |by| by.get());
     match fault.kind {
         Kind::Kill => {
-            floor.set_mode(server, ServerMode::Healthy);
+            cache_servers.set_mode(server, ServerMode::Healthy);
             directory.change(server, "ready", unix_ms());
         }
-        Kind::Slow => floor.cluster.borrow_mut().set_slowdown(server, 1.0),
+        Kind::Slow => cache_servers.cluster.borrow_mut().set_slowdown(server, 1.0),
         Kind::Hang | Kind::Reset | Kind::Half | Kind::Garbage | Kind::Refuse | Kind::Cut => {
-            floor.set_mode(server, ServerMode::Healthy);
+            cache_servers.set_mode(server, ServerMode::Healthy);
         }
         Kind::Drain => {
-            floor.set_mode(server, ServerMode::Down);
+            cache_servers.set_mode(server, ServerMode::Down);
             directory.change(server, "gone", 0);
         }
         Kind::DiscoveryDown => directory.set_down(false),
--- a/crates/lab/src/run/stand_ins.rs
+++ b/crates/lab/src/run/stand_ins.rs
@@ -7,7 +7,7 @@
 use crate::plan::{mix, Plan};
 use crate::record::Record;
 use crate::scenario::{Kind, Scenario};
-use crate::servers::Floor;
+use crate::servers::CacheServers;
 use std::io;
 use std::rc::Rc;
 use std::sync::{mpsc, Arc};
@@ -33,7 +33,7 @@
         let spares: usize =
             faults_by_target(&scenario).filter(|(fault, ..)| fault.kind == Kind::Replace).count();
         let server_count = fleet.servers + spares;
-        let floor = Floor::new(
+        let cache_servers = CacheServers::new(
             &scenario,
             plan.clone(),
             initial_cluster(&scenario, &plan, server_count),
@@ -44,23 +44,23 @@
         let mut dials = vec![Vec::new(); fleet.nodes];
         for (node, dials) in dials.iter_mut().enumerate() {
             for server in 0..server_count {
-                dials.push(floor.listen(server, node).await?);
+                dials.push(cache_servers.listen(server, node).await?);
             }
         }
         let servers = dials[0][..fleet.servers].to_vec();
-        let directory = Directory::new(floor.clone(), fleet, server_count, dials);
+        let directory = Directory::new(cache_servers.clone(), fleet, server_count, dials);
         let mut discovery_addresses = Vec::new();
         for node in 0..fleet.nodes {
             discovery_addresses.push([directory.listen(node, 0).await?, directory.listen(node, 1).await?]);
         }
-        spawn_local(floor.clone().run_model());
-        spawn_local(floor.clone().sample());
-        spawn_local(follow_commands(scenario.clone(), floor.clone(), directory, received_commands));
+        spawn_local(cache_servers.clone().run_model());
+        spawn_local(cache_servers.clone().sample());
+        spawn_local(follow_commands(scenario.clone(), cache_servers.clone(), directory, received_commands));
         // The run may have ended before it began.
         let _ = addresses.send(Addresses { discovery: discovery_addresses, servers });
         let _ = shutdown.wait_for(|requested| *requested).await;
-        let mut record = floor.record.take();
-        let cluster = floor.cluster.borrow();
+        let mut record = cache_servers.record.take();
+        let cluster = cache_servers.cluster.borrow();
         (record.overloads, record.fetches) = (cluster.overloads.clone(), cluster.fetches);
         Ok(record)
     })
@@ -68,13 +68,13 @@
 
 async fn follow_commands(
     scenario: Scenario,
-    floor: Rc<Floor>,
+    cache_servers: Rc<CacheServers>,
     directory: Rc<Directory>,
     mut received_commands: channel::UnboundedReceiver<Command>,
 ) {
     while let Some(command) = received_commands.recv().await {
         match command {
-            Command::StartFaults => schedule_faults(&scenario, &floor, &directory),
+            Command::StartFaults => schedule_faults(&scenario, &cache_servers, &directory),
             Command::CloseOldAddress { node, which } => directory.close_old(node, which),
         }
     }
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -50,7 +50,7 @@
 const WRITE_BODY_BYTES: usize = 64;
 
 /// All cache servers, on one thread.
-pub struct Floor {
+pub struct CacheServers {
     /// The model.
     pub cluster: RefCell<Cluster>,
     /// What was seen.
@@ -73,7 +73,7 @@
     first_runs: RefCell<HashMap<u32, Duration>>,
 }
 
-impl Floor {
+impl CacheServers {
     /// Servers for this cluster.
     pub fn new(
         scenario: &Scenario,
@@ -126,14 +126,14 @@
 
     /// Listens for one node at one server.
     pub async fn listen(self: &Rc<Self>, server: usize, node: usize) -> io::Result<SocketAddr> {
-        let floor = self.clone();
+        let cache_servers = self.clone();
         listen(move |stream| {
-            let mode = *floor.modes[server].borrow();
-            let full = floor.open_connections[server].get() >= floor.max_connections;
+            let mode = *cache_servers.modes[server].borrow();
+            let full = cache_servers.open_connections[server].get() >= cache_servers.max_connections;
             if matches!(mode, ServerMode::Down | ServerMode::Refuse) || full {
                 reset(stream);
             } else if let Ok(conn) = Conn::new(stream) {
-                spawn_local(floor.clone().connection(server, node, conn));
+                spawn_local(cache_servers.clone().connection(server, node, conn));
             }
         })
         .await
