Name what the lab's discovery reports: availability notices and changes in place of words told

Cause: `Told`, `Said`, `lies` and `words` are metaphors, and a change of availability was a bare tuple. Change: the record holds `AvailabilityNotice` and `AvailabilityChange`; the fault is `DiscoveryReportsAllReady` in the code and is still written `discovery_lies` in scenarios, whose form does not change. One test builds the new type in place of the tuple; its assertions are the same.

--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -1,10 +1,10 @@
-//! Stand-in for discovery: the whole list, the watch on changes, lateness, going down, and lies.
+//! Stand-in for discovery: the whole list, the watch on changes, delays, outages, and false reports.
 //!
 //! Each node has two addresses of its own; the second is where a SIGHUP sends it.
 
 use crate::http::{listen, reset, Conn};
 use crate::list_protocol::{ListAnswer, ListCall, ListedHost, NOT_FOUND, REFUSED};
-use crate::record::Told;
+use crate::record::{AvailabilityChange, AvailabilityNotice};
 use crate::scenario::Fleet;
 use crate::servers::CacheServers;
 use std::cell::{Cell, RefCell};
@@ -28,8 +28,11 @@
     seq: u64,
 }
 
-/// What a message says of servers: for each, whether it is ready.
-type Said = Vec<(usize, bool)>;
+/// What a message says of one server.
+struct ReportedServer {
+    server: usize,
+    ready: bool,
+}
 
 /// Discovery.
 pub struct Directory {
@@ -43,10 +46,11 @@
     seq: watch::Sender<u64>,
     /// Down: calls and open connections are reset.
     down: watch::Sender<bool>,
-    lies: Cell<bool>,
+    /// Every server is reported ready, whatever it is.
+    reports_all_ready: Cell<bool>,
     /// Calls are answered 503.
     pub refuses: Cell<bool>,
-    /// Changes are told so late.
+    /// Changes are reported so much later.
     pub late: Cell<Duration>,
     /// The address of each node's that no longer serves.
     closed: watch::Sender<Vec<Option<usize>>>,
@@ -70,13 +74,13 @@
             dials,
             seq: watch::Sender::new(1),
             down: watch::Sender::new(false),
-            lies: Cell::new(false),
+            reports_all_ready: Cell::new(false),
             refuses: Cell::new(false),
             late: Cell::new(Duration::from_secs_f64(fleet.discovery_late_s.get())),
         })
     }
 
-    /// A server's state changes; discovery tells of it when it has noticed.
+    /// A server's state changes; discovery reports it once its delay is over.
     pub fn change(self: &Rc<Self>, server: usize, health: &'static str, born_ms: u64) {
         let directory = self.clone();
         spawn_local(async move {
@@ -85,7 +89,11 @@
             directory.entries.borrow_mut()[server] = Entry { health, born_ms, seq };
             directory.seq.send_replace(seq);
             let at = directory.cache_servers.now().as_micros() as u64;
-            directory.cache_servers.record.borrow_mut().changed.push((server, health == "ready", at));
+            directory.cache_servers.record.borrow_mut().availability_changes.push(AvailabilityChange {
+                server,
+                ready: health == "ready",
+                at,
+            });
         });
     }
 
@@ -94,15 +102,19 @@
         self.down.send_replace(down);
     }
 
-    /// Calls every server ready, or tells the truth again.
-    pub fn set_lies(&self, lies: bool) {
-        self.lies.set(lies);
-        // All of it is news.
+    /// Reports every server as ready from now on, or each as it is again.
+    pub fn set_reports_all_ready(&self, all_ready: bool) {
+        self.reports_all_ready.set(all_ready);
+        // Each server may be reported otherwise than before.
         let at = self.cache_servers.now().as_micros() as u64;
-        let words =
-            self.entries.borrow().iter().map(|entry| lies || entry.health == "ready").collect::<Vec<_>>();
-        let words = words.into_iter().enumerate().map(|(server, ready)| (server, ready, at));
-        self.cache_servers.record.borrow_mut().changed.extend(words);
+        let entries = self.entries.borrow();
+        let changes = entries.iter().enumerate().map(|(server, entry)| AvailabilityChange {
+            server,
+            ready: all_ready || entry.health == "ready",
+            at,
+        });
+        self.cache_servers.record.borrow_mut().availability_changes.extend(changes);
+        drop(entries);
         let seq = *self.seq.borrow() + 1;
         self.entries.borrow_mut().iter_mut().filter(|entry| entry.seq > 0).for_each(|entry| entry.seq = seq);
         self.seq.send_replace(seq);
@@ -158,25 +170,30 @@
                 let mut seq = self.seq.subscribe();
                 let _ = timeout(wait, seq.wait_for(|seq| *seq > after)).await;
             }
-            let (message, told) = self.list(node, call.after).map_err(drop)?;
+            let (message, reported) = self.list(node, call.after).map_err(drop)?;
             conn.write(&message).await.map_err(drop)?;
-            // It counts as told once it is written.
+            // The node counts as informed once it is written.
             let at = self.cache_servers.now().as_micros() as u64;
-            let words = told.into_iter().map(|(server, ready)| Told { node, server, ready, at });
-            self.cache_servers.record.borrow_mut().told.extend(words);
+            let notices = reported.into_iter().map(|ReportedServer { server, ready }| AvailabilityNotice {
+                node,
+                server,
+                ready,
+                at,
+            });
+            self.cache_servers.record.borrow_mut().notices.extend(notices);
         }
     }
 
-    /// What a node is told, as a message, and what that says of each server.
-    fn list(&self, node: usize, after: Option<u64>) -> serde_json::Result<(Vec<u8>, Said)> {
+    /// The answer to a call, as a message, and what that says of each server.
+    fn list(&self, node: usize, after: Option<u64>) -> serde_json::Result<(Vec<u8>, Vec<ReportedServer>)> {
         let entries = self.entries.borrow();
         let seq = *self.seq.borrow();
         let whole = after.is_none_or(|after| after > seq);
-        let (mut hosts, mut told) = (Vec::new(), Vec::new());
+        let (mut hosts, mut reported) = (Vec::new(), Vec::new());
         for (server, entry) in entries.iter().enumerate().filter(|(_, entry)| entry.seq > 0) {
-            let health = if self.lies.get() { "ready" } else { entry.health };
+            let health = if self.reports_all_ready.get() { "ready" } else { entry.health };
             if whole || after.is_some_and(|after| entry.seq > after) {
-                told.push((server, health == "ready"));
+                reported.push(ReportedServer { server, ready: health == "ready" });
                 if !(whole && health == "gone") {
                     hosts.push(ListedHost {
                         host: &self.names[server],
@@ -191,6 +208,6 @@
                 }
             }
         }
-        Ok((ListAnswer { seq, whole, hosts }.message()?, told))
+        Ok((ListAnswer { seq, whole, hosts }.message()?, reported))
     }
 }
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -100,19 +100,30 @@
     pub outcome: AttemptOutcome,
 }
 
-/// Discovery's word to a node that a server takes no more.
+/// What discovery wrote to a node about the availability of a server.
 #[derive(Clone, Copy, Debug)]
-pub struct Told {
-    /// To whom.
+pub struct AvailabilityNotice {
+    /// The node it was written to.
     pub node: usize,
-    /// Of whom.
+    /// The server it is about.
     pub server: usize,
-    /// Whether it takes work.
+    /// Whether the server takes work.
     pub ready: bool,
     /// When it was written.
     pub at: u64,
 }
 
+/// A change of a server's availability, as discovery came to know it.
+#[derive(Clone, Copy, Debug)]
+pub struct AvailabilityChange {
+    /// The server that it is about.
+    pub server: usize,
+    /// Whether the server takes work from then on.
+    pub ready: bool,
+    /// When discovery had it to report.
+    pub at: u64,
+}
+
 /// A server or the database was sent more than it withstands, and stopped.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Overload {
@@ -188,9 +199,9 @@
     /// By the servers.
     pub attempts: Vec<Attempt>,
     /// By discovery.
-    pub told: Vec<Told>,
-    /// What discovery has to tell, from when: which server, whether it takes work, when.
-    pub changed: Vec<(usize, bool, u64)>,
+    pub notices: Vec<AvailabilityNotice>,
+    /// What discovery had to report, whether or not a node asked for it.
+    pub availability_changes: Vec<AvailabilityChange>,
     /// By servers and database.
     pub overloads: Vec<Overload>,
     /// Of the nodes: which, what, when, and a word on it.
@@ -214,8 +225,8 @@
         self.attempts.iter_mut().for_each(|attempt| {
             [&mut attempt.first_byte_at, &mut attempt.received_at].into_iter().for_each(shift)
         });
-        self.told.iter_mut().for_each(|entry| shift(&mut entry.at));
-        self.changed.iter_mut().for_each(|entry| shift(&mut entry.2));
+        self.notices.iter_mut().for_each(|notice| shift(&mut notice.at));
+        self.availability_changes.iter_mut().for_each(|change| shift(&mut change.at));
         self.overloads.iter_mut().for_each(|entry| shift(&mut entry.at));
         self.lives.iter_mut().for_each(|entry| shift(&mut entry.2));
         self.samples.iter_mut().for_each(|entry| shift(&mut entry.at));
--- a/crates/lab/src/rules.rs
+++ b/crates/lab/src/rules.rs
@@ -1,6 +1,8 @@
 //! The rules, checked on what stand-ins and clients saw. Nothing here comes from the node under test.
 
-use crate::record::{Attempt, AttemptOutcome, End, Life, Record, Try, TryId, UnknownRequest};
+use crate::record::{
+    Attempt, AttemptOutcome, AvailabilityChange, End, Life, Record, Try, TryId, UnknownRequest,
+};
 use crate::scenario::{Class, Effect};
 use serde::Serialize;
 use std::collections::{HashMap, HashSet};
@@ -14,11 +16,11 @@
     OneAnswer,
     /// A request that may have run is sent again only as its class allows.
     Repeats,
-    /// Nothing new to a server later than 250 ms after the node was told that it drains or is gone.
+    /// Nothing new to a server later than 250 ms after the node was informed that it drains or is gone.
     Drains,
     /// No cold server and no database is pushed over.
     PushedOver,
-    /// A refusal says that a repeat is harmless: where it would not be, it is a lie.
+    /// A refusal says that a repeat is harmless: it may stand only where that is so.
     Refusals,
     /// A node does not end by itself.
     Alive,
@@ -48,12 +50,11 @@
 
 /// Grace past the stated limits on real sockets, in microseconds.
 const CLOCK_TOLERANCE: u64 = 50_000;
-/// After drain or gone was told, in microseconds.
+/// After the node was informed that a server drains or is gone, in microseconds.
 const DRAIN_GRACE: u64 = 250_000;
-/// What discovery has to tell counts as told so much later at the latest, whether or not a node has heard it, in
-/// microseconds.
+/// A node counts as informed of a change so much later at the latest, whether or not it has asked, in microseconds.
 const LATEST_NOTICE: u64 = 6_000_000;
-/// A request told to a node this long before its kill or after its word to stop is beyond its power: what SIGKILL
+/// A request sent to a node this long before its kill or after its SIGTERM is beyond its power: what SIGKILL
 /// finds unanswered, in microseconds.
 const STOP_GRACE: u64 = 700_000;
 /// Misses at cold servers that are over this share of what pushed the database over break the rule.
@@ -206,23 +207,24 @@
 }
 
 fn drains(record: &Record, breaches: &mut Vec<Breach>) {
-    // The word in force at each time, by node and server.
-    let mut told: HashMap<(usize, usize), Vec<(u64, bool)>> = HashMap::new();
-    for word in &record.told {
-        told.entry((word.node, word.server)).or_default().push((word.at, word.ready));
+    // What was last reported at each time, by node and server.
+    let mut reported: HashMap<(usize, usize), Vec<(u64, bool)>> = HashMap::new();
+    for notice in &record.notices {
+        reported.entry((notice.node, notice.server)).or_default().push((notice.at, notice.ready));
     }
     let nodes: HashSet<usize> = record.attempts.iter().map(|attempt| attempt.node).collect();
-    for &(server, ready, at) in &record.changed {
-        let later =
-            |other: &(usize, bool, u64)| other.0 == server && other.2 > at && other.2 <= at + LATEST_NOTICE;
-        if !record.changed.iter().any(later) {
-            nodes
-                .iter()
-                .for_each(|&node| told.entry((node, server)).or_default().push((at + LATEST_NOTICE, ready)));
+    for &AvailabilityChange { server, ready, at } in &record.availability_changes {
+        let later = |other: &AvailabilityChange| {
+            other.server == server && other.at > at && other.at <= at + LATEST_NOTICE
+        };
+        if !record.availability_changes.iter().any(later) {
+            nodes.iter().for_each(|&node| {
+                reported.entry((node, server)).or_default().push((at + LATEST_NOTICE, ready))
+            });
         }
     }
-    told.values_mut().for_each(|words| words.sort_by_key(|(at, _)| *at));
-    // A node that starts again has forgotten what it was told.
+    reported.values_mut().for_each(|reports| reports.sort_by_key(|(at, _)| *at));
+    // A node that starts again has forgotten what was reported to it.
     let starts: HashMap<usize, Vec<u64>> = record.lives.iter().fold(HashMap::new(), |mut all, life| {
         if life.1 == Life::Ready {
             all.entry(life.0).or_insert_with(Vec::new).push(life.2);
@@ -231,9 +233,9 @@
     });
     let mut named = HashSet::new();
     for attempt in &record.attempts {
-        let Some(words) = told.get(&(attempt.node, attempt.server)) else { continue };
-        // The last word before the send, and since when it has said the same.
-        let before = &words[..words.partition_point(|(at, _)| *at <= attempt.first_byte_at)];
+        let Some(reports) = reported.get(&(attempt.node, attempt.server)) else { continue };
+        // The last report before the send, and since when it has been the same.
+        let before = &reports[..reports.partition_point(|(at, _)| *at <= attempt.first_byte_at)];
         let since = before.iter().rev().take_while(|(_, ready)| !ready).last();
         let Some((at, _)) = since else { continue };
         let forgotten = starts
--- a/crates/lab/src/rules/tests.rs
+++ b/crates/lab/src/rules/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::record::{Overload, Told};
+use crate::record::{AvailabilityNotice, Overload};
 use crate::scenario::default_classes;
 
 const ID: TryId = TryId { arrival: 7, number: 0 };
@@ -12,8 +12,13 @@
     Attempt { id: ID, node: 0, server, first_byte_at: at, received_at: at, outcome }
 }
 
-fn broken(class: usize, tries: Vec<Try>, attempts: Vec<Attempt>, told: Vec<Told>) -> Vec<Rule> {
-    let record = Record { tries, attempts, told, ..Record::default() };
+fn broken(
+    class: usize,
+    tries: Vec<Try>,
+    attempts: Vec<Attempt>,
+    notices: Vec<AvailabilityNotice>,
+) -> Vec<Rule> {
+    let record = Record { tries, attempts, notices, ..Record::default() };
     check(&record, &default_classes(), |_| class).into_iter().map(|breach| breach.rule).collect()
 }
 
@@ -53,27 +58,28 @@
 
 #[test]
 fn sends_after_a_drain_count_from_when_it_was_told() {
-    let told = |at, ready| Told { node: 0, server: 1, ready, at };
+    let notice = |at, ready| AvailabilityNotice { node: 0, server: 1, ready, at };
     let at = |at| vec![attempt(1, at, AttemptOutcome::Ran)];
-    let words = || vec![told(0, true), told(100_000, false), told(200_000, false)];
-    assert_eq!(broken(0, vec![], at(390_000), words()), []);
-    assert_eq!(broken(0, vec![], at(410_000), words()), [Rule::Drains]);
-    let back = [words(), vec![told(300_000, true)]].concat();
+    let notices = || vec![notice(0, true), notice(100_000, false), notice(200_000, false)];
+    assert_eq!(broken(0, vec![], at(390_000), notices()), []);
+    assert_eq!(broken(0, vec![], at(410_000), notices()), [Rule::Drains]);
+    let back = [notices(), vec![notice(300_000, true)]].concat();
     assert_eq!(broken(0, vec![], at(410_000), back), []);
     assert_eq!(
-        broken(0, vec![], vec![attempt(2, 410_000, AttemptOutcome::Ran)], words()),
+        broken(0, vec![], vec![attempt(2, 410_000, AttemptOutcome::Ran)], notices()),
         [],
         "another server"
     );
-    // A node that does not ask is told all the same.
-    let unheard = |at, changed| {
-        let record =
-            Record { attempts: vec![attempt(1, at, AttemptOutcome::Ran)], changed, ..Record::default() };
+    // A node that does not ask counts as informed all the same.
+    let change = |ready, at| AvailabilityChange { server: 1, ready, at };
+    let unheard = |at, availability_changes| {
+        let attempts = vec![attempt(1, at, AttemptOutcome::Ran)];
+        let record = Record { attempts, availability_changes, ..Record::default() };
         check(&record, &default_classes(), |_| 0).len()
     };
-    assert_eq!(unheard(6_200_000, vec![(1, false, 0)]), 0);
-    assert_eq!(unheard(6_400_000, vec![(1, false, 0)]), 1);
-    assert_eq!(unheard(6_400_000, vec![(1, false, 0), (1, true, 5_000_000)]), 0);
+    assert_eq!(unheard(6_200_000, vec![change(false, 0)]), 0);
+    assert_eq!(unheard(6_400_000, vec![change(false, 0)]), 1);
+    assert_eq!(unheard(6_400_000, vec![change(false, 0), change(true, 5_000_000)]), 0);
 }
 
 #[test]
--- a/crates/lab/src/run/faults.rs
+++ b/crates/lab/src/run/faults.rs
@@ -97,7 +97,7 @@
         Kind::DiscoveryDown => directory.set_down(true),
         Kind::DiscoveryRefuses => directory.refuses.set(true),
         Kind::DiscoveryLate => directory.late.set(directory.late.get() + Duration::from_secs_f64(by)),
-        Kind::DiscoveryLies => directory.set_lies(true),
+        Kind::DiscoveryReportsAllReady => directory.set_reports_all_ready(true),
         Kind::NodeKill | Kind::NodeTerm | Kind::NodeHup => {}
     }
 }
@@ -122,7 +122,7 @@
         Kind::DiscoveryLate => {
             directory.late.set(directory.late.get().saturating_sub(Duration::from_secs_f64(by)));
         }
-        Kind::DiscoveryLies => directory.set_lies(false),
+        Kind::DiscoveryReportsAllReady => directory.set_reports_all_ready(false),
         Kind::Replace | Kind::NodeKill | Kind::NodeTerm | Kind::NodeHup => {}
     }
 }
--- a/crates/lab/src/scenario/fault.rs
+++ b/crates/lab/src/scenario/fault.rs
@@ -63,7 +63,7 @@
     Garbage,
     /// A server resets new connections and serves those it has.
     Refuse,
-    /// Discovery tells that a server drains; after `for_s` it is gone, and back after `back_s`.
+    /// Discovery reports that a server drains; after `for_s` it is gone, and back after `back_s`.
     Drain,
     /// A server leaves and a new one, cold and with another id, takes its place in the list.
     Replace,
@@ -73,10 +73,11 @@
     DiscoveryDown,
     /// Discovery answers every call 503.
     DiscoveryRefuses,
-    /// Discovery tells of changes `by` seconds later than usual.
+    /// Discovery reports changes `by` seconds later than usual.
     DiscoveryLate,
-    /// Discovery calls all servers ready, whatever they are.
-    DiscoveryLies,
+    /// Discovery reports all servers as ready, whatever they are.
+    #[serde(rename = "discovery_lies")]
+    DiscoveryReportsAllReady,
     /// A node is killed and starts again after `for_s`.
     NodeKill,
     /// A node gets SIGTERM and, once it has ended, starts again.
@@ -101,7 +102,10 @@
     fn targets_discovery(self) -> bool {
         matches!(
             self,
-            Self::DiscoveryDown | Self::DiscoveryRefuses | Self::DiscoveryLate | Self::DiscoveryLies
+            Self::DiscoveryDown
+                | Self::DiscoveryRefuses
+                | Self::DiscoveryLate
+                | Self::DiscoveryReportsAllReady
         )
     }
 }
--- a/crates/lab/src/scenario/fleet.rs
+++ b/crates/lab/src/scenario/fleet.rs
@@ -39,7 +39,7 @@
     pub reports: bool,
     /// Whether servers answer `GET /healthz` and `GET /load`; else both are 404.
     pub probes: bool,
-    /// Discovery tells of a change so many seconds late.
+    /// Discovery reports a change so many seconds late.
     pub discovery_late_s: Seconds,
     /// Descriptors of a node.
     pub sockets: usize,
