Name the events of the lab's nodes, and their starts and stops, in usual terms

Cause: `Life`, `Lives`, `strike`, `up`, `down` and `words` are metaphors, and an event of a node was a bare tuple. Change: `NodeEvent` and `ProcessEvent`, `inject_fault`, `start`, `stop`, `log_tail`; `InProcess` in place of `Inside`; a simulated node's life is its incarnation. The log's field `life` is `event`, its field `word` is `detail`; nothing else is seen outside.

--- a/crates/lab/src/nodes.rs
+++ b/crates/lab/src/nodes.rs
@@ -1,7 +1,7 @@
 //! The nodes under test: real processes of a given binary, their configuration, their signals and their ends.
 
 use crate::client::{healthy, Live, Table};
-use crate::record::Life;
+use crate::record::{NodeEvent, ProcessEvent};
 use crate::scenario::{Effect, Fault, Kind, Scenario};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
@@ -18,12 +18,13 @@
 use tokio::time::{sleep, timeout};
 
 /// A node that is not ready by then does not come up.
-const READY: Duration = Duration::from_secs(20);
-const POLL: Duration = Duration::from_millis(20);
-/// A node that does not end so long after SIGTERM has not done as it was told; the platform would kill it.
-const ENDING: Duration = Duration::from_millis(4500);
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// A node that starts is asked for its health so often.
+const READY_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// A node that does not exit in this time after SIGTERM has failed to stop; the platform would kill it.
+const STOP_TIMEOUT: Duration = Duration::from_millis(4500);
 /// Of a node's log, the lines kept for a report of its death.
-const LOG: usize = 20;
+const LOG_TAIL_LINES: usize = 20;
 
 /// What is under test.
 #[derive(Clone)]
@@ -32,7 +33,7 @@
     Binary(PathBuf, Vec<String>),
     /// Something inside this process, which is given a node's configuration and says where it listens: for tests of
     /// the checker. It cannot be killed or signalled.
-    Inside(Arc<dyn Fn(Value) -> io::Result<SocketAddr> + Send + Sync>),
+    InProcess(Arc<dyn Fn(Value) -> io::Result<SocketAddr> + Send + Sync>),
     /// Nothing: clients ask the servers themselves, for what the rig can do without a node.
     Nothing,
 }
@@ -83,20 +84,20 @@
     },
 }
 
-/// What became of nodes, and when.
-pub type Lives = Arc<Mutex<Vec<(usize, Life, u64, String)>>>;
+/// The events of all nodes' processes, in order.
+pub type NodeEvents = Arc<Mutex<Vec<NodeEvent>>>;
 
-/// One node, over its lives.
+/// One node, over all starts of its process.
 pub struct Node {
-    place: usize,
+    index: usize,
     program: Program,
     config: Value,
     discovery: [SocketAddr; 2],
-    /// Which of them it follows.
-    follows: usize,
+    /// Which of the two its configuration names.
+    current_discovery: usize,
     file: PathBuf,
     table: Table,
-    lives: Lives,
+    events: NodeEvents,
     start: Instant,
     front_late: Duration,
     child: Option<Child>,
@@ -108,26 +109,26 @@
     /// A node that is not started yet. `folder` is where its configuration goes.
     #[expect(clippy::too_many_arguments, reason = "a node's whole surroundings, named once")]
     pub fn new(
-        place: usize,
+        index: usize,
         scenario: &Scenario,
         seed: u64,
         program: Program,
         discovery: [SocketAddr; 2],
         folder: &Path,
         table: Table,
-        lives: Lives,
+        events: NodeEvents,
         start: Instant,
         live: Arc<Live>,
     ) -> Self {
         Self {
-            place,
+            index,
             program,
-            config: config(place, scenario, seed, discovery[0]),
+            config: config(index, scenario, seed, discovery[0]),
             discovery,
-            follows: 0,
-            file: folder.join(format!("n{place}.json")),
+            current_discovery: 0,
+            file: folder.join(format!("n{index}.json")),
             table,
-            lives,
+            events,
             start,
             front_late: Duration::from_secs_f64(scenario.fleet.front_late_s.get()),
             child: None,
@@ -136,17 +137,17 @@
         }
     }
 
-    fn note(&self, life: Life, word: &str) {
+    fn record_event(&self, event: ProcessEvent, detail: &str) {
         let at = self.start.elapsed().as_micros() as u64;
-        tracing::info!(node = self.place, life = ?life, word, "a node");
-        if let Ok(mut lives) = self.lives.lock() {
-            lives.push((self.place, life, at, word.to_owned()));
+        tracing::info!(node = self.index, event = ?event, detail, "a node");
+        if let Ok(mut events) = self.events.lock() {
+            events.push(NodeEvent { node: self.index, event, at, detail: detail.to_owned() });
         }
     }
 
-    fn list(&self, address: Option<SocketAddr>) {
+    fn set_address(&self, address: Option<SocketAddr>) {
         if let Ok(mut table) = self.table.write() {
-            table[self.place] = address;
+            table[self.index] = address;
         }
     }
 
@@ -163,21 +164,20 @@
         self.child.as_ref()?.id().and_then(|id| i32::try_from(id).ok())
     }
 
-    /// Starts it and waits until it is ready; then the front deals it connections.
-    pub async fn up(&mut self) -> Result<SocketAddr, NodeError> {
+    /// Starts its process and waits until it is ready; then clients get its address.
+    pub async fn start(&mut self) -> Result<SocketAddr, NodeError> {
         self.write_config()?;
         let address = match &self.program {
-            Program::Inside(begin) => {
-                begin(self.config.clone()).map_err(|error| NodeError::Start("a node inside".into(), error))?
-            }
+            Program::InProcess(launch) => launch(self.config.clone())
+                .map_err(|error| NodeError::Start("a node inside".into(), error))?,
             Program::Nothing => {
-                return Err(NodeError::NotReady { node: self.place, why: "there is none".into() })
+                return Err(NodeError::NotReady { node: self.index, why: "there is none".into() })
             }
             Program::Binary(path, arguments) => {
                 let mut child = Command::new(path)
                     .args(arguments)
                     .env("LB_CONFIG", &self.file)
-                    .env("LB_DISCOVERY", self.discovery[self.follows].to_string())
+                    .env("LB_DISCOVERY", self.discovery[self.current_discovery].to_string())
                     .env_remove("LB_NAME")
                     .env_remove("LB_LISTEN")
                     .stdin(Stdio::null())
@@ -192,7 +192,7 @@
                 self.child = Some(child);
                 let Some(stderr) = stderr else {
                     return Err(NodeError::NotReady {
-                        node: self.place,
+                        node: self.index,
                         why: "it has no standard error".into(),
                     });
                 };
@@ -206,7 +206,7 @@
                     }
                     None
                 };
-                let address = timeout(READY, listens).await.ok().flatten();
+                let address = timeout(READY_TIMEOUT, listens).await.ok().flatten();
                 let (log, live) = (self.log.clone(), self.live.clone());
                 tokio::spawn(async move {
                     while let Ok(Some(line)) = lines.next_line().await {
@@ -216,23 +216,23 @@
                         keep(&log, line);
                     }
                 });
-                address.ok_or_else(|| NodeError::NotReady { node: self.place, why: self.words() })?
+                address.ok_or_else(|| NodeError::NotReady { node: self.index, why: self.log_tail() })?
             }
         };
-        let begun = Instant::now();
+        let started = Instant::now();
         while !healthy(address).await {
-            if begun.elapsed() > READY {
-                return Err(NodeError::NotReady { node: self.place, why: self.words() });
+            if started.elapsed() > READY_TIMEOUT {
+                return Err(NodeError::NotReady { node: self.index, why: self.log_tail() });
             }
-            sleep(POLL).await;
+            sleep(READY_POLL_INTERVAL).await;
         }
-        self.note(Life::Ready, "");
-        self.list(Some(address));
+        self.record_event(ProcessEvent::Ready, "");
+        self.set_address(Some(address));
         Ok(address)
     }
 
     /// The end of its log.
-    fn words(&self) -> String {
+    fn log_tail(&self) -> String {
         let log = self.log.lock().map(|log| log.join("; ")).unwrap_or_default();
         if log.is_empty() {
             "it said nothing".to_owned()
@@ -241,13 +241,13 @@
         }
     }
 
-    /// Whether it has ended by itself; told of once.
-    pub fn died(&mut self) -> bool {
+    /// Whether it has exited by itself; `true` only the first time.
+    pub fn has_died(&mut self) -> bool {
         let Some(child) = &mut self.child else { return false };
         let Ok(Some(status)) = child.try_wait() else { return false };
         self.child = None;
-        self.note(Life::Died, &format!("{status}; {}", self.words()));
-        self.list(None);
+        self.record_event(ProcessEvent::Died, &format!("{status}; {}", self.log_tail()));
+        self.set_address(None);
         true
     }
 
@@ -258,23 +258,23 @@
         }
     }
 
-    /// Plays a fault of nodes on this one.
-    pub async fn strike(&mut self, fault: &Fault) -> Result<Option<usize>, NodeError> {
+    /// Plays a fault on this node. After SIGHUP: which discovery address it followed before.
+    pub async fn inject_fault(&mut self, fault: &Fault) -> Result<Option<usize>, NodeError> {
         match fault.kind {
             Kind::NodeKill => {
-                self.note(Life::Killed, "");
+                self.record_event(ProcessEvent::Killed, "");
                 self.signal(Signal::SIGKILL);
                 self.wait().await;
                 sleep(self.front_late).await;
-                self.list(None);
+                self.set_address(None);
                 if let Some(pause) = fault.for_s {
                     sleep(Duration::from_secs_f64(pause.get()).saturating_sub(self.front_late)).await;
-                    self.up().await?;
+                    self.start().await?;
                 }
             }
             Kind::NodeTerm => {
-                self.down().await;
-                self.up().await?;
+                self.stop().await;
+                self.start().await?;
             }
             Kind::NodeHup => return self.move_discovery().map(Some),
             _ => {}
@@ -284,9 +284,9 @@
 
     /// Gives it a new configuration with discovery at its other address; which one it was before.
     pub fn move_discovery(&mut self) -> Result<usize, NodeError> {
-        let old = self.follows;
-        self.follows = 1 - old;
-        self.config["discovery"] = json!(self.discovery[self.follows].to_string());
+        let old = self.current_discovery;
+        self.current_discovery = 1 - old;
+        self.config["discovery"] = json!(self.discovery[self.current_discovery].to_string());
         self.write_config()?;
         self.signal(Signal::SIGHUP);
         Ok(old)
@@ -294,26 +294,28 @@
 
     async fn wait(&mut self) -> Option<ExitStatus> {
         let child = self.child.as_mut()?;
-        let status = timeout(ENDING, child.wait()).await.ok()?.ok();
+        let status = timeout(STOP_TIMEOUT, child.wait()).await.ok()?.ok();
         self.child = None;
         status
     }
 
-    /// Tells it to end, and sees to it that it does.
-    pub async fn down(&mut self) {
+    /// Sends SIGTERM, and SIGKILL if it does not exit in time.
+    pub async fn stop(&mut self) {
         if self.child.is_none() {
             return;
         }
-        self.note(Life::Told, "");
+        self.record_event(ProcessEvent::Terminating, "");
         self.signal(Signal::SIGTERM);
-        // Connections keep coming for a while after the word.
+        // Connections keep coming for a while after the signal.
         sleep(Duration::from_millis(300)).await;
-        self.list(None);
+        self.set_address(None);
         match self.wait().await {
-            Some(status) if status.success() => self.note(Life::Ended, ""),
-            Some(status) => self.note(Life::Died, &format!("{status} after SIGTERM; {}", self.words())),
+            Some(status) if status.success() => self.record_event(ProcessEvent::Exited, ""),
+            Some(status) => {
+                self.record_event(ProcessEvent::Died, &format!("{status} after SIGTERM; {}", self.log_tail()))
+            }
             None => {
-                self.note(Life::Died, "it did not end within 4.8 s of SIGTERM");
+                self.record_event(ProcessEvent::Died, "it did not end within 4.8 s of SIGTERM");
                 self.signal(Signal::SIGKILL);
                 self.wait().await;
             }
@@ -323,7 +325,7 @@
 
 fn keep(log: &Mutex<Vec<String>>, line: String) {
     if let Ok(mut log) = log.lock() {
-        if log.len() >= LOG {
+        if log.len() >= LOG_TAIL_LINES {
             log.remove(0);
         }
         log.push(line);
@@ -331,7 +333,7 @@
 }
 
 /// A node's configuration, as the platform writes it.
-pub(crate) fn config(place: usize, scenario: &Scenario, seed: u64, discovery: SocketAddr) -> Value {
+pub(crate) fn config(index: usize, scenario: &Scenario, seed: u64, discovery: SocketAddr) -> Value {
     let fleet = &scenario.fleet;
     let us = |seconds: f64| (seconds * 1e6) as u64;
     let lanes: Vec<_> = scenario
@@ -351,12 +353,12 @@
         })
         .collect();
     json!({
-        "name": format!("n{place}"), "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
-        "seed": format!("{:016x}", crate::plan::mix(seed ^ place as u64)),
+        "name": format!("n{index}"), "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
+        "seed": format!("{:016x}", crate::plan::mix(seed ^ index as u64)),
         "limits": {"cores": 1.0, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets},
         "known": {"seq": 0, "whole": true, "hosts": []},
         "settings": {
-            "az": fleet.zones[place % fleet.zones.len()], "zones": fleet.zones, "balancers": fleet.nodes,
+            "az": fleet.zones[index % fleet.zones.len()], "zones": fleet.zones, "balancers": fleet.nodes,
             "membership_mode": "subscribe", "weights": "cores", "orgs": [], "lanes": lanes,
             "family_info": {"mode": "through"},
             "report": {"fields": if fleet.reports { "inflight,queue,util" } else { "" }},
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -139,21 +139,34 @@
     pub cold_share: f64,
 }
 
-/// What became of a node's process.
+/// What happened to a node's process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Life {
-    /// It is ready.
+pub enum ProcessEvent {
+    /// It is ready for clients.
     Ready,
-    /// It was killed.
+    /// It was sent SIGKILL.
     Killed,
-    /// It was told to end.
-    Told,
-    /// It has ended as it was told.
-    Ended,
-    /// It ended by itself, or not as it was told.
+    /// It was sent SIGTERM.
+    Terminating,
+    /// It exited in order after SIGTERM.
+    Exited,
+    /// It exited by itself, or not in order after SIGTERM.
     Died,
 }
 
+/// An event of a node's process, and when it happened.
+#[derive(Clone, Debug)]
+pub struct NodeEvent {
+    /// The node, by its position.
+    pub node: usize,
+    /// What happened.
+    pub event: ProcessEvent,
+    /// When.
+    pub at: u64,
+    /// The exit status and the end of the log, where the event is a failure.
+    pub detail: String,
+}
+
 /// A sample of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Sample {
@@ -204,8 +217,8 @@
     pub availability_changes: Vec<AvailabilityChange>,
     /// By servers and database.
     pub overloads: Vec<Overload>,
-    /// Of the nodes: which, what, when, and a word on it.
-    pub lives: Vec<(usize, Life, u64, String)>,
+    /// Of the nodes' processes.
+    pub node_events: Vec<NodeEvent>,
     /// Of the servers, ten times a second.
     pub samples: Vec<Sample>,
     /// Of the faults, one for each server or node that they hit.
@@ -228,7 +241,7 @@
         self.notices.iter_mut().for_each(|notice| shift(&mut notice.at));
         self.availability_changes.iter_mut().for_each(|change| shift(&mut change.at));
         self.overloads.iter_mut().for_each(|entry| shift(&mut entry.at));
-        self.lives.iter_mut().for_each(|entry| shift(&mut entry.2));
+        self.node_events.iter_mut().for_each(|event| shift(&mut event.at));
         self.samples.iter_mut().for_each(|entry| shift(&mut entry.at));
         self.unknown_requests.iter_mut().for_each(|entry| shift(&mut entry.at));
         for fault in &mut self.faults {
--- a/crates/lab/src/rules.rs
+++ b/crates/lab/src/rules.rs
@@ -1,7 +1,8 @@
 //! The rules, checked on what stand-ins and clients saw. Nothing here comes from the node under test.
 
 use crate::record::{
-    Attempt, AttemptOutcome, AvailabilityChange, End, Life, Record, Try, TryId, UnknownRequest,
+    Attempt, AttemptOutcome, AvailabilityChange, End, NodeEvent, ProcessEvent, Record, Try, TryId,
+    UnknownRequest,
 };
 use crate::scenario::{Class, Effect};
 use serde::Serialize;
@@ -98,11 +99,11 @@
             breaches.push(Breach { rule: Rule::PushedOver, what });
         }
     }
-    for (node, life, at, word) in &record.lives {
-        if *life == Life::Died {
+    for NodeEvent { node, event, at, detail } in &record.node_events {
+        if *event == ProcessEvent::Died {
             breaches.push(Breach {
                 rule: Rule::Alive,
-                what: format!("node {node} ended at {}: {word}", milliseconds(*at)),
+                what: format!("node {node} ended at {}: {detail}", milliseconds(*at)),
             });
         }
     }
@@ -141,14 +142,16 @@
 
 /// Whether the node's own end explains a connection that broke.
 fn explained_by_node_exit(record: &Record, tried: &Try) -> bool {
-    record.lives.iter().any(|(node, life, at, _)| {
+    record.node_events.iter().any(|NodeEvent { node, event, at, .. }| {
         *node == tried.node
-            && match life {
-                Life::Killed => *at + CLOCK_TOLERANCE >= tried.sent && *at <= tried.ended + CLOCK_TOLERANCE,
+            && match event {
+                ProcessEvent::Killed => {
+                    *at + CLOCK_TOLERANCE >= tried.sent && *at <= tried.ended + CLOCK_TOLERANCE
+                }
                 // What it takes longer than it has is not its own loss.
-                Life::Told => tried.sent > *at + STOP_GRACE,
-                Life::Died => *at <= tried.ended + CLOCK_TOLERANCE,
-                Life::Ready | Life::Ended => false,
+                ProcessEvent::Terminating => tried.sent > *at + STOP_GRACE,
+                ProcessEvent::Died => *at <= tried.ended + CLOCK_TOLERANCE,
+                ProcessEvent::Ready | ProcessEvent::Exited => false,
             }
     })
 }
@@ -225,12 +228,10 @@
     }
     reported.values_mut().for_each(|reports| reports.sort_by_key(|(at, _)| *at));
     // A node that starts again has forgotten what was reported to it.
-    let starts: HashMap<usize, Vec<u64>> = record.lives.iter().fold(HashMap::new(), |mut all, life| {
-        if life.1 == Life::Ready {
-            all.entry(life.0).or_insert_with(Vec::new).push(life.2);
-        }
-        all
-    });
+    let mut starts: HashMap<usize, Vec<u64>> = HashMap::new();
+    for event in record.node_events.iter().filter(|event| event.event == ProcessEvent::Ready) {
+        starts.entry(event.node).or_default().push(event.at);
+    }
     let mut named = HashSet::new();
     for attempt in &record.attempts {
         let Some(reports) = reported.get(&(attempt.node, attempt.server)) else { continue };
--- a/crates/lab/src/rules/tests.rs
+++ b/crates/lab/src/rules/tests.rs
@@ -33,8 +33,9 @@
     assert_eq!(broken(0, vec![asked(End::Twice)], ran(), vec![]), [Rule::OneAnswer]);
     assert_eq!(broken(0, vec![asked(End::Foreign)], ran(), vec![]), [Rule::OneAnswer]);
     assert_eq!(broken(0, vec![asked(End::TimedOut)], ran(), vec![]), []);
-    let lives = vec![(0, Life::Killed, 50_000, String::new())];
-    let record = Record { tries: broke(true), attempts: ran(), lives, ..Record::default() };
+    let killed = NodeEvent { node: 0, event: ProcessEvent::Killed, at: 50_000, detail: String::new() };
+    let node_events = vec![killed];
+    let record = Record { tries: broke(true), attempts: ran(), node_events, ..Record::default() };
     assert_eq!(check(&record, &default_classes(), |_| 0), [], "its node was killed");
 }
 
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -53,7 +53,7 @@
     pub live: Arc<Live>,
     /// Set to end early; what was asked by then is finished.
     pub stop: Arc<AtomicBool>,
-    /// Told of each node's address and process once all are ready.
+    /// Gets each node's address and process id once all are ready.
     pub ready: Option<mpsc::Sender<Vec<Started>>>,
 }
 
@@ -117,7 +117,7 @@
 pub fn play(scenario: &Scenario, options: &Options) -> Result<Played, RunError> {
     let plan = Arc::new(Plan::draw(scenario, options.seed));
     let folder = Folder::new()?;
-    // One clock for all; the run's zero lies ahead of the nodes' start, and is moved to the load's at the end.
+    // One clock for all; the run's zero precedes the nodes' start, and is moved to the load's at the end.
     let start = Instant::now();
     let (shutdown, shutdown_seen) = watch::channel(false);
     let (commands, received_commands) = channel::unbounded_channel();
@@ -138,8 +138,8 @@
     let played = runtime.block_on(play_load(scenario, options, &plan, start, listening, &folder, commands));
     shutdown.send_replace(true);
     let observed = join_thread(stand_ins, "stand-ins")??;
-    let LoadOutcome { clients, lives, load_start, lasted } = played?;
-    let mut record = Record { tries: clients.tries, late: clients.late, lives, ..observed };
+    let LoadOutcome { clients, node_events, load_start, lasted } = played?;
+    let mut record = Record { tries: clients.tries, late: clients.late, node_events, ..observed };
     record.shift(load_start);
     let class_of = |id: TryId| plan.arrivals[id.arrival as usize].class;
     let breaches = rules::check(&record, &scenario.classes, class_of);
--- a/crates/lab/src/run/nodes.rs
+++ b/crates/lab/src/run/nodes.rs
@@ -3,9 +3,9 @@
 use super::faults::faults_by_target;
 use super::{join_thread, spawn_thread, Addresses, Command, Folder, Options, RunError};
 use crate::client::{Clients, Table};
-use crate::nodes::{Lives, Node, NodeError, Program};
+use crate::nodes::{Node, NodeError, NodeEvents, Program};
 use crate::plan::Plan;
-use crate::record::{Life, Record};
+use crate::record::{NodeEvent, ProcessEvent, Record};
 use crate::scenario::{Fault, Scenario};
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -27,8 +27,8 @@
 pub(super) struct LoadOutcome {
     /// By the clients.
     pub(super) clients: Record,
-    /// What became of the nodes.
-    pub(super) lives: Vec<(usize, Life, u64, String)>,
+    /// Of the nodes' processes.
+    pub(super) node_events: Vec<NodeEvent>,
     /// The load's start, in microseconds from the run's.
     pub(super) load_start: u64,
     /// For how long load arrived.
@@ -54,12 +54,12 @@
         _ => vec![None; discovery.len()],
     };
     let table: Table = Arc::new(RwLock::new(listed));
-    let lives: Lives = Arc::default();
+    let events: NodeEvents = Arc::default();
     let program = options.program.clone().with_front(&scenario.front, &folder.0)?;
     let mut started = Vec::new();
     for (index, discovery) in discovery.into_iter().enumerate() {
         let program = program.clone();
-        let (table, lives) = (table.clone(), lives.clone());
+        let (table, events) = (table.clone(), events.clone());
         let mut node = Node::new(
             index,
             scenario,
@@ -68,11 +68,11 @@
             discovery,
             &folder.0,
             table,
-            lives,
+            events,
             start,
             options.live.clone(),
         );
-        let address = node.up().await?;
+        let address = node.start().await?;
         started.push((node, address));
     }
     if let Some(ready) = &options.ready {
@@ -106,7 +106,7 @@
             tokio::spawn(async move {
                 let result =
                     watch_node(&mut node, index, load_start, faults, commands, stop, watch_ended).await;
-                node.down().await;
+                node.stop().await;
                 result
             }),
         ));
@@ -124,19 +124,20 @@
         }
     }
     let clients = join_thread(clients, "clients")??;
-    // A node that does not come back is a verdict: its fault said so, and the record tells.
+    // A node that does not come back is a failure of the node under test, and stands in the record as one.
     if let Some(error) = first_error {
         let at = start.elapsed().as_micros() as u64;
-        if let Ok(mut lives) = lives.lock() {
-            lives.push((0, Life::Died, at, error.to_string()));
+        if let Ok(mut events) = events.lock() {
+            let detail = error.to_string();
+            events.push(NodeEvent { node: 0, event: ProcessEvent::Died, at, detail });
         }
     }
-    let lives = lives.lock().map(|lives| lives.clone()).unwrap_or_default();
+    let node_events = events.lock().map(|events| events.clone()).unwrap_or_default();
     let load_start = load_start.duration_since(start).as_micros() as u64;
-    Ok(LoadOutcome { clients, lives, load_start, lasted })
+    Ok(LoadOutcome { clients, node_events, load_start, lasted })
 }
 
-/// Plays a node's faults and watches that it lives.
+/// Plays a node's faults and watches whether its process has died.
 async fn watch_node(
     node: &mut Node,
     index: usize,
@@ -151,12 +152,12 @@
         let next = faults.peek().map(|(at, _)| load_start + *at);
         if next.is_some_and(|at| at <= Instant::now()) && !stop.load(Ordering::Relaxed) {
             if let Some((_, fault)) = faults.next() {
-                if let Some(which) = node.strike(&fault).await? {
+                if let Some(which) = node.inject_fault(&fault).await? {
                     let _ = commands.send(Command::CloseOldAddress { node: index, which });
                 }
             }
         }
-        node.died();
+        node.has_died();
         sleep(POLL_INTERVAL).await;
     }
     Ok(())
--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -131,11 +131,11 @@
         self.start_simulated((self.options.real..self.options.nodes()).collect()).await
     }
 
-    /// Starts simulated nodes, in a new life where they run.
+    /// Starts simulated nodes, in a new incarnation if they run already.
     async fn start_simulated(&mut self, nodes: Vec<usize>) -> Result<(), ScaleError> {
         let at_us = monotonic_us();
         for &node in &nodes {
-            self.state.lives[node] += 1;
+            self.state.incarnations[node] += 1;
             self.state.convergence.starts(node, self.state.configuration, at_us);
         }
         for (place, worker) in self.workers.iter_mut().enumerate() {
--- a/crates/lab/src/scale/protocol.rs
+++ b/crates/lab/src/scale/protocol.rs
@@ -59,8 +59,8 @@
 pub struct InForce {
     /// Which node.
     pub node: usize,
-    /// Which of its lives, from 1.
-    pub life: u32,
+    /// Which of its starts, counted from 1.
+    pub incarnation: u32,
     /// The list's version.
     pub list: u64,
     /// The version of the configuration under which it was asked for.
--- a/crates/lab/src/scale/real.rs
+++ b/crates/lab/src/scale/real.rs
@@ -1,7 +1,7 @@
 //! Real nodes of a scale run: processes of the node's binary, each driven by a task.
 
 use crate::client::{Live, Table};
-use crate::nodes::{Lives, Node, NodeError, Program};
+use crate::nodes::{Node, NodeError, NodeEvents, Program};
 use crate::scale::bounds::REAL_NODE_SOCKETS;
 use crate::scale::options::Options;
 use crate::scale::processes::monotonic_us;
@@ -57,7 +57,7 @@
     Ok(path)
 }
 
-/// A real node over its lives.
+/// A real node, over all starts of its process.
 pub struct RealNode {
     orders: UnboundedSender<Order>,
     task: JoinHandle<()>,
@@ -91,7 +91,7 @@
             discovery,
             around.folder,
             around.table.clone(),
-            Lives::default(),
+            NodeEvents::default(),
             Instant::now(),
             Arc::<Live>::default(),
         );
@@ -138,7 +138,7 @@
     if let Err(error) = follow(&mut node, &mut orders, &report).await {
         report(RealNodeEvent::Failed(error.to_string()));
     }
-    node.down().await;
+    node.stop().await;
 }
 
 async fn follow(
@@ -153,7 +153,7 @@
         tokio::select! {
             order = orders.recv() => match order {
                 Some(Order::Restart) => {
-                    node.down().await;
+                    node.stop().await;
                     start(node, configuration, report).await?;
                 }
                 Some(Order::Configure) => {
@@ -162,7 +162,7 @@
                 }
                 Some(Order::End) | None => return Ok(()),
             },
-            _ = looks.tick() => if node.died() {
+            _ = looks.tick() => if node.has_died() {
                 report(RealNodeEvent::Failed("it ended by itself".to_owned()));
                 return Ok(());
             },
@@ -176,7 +176,7 @@
     report: &impl Fn(RealNodeEvent),
 ) -> Result<(), NodeError> {
     report(RealNodeEvent::Starts { configuration, at_us: monotonic_us() });
-    node.up().await?;
+    node.start().await?;
     report(RealNodeEvent::Ready(node.pid()));
     Ok(())
 }
--- a/crates/lab/src/scale/state.rs
+++ b/crates/lab/src/scale/state.rs
@@ -24,8 +24,8 @@
 pub struct FleetState {
     /// Which node has what in force.
     pub convergence: Convergence,
-    /// Each simulated node's life, from 1.
-    pub lives: Vec<u32>,
+    /// Each simulated node's incarnation, counted from 1.
+    pub incarnations: Vec<u32>,
     /// Processes of the real nodes that are ready.
     pub pids: Vec<Option<i32>>,
     /// The newest configuration.
@@ -43,7 +43,7 @@
     pub fn new(options: &Options) -> Result<Self, ScaleError> {
         Ok(Self {
             convergence: Convergence::new(options.nodes())?,
-            lives: vec![0; options.nodes()],
+            incarnations: vec![0; options.nodes()],
             pids: vec![None; options.real],
             configuration: 0,
             list_changes: 0,
@@ -82,9 +82,9 @@
     }
 
     fn in_force(&mut self, in_force: InForce) {
-        let InForce { node, life, list, configuration, at_us } = in_force;
-        // What an earlier life had in force is gone.
-        if self.lives.get(node) == Some(&life) {
+        let InForce { node, incarnation, list, configuration, at_us } = in_force;
+        // What an earlier incarnation had in force is gone.
+        if self.incarnations.get(node) == Some(&incarnation) {
             self.convergence.in_force(node, list, configuration, at_us);
         }
     }
--- a/crates/lab/src/scale/worker.rs
+++ b/crates/lab/src/scale/worker.rs
@@ -177,10 +177,10 @@
     }
 }
 
-/// A simulated node over its lives.
+/// A simulated node, over all its incarnations.
 struct SimulatedNode {
     setup: NodeSetup,
-    life: u32,
+    incarnation: u32,
     configuration: Rc<Cell<u64>>,
     discovery: watch::Sender<SocketAddr>,
     running: Option<JoinHandle<()>>,
@@ -189,15 +189,16 @@
 impl SimulatedNode {
     fn new(setup: NodeSetup) -> Self {
         let discovery = watch::Sender::new(setup.discovery[0]);
-        Self { setup, life: 0, configuration: Rc::default(), discovery, running: None }
+        Self { setup, incarnation: 0, configuration: Rc::default(), discovery, running: None }
     }
 
     fn start(&mut self, settings: &Settings, seed: u64, request_rate: f64, log: Log, tally: Rc<Tally>) {
         if let Some(running) = self.running.take() {
             running.abort();
         }
-        self.life += 1;
-        let seed = crate::plan::mix(seed ^ crate::plan::mix(self.setup.number as u64) ^ u64::from(self.life));
+        self.incarnation += 1;
+        let seed =
+            crate::plan::mix(seed ^ crate::plan::mix(self.setup.number as u64) ^ u64::from(self.incarnation));
         let options = ControlOptions {
             settings: settings.clone(),
             seed,
@@ -208,7 +209,7 @@
         };
         let observer = NodeObserver {
             node: self.setup.number,
-            life: self.life,
+            incarnation: self.incarnation,
             ordered: self.configuration.clone(),
             in_force: Cell::new(self.configuration.get()),
             tally,
@@ -223,10 +224,10 @@
     }
 }
 
-/// Reports for one life of a node.
+/// Reports for one incarnation of a node.
 struct NodeObserver {
     node: usize,
-    life: u32,
+    incarnation: u32,
     /// The newest configuration that the node was given.
     ordered: Rc<Cell<u64>>,
     /// The one it has a list from.
@@ -242,7 +243,7 @@
         }
         self.tally.in_force.borrow_mut().push(InForce {
             node: self.node,
-            life: self.life,
+            incarnation: self.incarnation,
             list: version,
             configuration: self.in_force.get(),
             at_us: monotonic_us(),
--- a/crates/lab/tests/convicts.rs
+++ b/crates/lab/tests/convicts.rs
@@ -67,7 +67,7 @@
 }
 
 fn node(wrong: Wrong) -> Program {
-    Program::Inside(Arc::new(move |config| {
+    Program::InProcess(Arc::new(move |config| {
         let discovery = config["discovery"].as_str().unwrap().to_owned();
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address: SocketAddr = listener.local_addr()?;
