Split the tests of servers that leave: what is heeded in time, and lists that are out of date

Change: `node_stale_lists.rs` holds the four tests of lists that cross a drain; the six of what reaches a leaving server in time stay; discovery that is answered by hand and the pair of servers go to `node_common`. Every line that is not an import is the same but for `pub`.

--- a/crates/cli/tests/node_common/mod.rs
+++ b/crates/cli/tests/node_common/mod.rs
@@ -1,6 +1,9 @@
 //! What a node needs around it, on loopback: cache servers and discovery that do as a test says, and clients.
 #![allow(dead_code)]
 
+pub mod manual_discovery;
+pub mod pair;
+
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
--- a/crates/cli/tests/node_leaving.rs
+++ b/crates/cli/tests/node_leaving.rs
@@ -2,12 +2,13 @@
 
 mod node_common;
 
+use node_common::manual_discovery::{list, ManualDiscovery};
+use node_common::pair::{born, Pair};
 use node_common::*;
 use serde_json::{json, Value};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -15,63 +16,6 @@
 /// What the rule leaves between the word of a drain and the last first byte: the settings' time and the 50 ms of sockets.
 const GRACE: Duration = Duration::from_millis(300);
 
-/// A discovery whose calls the test answers itself, one by one.
-struct ManualDiscovery {
-    address: SocketAddr,
-    calls: Receiver<Call>,
-}
-
-/// A call that waits for its answer.
-struct Call {
-    path: String,
-    stream: TcpStream,
-}
-
-impl Call {
-    fn answer(&mut self, list: &str) {
-        self.stream.write_all(answer("200 OK", "", list).as_bytes()).unwrap();
-    }
-
-    fn refuse(&mut self) {
-        self.stream.write_all(answer("503 Service Unavailable", "", "").as_bytes()).unwrap();
-    }
-
-    fn reset(self) {
-        self.stream.shutdown(std::net::Shutdown::Both).unwrap();
-    }
-}
-
-impl ManualDiscovery {
-    fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let (came, calls) = channel();
-        thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                let came = came.clone();
-                thread::spawn(move || {
-                    let mut reader = BufReader::new(stream.try_clone().unwrap());
-                    while let Ok(Some(message)) = Message::read(&mut reader) {
-                        let path = message.start.split(' ').nth(1).unwrap().to_owned();
-                        if came.send(Call { path, stream: stream.try_clone().unwrap() }).is_err() {
-                            return;
-                        }
-                    }
-                });
-            }
-        });
-        Self { address, calls }
-    }
-
-    fn next_call(&self) -> Call {
-        self.calls.recv_timeout(PATIENCE).expect("a call of the node's")
-    }
-}
-
-fn list(seq: u64, whole: bool, hosts: &[Value]) -> String {
-    json!({"seq": seq, "whole": whole, "hosts": hosts}).to_string()
-}
-
 /// A server that serves, and the times at which it was asked.
 fn timed() -> (CacheServer, Arc<Mutex<Vec<Instant>>>) {
     let times: Arc<Mutex<Vec<Instant>>> = Arc::default();
@@ -247,162 +191,6 @@
     assert!(leaked * 4 <= usual, "{leaked} of a burst of 600 after the drain was told, {usual} without one");
 }
 
-/// Two servers, of which the first one leaves; their answers tell them apart.
-struct Pair {
-    leaving: CacheServer,
-    staying: CacheServer,
-}
-
-impl Pair {
-    fn start() -> Self {
-        Self { leaving: CacheServer::serving("leaving"), staying: CacheServer::serving("staying") }
-    }
-
-    /// Their entries, the first one in this state.
-    fn entries(&self, health: &str) -> [Value; 2] {
-        [self.leaving.entry("s-1", health), self.staying.entry("s-2", "ready")]
-    }
-
-    /// Waits until requests have reached both.
-    fn wait_for_both(&self, node: &Node) {
-        let before = self.leaving.count();
-        wait_for("both", || {
-            (1..20).for_each(|key| drop(node.read("read", key)));
-            self.leaving.count() > before && self.staying.count() > 0
-        });
-    }
-
-    /// Waits until the node sends the first one no more.
-    fn wait_until_left_alone(&self, node: &Node) {
-        wait_for("the drain's heeding", || {
-            let before = self.leaving.count();
-            (1..20).for_each(|key| drop(node.read("read", key)));
-            self.leaving.count() == before
-        });
-    }
-
-    /// All requests go to the one that stays.
-    fn assert_left_alone(&self, node: &Node) {
-        let before = self.leaving.count();
-        let answers: Vec<_> = (20..60).map(|key| node.read("read", key)).collect();
-        assert_eq!(self.leaving.count(), before, "requests went to a server after its drain was told");
-        assert!(answers.iter().all(|answer| answer.body == b"staying"), "{answers:?}");
-    }
-}
-
-fn moved_to(config: &Value, discovery: SocketAddr) -> String {
-    let mut moved = config.clone();
-    moved["discovery"] = json!(discovery.to_string());
-    moved.to_string()
-}
-
-// Guards against a drain that the old discovery told while a node moved, and that the new one's whole list undoes though
-// it is of before: it was made, and is on its way, when the drain is told.
-#[test]
-fn a_whole_list_of_before_a_drain_that_comes_after_a_move_does_not_undo_it() {
-    let pair = Pair::start();
-    let (old, new) = (ManualDiscovery::start(), ManualDiscovery::start());
-    let config = config(old.address);
-    let node = Node::start(&config);
-    old.next_call().answer(&list(5, true, &pair.entries("ready")));
-    wait_for("the node's readiness", || node.get("/healthz").status() == 200);
-    pair.wait_for_both(&node);
-    let mut watch = old.next_call();
-    node.reload(&moved_to(&config, new.address));
-    let mut whole = new.next_call();
-    assert_eq!(whole.path, "/v1/servers");
-    watch.answer(&list(6, false, &pair.entries("draining")[..1]));
-    pair.wait_until_left_alone(&node);
-    whole.answer(&list(5, true, &pair.entries("ready")));
-    let mut next = new.next_call();
-    pair.assert_left_alone(&node);
-    // A later word that it is ready again counts.
-    next.answer(&list(7, false, &[born(pair.entries("ready")[0].clone(), 1_000)]));
-    pair.wait_for_both(&node);
-}
-
-fn born(mut entry: Value, at_ms: u64) -> Value {
-    entry["born_ms"] = json!(at_ms);
-    entry
-}
-
-/// How a server is told to leave.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Leaves {
-    Draining,
-    Gone,
-    /// By a whole list that lacks it.
-    Absent,
-}
-
-// Guards against a list of before a drain or an end that undoes it: one of a lower version is followed by the whole list, and
-// that may be of before as well.
-#[test]
-fn a_list_of_before_a_drain_does_not_undo_it_at_the_same_discovery() {
-    let mut undone = Vec::new();
-    for leaves in [Leaves::Draining, Leaves::Gone, Leaves::Absent] {
-        // It leaves with version 6, and a whole list of this one comes after that.
-        for seq in [4, 6] {
-            let pair = Pair::start();
-            let discovery = ManualDiscovery::start();
-            let node = Node::start(&config(discovery.address));
-            discovery.next_call().answer(&list(5, true, &pair.entries("ready")));
-            wait_for("the node's readiness", || node.get("/healthz").status() == 200);
-            pair.wait_for_both(&node);
-            discovery.next_call().answer(&match leaves {
-                Leaves::Draining => list(6, false, &pair.entries("draining")[..1]),
-                Leaves::Gone => list(6, false, &pair.entries("gone")[..1]),
-                Leaves::Absent => list(6, true, &pair.entries("ready")[1..]),
-            });
-            let mut watch = discovery.next_call();
-            pair.assert_left_alone(&node);
-            watch.answer(&list(seq, true, &pair.entries("ready")));
-            let mut next = discovery.next_call();
-            if next.path == "/v1/servers" {
-                next.answer(&list(seq, true, &pair.entries("ready")));
-                next = discovery.next_call();
-            }
-            let before = pair.leaving.count();
-            (20..60).for_each(|key| drop(node.read("read", key)));
-            let sent = pair.leaving.count() - before;
-            if sent > 0 {
-                undone.push((leaves, seq, sent));
-            }
-            // Started anew, it is ready.
-            next.answer(&list(7, false, &[born(pair.entries("ready")[0].clone(), 1_000)]));
-            pair.wait_for_both(&node);
-        }
-    }
-    assert!(undone.is_empty(), "how it left, the version that undid it, sends after that: {undone:?}");
-}
-
-// Guards against a node that serves from the list it knew and whose first call is refused, or waits for its turn, as a drain is
-// told: the answer to that call, or to the next, is heeded, and the next one comes soon.
-#[test]
-fn a_drain_told_by_the_first_call_or_the_one_after_a_refusal_is_heeded() {
-    for refused in [false, true] {
-        let pair = Pair::start();
-        let discovery = ManualDiscovery::start();
-        let mut config = config(discovery.address);
-        config["known"] = json!({"seq": 1, "whole": true, "hosts": pair.entries("ready")});
-        let node = Node::ready(&config);
-        let mut call = discovery.next_call();
-        pair.wait_for_both(&node);
-        if refused {
-            call.refuse();
-            let since = Instant::now();
-            call = discovery.next_call();
-            // The module's pause is 0.84 s at most; the rest is for a machine that does other things too.
-            assert!(since.elapsed() < Duration::from_secs(3), "{:?}", since.elapsed());
-        }
-        assert!(call.path.contains("after=1&"), "{}", call.path);
-        call.answer(&list(2, false, &pair.entries("draining")[..1]));
-        let next = discovery.next_call();
-        assert!(next.path.contains("after=2&"), "{}", next.path);
-        pair.assert_left_alone(&node);
-    }
-}
-
 // Guards against a request that goes out on a connection which was begun before its server was told to leave, was forgotten
 // and listed again, or moved: what comes up then leads to one that wants nothing new, or is no more.
 #[test]
@@ -443,34 +231,6 @@
     }
 }
 
-// Guards against a ready server that is taken for one that leaves for good: a new start is heeded, whichever way it is told.
-#[test]
-fn a_server_that_started_anew_after_its_drain_is_used_again() {
-    for (whole, gone_between) in [(false, false), (false, true), (true, false), (true, true)] {
-        let pair = Pair::start();
-        let discovery = Discovery::start(&pair.entries("ready"));
-        let node = Node::ready(&config(discovery.address));
-        pair.wait_for_both(&node);
-        discovery.tell(false, &pair.entries("draining")[..1]);
-        discovery.wait_until_told(2);
-        pair.assert_left_alone(&node);
-        let mut seq = 2;
-        if gone_between {
-            match whole {
-                true => discovery.tell(true, &pair.entries("ready")[1..]),
-                false => discovery.tell(false, &pair.entries("gone")[..1]),
-            }
-            seq += 1;
-            discovery.wait_until_told(seq);
-            pair.assert_left_alone(&node);
-        }
-        let [leaving, staying] = pair.entries("ready");
-        discovery.tell(whole, &[born(leaving, 1_000), staying]);
-        discovery.wait_until_told(seq + 1);
-        pair.wait_for_both(&node);
-    }
-}
-
 /// How soon after a call that was reset the next one comes, for some of them, where lists are pushed and the settings
 /// leave this much time after a drain.
 fn pauses_after_resets(grace: Duration) -> Vec<Duration> {
