--- a/crates/cli/tests/node_front.rs
+++ b/crates/cli/tests/node_front.rs
@@ -1,4 +1,4 @@
-//! The limits of the front door, over the command line and loopback sockets.
+//! The limits of admission to a node's connections, over the command line and loopback sockets.
 
 mod node_common;
 
--- a/crates/front/src/door.rs
+++ b/crates/front/src/connections.rs
@@ -1,5 +1,5 @@
-//! The table of clients' connections: what each is at, how long it may be, and which one gives way where there is no
-//! place. Every step takes constant time, whatever the number of connections.
+//! The table of clients' connections: the phase of each, its timeouts, and which one is evicted when descriptors or
+//! memory run out. Every step takes constant time, whatever the number of connections.
 
 use crate::budget::Lease;
 use crate::lists::Lists;
@@ -8,26 +8,26 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-/// A connection's number: used anew once it has left.
-pub type Id = u32;
+/// Identifies a connection in the table; reused once the connection is removed.
+pub type ConnectionId = u32;
 
-/// From its first byte, or from the connection's start for the first one, a request has come whole by then. A client
+/// A request must be complete this long after its first byte, the first one after the connection's start. A client
 /// is owed an error or a close within 3 s, whatever it sends or leaves out.
-const ASKING: Duration = Duration::from_secs(2);
-/// A client that does not take its answer holds its place for no longer than this.
-const TAKING: Duration = Duration::from_secs(4);
-/// One that has been idle for so long gives its buffers and parser back; a client in a conversation asks sooner.
-const PARK: Duration = Duration::from_millis(300);
-/// One that has said nothing for so long gives way where there is no room; a usual client asks at once.
-const SILENCE: Duration = Duration::from_millis(30);
-/// One that has been idle for so long is hardly missed.
-const UNUSED: Duration = Duration::from_secs(2);
-/// A request that is still on its way after so long gives way; usual ones come within a few packets.
-const HALTING: Duration = Duration::from_millis(500);
-/// Of those at the head of a phase that end anyway, so many are passed over in search of one that does not.
-const PASSED_OVER: usize = 64;
-
-/// What a connection is at.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// A client that does not read its response keeps its connection no longer than this.
+const RESPONSE_WRITE_TIMEOUT: Duration = Duration::from_secs(4);
+/// A connection idle for this long gives up its buffers and parser; an active client sends its next request sooner.
+const PARK_AFTER: Duration = Duration::from_millis(300);
+/// A connection that has sent nothing for this long may be evicted; a usual client sends a request at once.
+const SILENT_EVICTION_AGE: Duration = Duration::from_millis(30);
+/// A connection idle for this long may be evicted first.
+const IDLE_EVICTION_AGE: Duration = Duration::from_secs(2);
+/// A connection whose request is incomplete after this long may be evicted; usual ones come within a few packets.
+const REQUEST_EVICTION_AGE: Duration = Duration::from_millis(500);
+/// Connections looked at, at most, in search of one that is not closing already.
+const MAX_SCANNED: usize = 64;
+
+/// The phase of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Phase {
     /// Nothing has come yet.
@@ -49,8 +49,8 @@
     pub const ALL: [Self; 6] =
         [Self::Silent, Self::Asking, Self::Open, Self::Answering, Self::Idle, Self::Parked];
 
-    /// The word for it in figures.
-    pub const fn word(self) -> &'static str {
+    /// Its label in metrics.
+    pub const fn label(self) -> &'static str {
         match self {
             Self::Silent => "silent",
             Self::Asking => "asking",
@@ -109,8 +109,8 @@
         Self::Class,
     ];
 
-    /// The word for it in figures.
-    pub const fn word(self) -> &'static str {
+    /// Its label in metrics.
+    pub const fn label(self) -> &'static str {
         match self {
             Self::Client => "client",
             Self::Silent => "silent",
@@ -127,46 +127,46 @@
     }
 }
 
-/// What holds for the table.
+/// The limits of a table.
 #[derive(Clone, Debug, Default)]
-pub struct Terms {
-    /// With so many used connections, an answered one gives way to clients that have none.
-    pub crowd: usize,
-    /// An idle connection is kept for so long.
-    pub idle: Duration,
+pub struct ConnectionLimits {
+    /// With this many connections in use, one closes with its response, so that other clients get a turn.
+    pub crowded_at: usize,
+    /// An idle connection is kept this long.
+    pub idle_timeout: Duration,
     /// Connections of one address, at most.
     pub per_address: Option<usize>,
     /// Open requests of each class, at most; classes past its end have no limit.
     pub per_class: Vec<Option<usize>>,
     /// Bytes that a connection in use is counted as.
-    pub busy: usize,
+    pub active_bytes: usize,
     /// Bytes that one is counted as that holds nothing but its socket.
-    pub parked: usize,
+    pub parked_bytes: usize,
 }
 
-/// What a connection is to do.
+/// What the owner of a connection is to do with it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Told {
-    /// Nothing.
-    Stay,
-    /// Give up all but the socket.
+pub enum Directive {
+    /// Go on.
+    Continue,
+    /// Release everything but the socket.
     Park,
-    /// Finish what is open, if the node has taken it, and close.
+    /// Finish the request that the node has taken, if any, and close.
     Finish,
-    /// Close at once: what is under way will not end in time.
-    Drop,
+    /// Close at once: what is in progress will not end in time.
+    Abort,
 }
 
-/// What the table tells of itself.
+/// Counts of a table's connections.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Figures {
+pub struct ConnectionStats {
     /// Connections in each phase, by its number.
     pub phases: [usize; Phase::ALL.len()],
     /// Accepted, and waiting for a place.
     pub waiting: usize,
     /// Closed since the start, by the cause's number.
     pub closed: [u64; Cause::ALL.len()],
-    /// Connections not let in, and requests that the decision module is told to refuse, since the start, by the cause's number.
+    /// Connections not let in, and requests that the decision module is to refuse, since the start, by the cause's number.
     pub refused: [u64; Cause::ALL.len()],
 }
 
@@ -186,7 +186,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Ending {
     cause: Cause,
-    way: Told,
+    directive: Directive,
 }
 
 #[derive(Debug, Default)]
@@ -196,12 +196,12 @@
     idle: usize,
 }
 
-/// See the module's page. Times are since a start of the caller's choice.
+/// The table. Times count from an origin of the caller's choice.
 #[derive(Debug)]
-pub struct Door {
-    terms: Terms,
+pub struct ConnectionTable {
+    limits: ConnectionLimits,
     entries: Vec<Option<Entry>>,
-    free: Vec<Id>,
+    free: Vec<ConnectionId>,
     /// By phase, the one that entered it first at the head.
     phases: Lists,
     timers: Wheel,
@@ -209,7 +209,7 @@
     idle_of: Lists,
     idle_free: Vec<usize>,
     open_of: Vec<usize>,
-    fired: Vec<Id>,
+    fired: Vec<ConnectionId>,
     waiting: usize,
     /// One list: those that have something to say and no memory to be read with.
     starved: Lists,
@@ -217,11 +217,11 @@
     refused: [u64; Cause::ALL.len()],
 }
 
-impl Door {
+impl ConnectionTable {
     /// An empty table.
-    pub fn new(terms: Terms) -> Self {
+    pub fn new(limits: ConnectionLimits) -> Self {
         Self {
-            terms,
+            limits,
             entries: Vec::new(),
             free: Vec::new(),
             phases: Lists::new(Phase::ALL.len()),
@@ -238,9 +238,9 @@
         }
     }
 
-    /// What there is to tell.
-    pub fn figures(&self) -> Figures {
-        Figures {
+    /// The present counts.
+    pub fn stats(&self) -> ConnectionStats {
+        ConnectionStats {
             phases: Phase::ALL.map(|phase| self.phases.len(phase as usize)),
             waiting: self.waiting,
             closed: self.closed,
@@ -258,41 +258,41 @@
         self.len() == 0
     }
 
-    /// Those that are in.
-    pub fn ids(&self) -> impl Iterator<Item = Id> + '_ {
+    /// All connections in the table.
+    pub fn ids(&self) -> impl Iterator<Item = ConnectionId> + '_ {
         (0..).zip(&self.entries).filter(|(_, entry)| entry.is_some()).map(|(id, _)| id)
     }
 
-    /// So many more connections wait for a place: answered ones close meanwhile.
-    pub fn wait(&mut self) {
+    /// One more connection waits for a descriptor: until it has one, others close with their responses.
+    pub fn add_waiter(&mut self) {
         self.waiting += 1;
     }
 
-    /// One of them waits no longer.
-    pub fn waited(&mut self) {
+    /// One connection waits no longer.
+    pub fn remove_waiter(&mut self) {
         self.waiting -= 1;
     }
 
     /// Whether an address may have one more connection. Where it has all it may, its own that has been idle for longest
     /// is to close: `Err` with that, which has to be woken, or with none where all of them are in use.
-    pub fn admits(&mut self, address: IpAddr) -> Result<(), Option<Id>> {
-        let most = self.terms.per_address.unwrap_or(usize::MAX);
+    pub fn check_address_limit(&mut self, address: IpAddr) -> Result<(), Option<ConnectionId>> {
+        let most = self.limits.per_address.unwrap_or(usize::MAX);
         let Some(holder) = self.holders.get(&address).filter(|holder| holder.count >= most) else {
             return Ok(());
         };
-        let oldest = self.staying(self.idle_of.iter(holder.idle));
+        let oldest = self.first_not_closing(self.idle_of.iter(holder.idle));
         match oldest {
-            Some(id) => self.end(id, Cause::Address),
+            Some(id) => self.close(id, Cause::Address),
             None => self.refused[Cause::Address as usize] += 1,
         }
         Err(oldest)
     }
 
-    /// Lets a connection in.
-    pub fn enter(&mut self, now: Duration, address: IpAddr, mut lease: Lease) -> Id {
+    /// Adds a connection.
+    pub fn insert(&mut self, now: Duration, address: IpAddr, mut lease: Lease) -> ConnectionId {
         // The memory of one that holds only its socket is counted, and too little to be refused for.
-        lease.hold(self.terms.parked);
-        let address = self.terms.per_address.map(|_| address);
+        lease.hold(self.limits.parked_bytes);
+        let address = self.limits.per_address.map(|_| address);
         if let Some(address) = address {
             let holder = self.holders.entry(address).or_insert_with(|| Holder {
                 count: 0,
@@ -306,23 +306,23 @@
             Some(id) => id,
             None => {
                 self.entries.push(None);
-                (self.entries.len() - 1) as Id
+                (self.entries.len() - 1) as ConnectionId
             }
         };
         self.entries[id as usize] = Some(entry);
         self.phases.push(Phase::Silent as usize, id);
-        self.timers.set(id, now + ASKING);
+        self.timers.set(id, now + REQUEST_TIMEOUT);
         id
     }
 
-    /// A connection is over.
-    pub fn leave(&mut self, id: Id) {
+    /// Removes a connection that has ended.
+    pub fn remove(&mut self, id: ConnectionId) {
         let Some(entry) = self.entries.get_mut(id as usize).and_then(Option::take) else { return };
         self.closed[entry.ending.map_or(Cause::Client, |ending| ending.cause) as usize] += 1;
         self.phases.remove(id);
         self.timers.cancel(id);
         self.starved.remove(id);
-        self.release(entry.class);
+        self.release_class(entry.class);
         if let Some(address) = entry.address {
             self.idle_of.remove(id);
             if let Some(holder) = self.holders.get_mut(&address) {
@@ -336,26 +336,26 @@
         self.free.push(id);
     }
 
-    /// What a connection is at.
-    pub fn phase(&self, id: Id) -> Phase {
+    /// The phase of a connection.
+    pub fn phase(&self, id: ConnectionId) -> Phase {
         self.phases.list(id).map_or(Phase::Silent, |phase| Phase::ALL[phase])
     }
 
     /// Bytes have come, and none of the memory to read them is held yet. Where there is none it asks again once some is
     /// given back, and is closed if none is in the time for a request: `Err` with the one that is to give up its own,
     /// if any can, and has to be woken.
-    pub fn speaks(&mut self, now: Duration, id: Id) -> Result<(), Option<Id>> {
-        let busy = self.terms.busy;
+    pub fn on_readable(&mut self, now: Duration, id: ConnectionId) -> Result<(), Option<ConnectionId>> {
+        let busy = self.limits.active_bytes;
         let Some(entry) = self.entry_mut(id) else { return Ok(()) };
         if entry.lease.hold(busy) {
             self.starved.remove(id);
             return Ok(());
         }
         if self.phase(id).is_idle() {
-            self.turn(now, id, Phase::Asking);
+            self.enter_phase(now, id, Phase::Asking);
         }
         self.starved.push(0, id);
-        let idle = self.phases.iter(Phase::Idle as usize).take(PASSED_OVER);
+        let idle = self.phases.iter(Phase::Idle as usize).take(MAX_SCANNED);
         let other =
             idle.filter(|other| *other != id).find(|other| self.entry(*other).is_some_and(|e| !e.parking));
         if let Some(entry) = other.and_then(|other| self.entry_mut(other)) {
@@ -366,19 +366,19 @@
 
     /// So many bytes are held beside what a connection in use is counted as, until its answer. `false` where there are not
     /// that many.
-    pub fn holds(&mut self, id: Id, bytes: usize) -> bool {
-        let bytes = self.terms.busy.saturating_add(bytes);
+    pub fn reserve_request_bytes(&mut self, id: ConnectionId, bytes: usize) -> bool {
+        let bytes = self.limits.active_bytes.saturating_add(bytes);
         let held = self.entry_mut(id).is_none_or(|entry| entry.lease.hold(bytes));
         self.refused[Cause::Bytes as usize] += u64::from(!held);
         held
     }
 
     /// Bytes were read.
-    pub fn heard(&mut self, now: Duration, id: Id) {
+    pub fn on_bytes_read(&mut self, now: Duration, id: ConnectionId) {
         match self.phase(id) {
             // The time of the first request runs from the connection's start.
             Phase::Silent => self.phases.push(Phase::Asking as usize, id),
-            Phase::Idle | Phase::Parked => self.turn(now, id, Phase::Asking),
+            Phase::Idle | Phase::Parked => self.enter_phase(now, id, Phase::Asking),
             Phase::Asking => {}
             Phase::Open | Phase::Answering => {
                 if let Some(entry) = self.entry_mut(id) {
@@ -389,23 +389,23 @@
     }
 
     /// A request's head has come; its body may follow.
-    pub fn asked(&mut self, now: Duration, id: Id) {
+    pub fn on_request_head(&mut self, now: Duration, id: ConnectionId) {
         if let Some(entry) = self.entry_mut(id) {
             entry.ahead = false;
         }
         if !matches!(self.phase(id), Phase::Silent | Phase::Asking) {
-            self.turn(now, id, Phase::Asking);
+            self.enter_phase(now, id, Phase::Asking);
         }
     }
 
     /// A request of this class has come whole. Whether its class has more of them open than its share: that is for the
     /// decision module to know.
-    pub fn opened(&mut self, now: Duration, id: Id, class: usize) -> bool {
-        self.turn(now, id, Phase::Open);
+    pub fn on_request(&mut self, now: Duration, id: ConnectionId, class: usize) -> bool {
+        self.enter_phase(now, id, Phase::Open);
         // Its time may have run out in the very turn in which the rest came: the node has the request now, and answers it.
         let ending = self.entry_mut(id).and_then(|entry| entry.ending.as_mut());
-        if let Some(ending) = ending.filter(|ending| ending.way == Told::Drop) {
-            ending.way = Told::Finish;
+        if let Some(ending) = ending.filter(|ending| ending.directive == Directive::Abort) {
+            ending.directive = Directive::Finish;
         }
         if self.open_of.len() <= class {
             self.open_of.resize(class + 1, 0);
@@ -414,41 +414,41 @@
         if let Some(entry) = self.entry_mut(id) {
             entry.class = u16::try_from(class).ok();
         }
-        let most = self.terms.per_class.get(class).copied().flatten();
+        let most = self.limits.per_class.get(class).copied().flatten();
         let over = most.is_some_and(|most| self.open_of[class] > most);
         self.refused[Cause::Class as usize] += u64::from(over);
         over
     }
 
     /// Its answer is at hand.
-    pub fn answered(&mut self, now: Duration, id: Id) {
-        let busy = self.terms.busy;
+    pub fn on_response(&mut self, now: Duration, id: ConnectionId) {
+        let busy = self.limits.active_bytes;
         let class = self.entry_mut(id).and_then(|entry| {
             entry.lease.hold(busy);
             entry.class.take()
         });
-        self.release(class);
-        self.turn(now, id, Phase::Answering);
+        self.release_class(class);
+        self.enter_phase(now, id, Phase::Answering);
     }
 
     /// All that was to be written is out.
-    pub fn flushed(&mut self, now: Duration, id: Id) {
+    pub fn on_flushed(&mut self, now: Duration, id: ConnectionId) {
         if self.phase(id) == Phase::Answering {
             let starving = !self.starved.is_empty(0);
             let Some(entry) = self.entry_mut(id) else { return };
             let ahead = entry.ahead;
             // Others wait for what it holds.
             entry.parking = !ahead && starving;
-            self.turn(now, id, if ahead { Phase::Asking } else { Phase::Idle });
+            self.enter_phase(now, id, if ahead { Phase::Asking } else { Phase::Idle });
         }
     }
 
     /// It has given up all but its socket.
-    pub fn parked(&mut self, id: Id) {
+    pub fn on_parked(&mut self, id: ConnectionId) {
         if self.phase(id).is_idle() {
             self.phases.push(Phase::Parked as usize, id);
         }
-        let parked = self.terms.parked;
+        let parked = self.limits.parked_bytes;
         if let Some(entry) = self.entry_mut(id) {
             entry.parking = false;
             entry.lease.hold(parked);
@@ -456,7 +456,7 @@
     }
 
     /// Memory was given back: the one that has waited for it longest, which is to be woken and asks again.
-    pub fn fed(&mut self) -> Option<Id> {
+    pub fn next_starved(&mut self) -> Option<ConnectionId> {
         let next = self.starved.first(0)?;
         // If it gets none the next turn is another's.
         self.starved.push(0, next);
@@ -464,90 +464,90 @@
     }
 
     /// What a connection is to do now.
-    pub fn told(&mut self, id: Id) -> Told {
+    pub fn directive(&mut self, id: ConnectionId) -> Directive {
         let phase = self.phase(id);
-        let Some(entry) = self.entry_mut(id) else { return Told::Drop };
+        let Some(entry) = self.entry_mut(id) else { return Directive::Abort };
         match entry.ending {
-            Some(ending) => ending.way,
-            // The word may be old: another request may have come since.
-            None if std::mem::take(&mut entry.parking) && phase == Phase::Idle => Told::Park,
-            None => Told::Stay,
+            Some(ending) => ending.directive,
+            // The order to park may be out of date: another request may have come since.
+            None if std::mem::take(&mut entry.parking) && phase == Phase::Idle => Directive::Park,
+            None => Directive::Continue,
         }
     }
 
     /// Whether its descriptor may be held for a moment past its end, for a client that still reads: not where it was closed
     /// so that another one can have its place.
-    pub fn may_linger(&self, id: Id) -> bool {
+    pub fn may_linger(&self, id: ConnectionId) -> bool {
         let ending = self.entry(id).and_then(|entry| entry.ending.as_ref());
         ending.is_none_or(|ending| !matches!(ending.cause, Cause::Room | Cause::Address))
     }
 
     /// It closes for this cause: at once where it keeps the node waiting, else when what it has asked is answered. A
-    /// request that crosses the word is read to its end.
-    pub fn end(&mut self, id: Id, cause: Cause) {
+    /// request that is being read as the node stops is read to its end.
+    pub fn close(&mut self, id: ConnectionId, cause: Cause) {
         let halting = matches!(self.phase(id), Phase::Asking | Phase::Answering) && cause != Cause::Stop;
-        self.close(id, cause, if halting { Told::Drop } else { Told::Finish });
+        self.set_ending(id, cause, if halting { Directive::Abort } else { Directive::Finish });
     }
 
-    fn close(&mut self, id: Id, cause: Cause, way: Told) {
+    fn set_ending(&mut self, id: ConnectionId, cause: Cause, directive: Directive) {
         if let Some(entry) = self.entry_mut(id) {
             // The first cause is the cause; what is to close at once does so whatever was said before.
-            let ending = entry.ending.get_or_insert(Ending { cause, way });
-            if ending.way != Told::Drop {
-                ending.way = way;
+            let ending = entry.ending.get_or_insert(Ending { cause, directive });
+            if ending.directive != Directive::Abort {
+                ending.directive = directive;
             }
         }
     }
 
-    /// Whether a connection that is about to be answered closes with its answer, since others wait for a place or will
-    /// soon. One that may be closed by the terms, since nobody has used it for long, goes in its place: it is to be woken.
-    pub fn gives_way(&mut self, now: Duration, id: Id) -> (bool, Option<Id>) {
+    /// Whether a connection that is about to be answered closes with its answer, since others wait for a descriptor or
+    /// will soon. One that was not used for long closes instead, if there is any: it is to be woken.
+    pub fn closes_with_response(&mut self, now: Duration, id: ConnectionId) -> (bool, Option<ConnectionId>) {
         let used = [Phase::Open, Phase::Answering, Phase::Idle, Phase::Parked];
         let used: usize = used.iter().map(|phase| self.phases.len(*phase as usize)).sum();
-        if self.waiting == 0 && used < self.terms.crowd {
+        if self.waiting == 0 && used < self.limits.crowded_at {
             return (false, None);
         }
         if self.waiting == 0 {
-            if let Some(other) = self.oldest_idle(now, UNUSED) {
-                self.end(other, Cause::Room);
+            if let Some(other) = self.oldest_idle(now, IDLE_EVICTION_AGE) {
+                self.close(other, Cause::Room);
                 return (false, Some(other));
             }
         }
         if self.entry(id).is_some_and(|entry| entry.ending.is_none()) {
-            // Its answer says so: nobody needs to be told.
-            self.close(id, Cause::Crowd, Told::Stay);
+            // The response says so: its owner needs no directive.
+            self.set_ending(id, Cause::Crowd, Directive::Continue);
         }
         (true, None)
     }
 
-    /// Picks one to close in favour of one that waits, which has to be woken. A silent flood lives off itself first; but it
-    /// must not wait for itself either, with usual clients behind it, while connections that nobody uses or half requests
-    /// hold the other places.
-    pub fn make_room(&mut self, now: Duration) -> Option<Id> {
-        let found =
-            self.unmissed(now).or_else(|| self.oldest(now, Phase::Asking, HALTING)).or_else(|| {
+    /// Closes one in favour of a client that waits; it has to be woken. A flood of silent connections evicts its own first,
+    /// but must not block usual clients behind it while unused connections or incomplete requests hold the rest.
+    pub fn evict_for_client(&mut self, now: Duration) -> Option<ConnectionId> {
+        let found = self
+            .oldest_unused(now)
+            .or_else(|| self.oldest_in_phase(now, Phase::Asking, REQUEST_EVICTION_AGE))
+            .or_else(|| {
                 self.oldest_idle(now, Duration::ZERO)
-                    .filter(|_| self.oldest(now, Phase::Silent, Duration::ZERO).is_none())
+                    .filter(|_| self.oldest_in_phase(now, Phase::Silent, Duration::ZERO).is_none())
             })?;
-        self.end(found, Cause::Room);
+        self.close(found, Cause::Room);
         Some(found)
     }
 
-    /// Picks one that the terms let close, in favour of another side: one that was not used for long, or never. It has to
-    /// be woken.
-    pub fn spare(&mut self, now: Duration) -> Option<Id> {
-        let found = self.unmissed(now)?;
-        self.end(found, Cause::Room);
+    /// Closes one that was not used for long, or never, in favour of a connection to a server. It has to be woken.
+    pub fn evict_for_server(&mut self, now: Duration) -> Option<ConnectionId> {
+        let found = self.oldest_unused(now)?;
+        self.close(found, Cause::Room);
         Some(found)
     }
 
     /// Ends connections whose time is up and parks idle ones, in no more than `work` steps: those to be woken are appended
     /// to `woken`. `false` where there is more to do now.
-    pub fn advance(&mut self, now: Duration, work: usize, woken: &mut Vec<Id>) -> bool {
+    pub fn advance(&mut self, now: Duration, work: usize, woken: &mut Vec<ConnectionId>) -> bool {
         let mut fired = std::mem::take(&mut self.fired);
         let done = self.timers.advance(now, work, &mut fired);
         for id in fired.drain(..) {
-            let (phase, idle) = (self.phase(id), self.terms.idle);
+            let (phase, idle) = (self.phase(id), self.limits.idle_timeout);
             let starved = self.starved.list(id).is_some();
             let Some(entry) = self.entry_mut(id) else { continue };
             let over = entry.since + idle;
@@ -568,36 +568,38 @@
                 }
                 Phase::Idle | Phase::Parked => Cause::Idle,
             };
-            self.end(id, cause);
+            self.close(id, cause);
             woken.push(id);
         }
         self.fired = fired;
         done
     }
 
-    fn entry(&self, id: Id) -> Option<&Entry> {
+    fn entry(&self, id: ConnectionId) -> Option<&Entry> {
         self.entries.get(id as usize)?.as_ref()
     }
 
-    fn entry_mut(&mut self, id: Id) -> Option<&mut Entry> {
+    fn entry_mut(&mut self, id: ConnectionId) -> Option<&mut Entry> {
         self.entries.get_mut(id as usize)?.as_mut()
     }
 
-    fn release(&mut self, class: Option<u16>) {
+    fn release_class(&mut self, class: Option<u16>) {
         if let Some(open) = class.and_then(|class| self.open_of.get_mut(usize::from(class))) {
             *open -= 1;
         }
     }
 
-    fn turn(&mut self, now: Duration, id: Id, phase: Phase) {
+    fn enter_phase(&mut self, now: Duration, id: ConnectionId, phase: Phase) {
         let Some(entry) = self.entry_mut(id) else { return };
         entry.since = now;
         let address = entry.address;
         self.phases.push(phase as usize, id);
         match phase {
-            Phase::Silent | Phase::Asking => self.timers.set(id, now + ASKING),
-            Phase::Answering => self.timers.set(id, now + TAKING),
-            Phase::Idle | Phase::Parked => self.timers.set(id, now + PARK.min(self.terms.idle)),
+            Phase::Silent | Phase::Asking => self.timers.set(id, now + REQUEST_TIMEOUT),
+            Phase::Answering => self.timers.set(id, now + RESPONSE_WRITE_TIMEOUT),
+            Phase::Idle | Phase::Parked => {
+                self.timers.set(id, now + PARK_AFTER.min(self.limits.idle_timeout))
+            }
             Phase::Open => drop(self.timers.cancel(id)),
         }
         let Some(address) = address else { return };
@@ -607,24 +609,25 @@
         }
     }
 
-    /// The first that does not end anyway.
-    fn staying(&self, ids: impl Iterator<Item = Id>) -> Option<Id> {
-        ids.take(PASSED_OVER).find(|id| self.entry(*id).is_some_and(|entry| entry.ending.is_none()))
+    /// The first that is not closing already.
+    fn first_not_closing(&self, ids: impl Iterator<Item = ConnectionId>) -> Option<ConnectionId> {
+        ids.take(MAX_SCANNED).find(|id| self.entry(*id).is_some_and(|entry| entry.ending.is_none()))
     }
 
-    /// One that the terms let close: never used, or not for long.
-    fn unmissed(&self, now: Duration) -> Option<Id> {
-        self.oldest(now, Phase::Silent, SILENCE).or_else(|| self.oldest_idle(now, UNUSED))
+    /// One that was never used, or not for long.
+    fn oldest_unused(&self, now: Duration) -> Option<ConnectionId> {
+        self.oldest_in_phase(now, Phase::Silent, SILENT_EVICTION_AGE)
+            .or_else(|| self.oldest_idle(now, IDLE_EVICTION_AGE))
     }
 
-    /// The one that has been in this phase for longest, if that is `age` or more, but for those that end anyway.
-    fn oldest(&self, now: Duration, phase: Phase, age: Duration) -> Option<Id> {
-        let found = self.staying(self.phases.iter(phase as usize))?;
+    /// The one that has been in this phase for longest, if that is `age` or more, among those that are not closing already.
+    fn oldest_in_phase(&self, now: Duration, phase: Phase, age: Duration) -> Option<ConnectionId> {
+        let found = self.first_not_closing(self.phases.iter(phase as usize))?;
         self.entry(found).filter(|entry| now.saturating_sub(entry.since) >= age).map(|_| found)
     }
 
     /// Those that are parked have been idle for longer than the others.
-    fn oldest_idle(&self, now: Duration, age: Duration) -> Option<Id> {
-        self.oldest(now, Phase::Parked, age).or_else(|| self.oldest(now, Phase::Idle, age))
+    fn oldest_idle(&self, now: Duration, age: Duration) -> Option<ConnectionId> {
+        self.oldest_in_phase(now, Phase::Parked, age).or_else(|| self.oldest_in_phase(now, Phase::Idle, age))
     }
 }
--- a/crates/front/tests/front.rs
+++ b/crates/front/tests/front.rs
@@ -4,7 +4,9 @@
 mod events;
 
 use events::{check, Step};
-use slatelink_front::{Budget, Cause, Door, Lease, Phase, Share, Short, Side, Terms, Told, Wheel};
+use slatelink_front::{
+    Budget, Cause, ConnectionLimits, ConnectionTable, Directive, Lease, Phase, Share, Short, Side, Wheel,
+};
 use std::collections::{BTreeMap, HashMap};
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
@@ -127,24 +129,33 @@
     }
 }
 
-fn door(terms: Terms) -> (Door, Budget) {
+fn table(limits: ConnectionLimits) -> (ConnectionTable, Budget) {
     let share = Share { floor: 0, most: 1 << 20 };
     let budget = Budget::new(1 << 20, [share; 3], 1_000).expect("fits");
-    (Door::new(Terms { crowd: 1 << 20, idle: ms(10_000), busy: 100, parked: 1, ..terms }), budget)
+    (
+        ConnectionTable::new(ConnectionLimits {
+            crowded_at: 1 << 20,
+            idle_timeout: ms(10_000),
+            active_bytes: 100,
+            parked_bytes: 1,
+            ..limits
+        }),
+        budget,
+    )
 }
 
-fn enter(door: &mut Door, budget: &Budget, now: Duration, last: u8) -> u32 {
-    door.enter(now, address(last), budget.lease(Side::Clients).expect("free"))
+fn enter(table: &mut ConnectionTable, budget: &Budget, now: Duration, last: u8) -> u32 {
+    table.insert(now, address(last), budget.lease(Side::Clients).expect("free"))
 }
 
 /// A request and its answer.
-fn converse(door: &mut Door, now: Duration, id: u32) {
-    door.speaks(now, id).expect("memory is there");
-    door.heard(now, id);
-    door.asked(now, id);
-    assert!(!door.opened(now, id, 0));
-    door.answered(now, id);
-    door.flushed(now, id);
+fn converse(table: &mut ConnectionTable, now: Duration, id: u32) {
+    table.on_readable(now, id).expect("memory is there");
+    table.on_bytes_read(now, id);
+    table.on_request_head(now, id);
+    assert!(!table.on_request(now, id, 0));
+    table.on_response(now, id);
+    table.on_flushed(now, id);
 }
 
 // Guards against counts that drift from what is there, and connections that outlive their time, whatever happens when.
@@ -152,7 +163,8 @@
 fn a_table_agrees_with_a_plain_model_through_any_interleaving() {
     for seed in 0..60 {
         let mut random = fastrand::Rng::with_seed(seed);
-        let (mut door, budget) = door(Terms { per_address: Some(40), ..Terms::default() });
+        let (mut table, budget) =
+            table(ConnectionLimits { per_address: Some(40), ..ConnectionLimits::default() });
         let mut now = Duration::ZERO;
         let mut model: BTreeMap<u32, (Phase, u8)> = BTreeMap::new();
         let mut left = 0;
@@ -162,8 +174,8 @@
             match (random.u8(0..9), some) {
                 (0 | 1, _) => {
                     let last = random.u8(0..3);
-                    if door.admits(address(last)).is_ok() {
-                        let id = enter(&mut door, &budget, now, last);
+                    if table.check_address_limit(address(last)).is_ok() {
+                        let id = enter(&mut table, &budget, now, last);
                         assert!(
                             model.insert(id, (Phase::Silent, last)).is_none(),
                             "seed {seed}: a number in use"
@@ -175,147 +187,150 @@
                 }
                 (2 | 3, Some(id)) if model[&id].0 != Phase::Open => {
                     let phase = &mut model.get_mut(&id).expect("in").0;
-                    if door.speaks(now, id).is_ok() {
-                        door.heard(now, id);
-                        door.asked(now, id);
-                        door.opened(now, id, 0);
+                    if table.on_readable(now, id).is_ok() {
+                        table.on_bytes_read(now, id);
+                        table.on_request_head(now, id);
+                        table.on_request(now, id, 0);
                         *phase = Phase::Open;
                     } else if *phase != Phase::Silent {
                         *phase = Phase::Asking;
                     }
                 }
                 (4 | 5, Some(id)) if model[&id].0 == Phase::Open => {
-                    door.answered(now, id);
-                    door.flushed(now, id);
+                    table.on_response(now, id);
+                    table.on_flushed(now, id);
                     model.get_mut(&id).expect("in").0 = Phase::Idle;
                 }
                 (6, Some(id)) => {
-                    door.leave(id);
+                    table.remove(id);
                     model.remove(&id);
                     left += 1;
                 }
                 _ => {
                     let mut woken = Vec::new();
-                    while !door.advance(now, random.usize(1..5), &mut woken) {}
+                    while !table.advance(now, random.usize(1..5), &mut woken) {}
                     for id in woken {
-                        match door.told(id) {
-                            Told::Park => {
-                                door.parked(id);
+                        match table.directive(id) {
+                            Directive::Park => {
+                                table.on_parked(id);
                                 model.get_mut(&id).expect("in").0 = Phase::Parked;
                             }
-                            Told::Finish | Told::Drop => {
-                                door.leave(id);
+                            Directive::Finish | Directive::Abort => {
+                                table.remove(id);
                                 model.remove(&id);
                                 left += 1;
                             }
-                            Told::Stay => {}
+                            Directive::Continue => {}
                         }
                     }
                 }
             }
-            let figures = door.figures();
+            let stats = table.stats();
             for phase in Phase::ALL {
                 let count = model.values().filter(|(at, _)| *at == phase).count();
-                assert_eq!(figures.phases[phase as usize], count, "seed {seed}: {phase:?}");
+                assert_eq!(stats.phases[phase as usize], count, "seed {seed}: {phase:?}");
             }
             assert_eq!(
-                door.ids().collect::<Vec<_>>(),
+                table.ids().collect::<Vec<_>>(),
                 model.keys().copied().collect::<Vec<_>>(),
                 "seed {seed}"
             );
-            assert_eq!(figures.closed.iter().sum::<u64>(), left, "seed {seed}");
+            assert_eq!(stats.closed.iter().sum::<u64>(), left, "seed {seed}");
             assert_eq!(budget.held().places[0], model.len(), "seed {seed}");
         }
-        model.keys().for_each(|id| door.leave(*id));
-        assert!(door.is_empty() && budget.held() == Default::default(), "seed {seed}: all is given back");
+        model.keys().for_each(|id| table.remove(*id));
+        assert!(table.is_empty() && budget.held() == Default::default(), "seed {seed}: all is given back");
     }
 }
 
 // Guards against a thread that is held while a whole crowd's time is up.
 #[test]
 fn a_mass_expiry_is_handed_out_in_parts() {
-    let (mut door, budget) = door(Terms::default());
+    let (mut table, budget) = table(ConnectionLimits::default());
     for _ in 0..100_000 {
-        enter(&mut door, &budget, ms(5), 1);
+        enter(&mut table, &budget, ms(5), 1);
     }
     let (mut woken, mut parts) = (Vec::new(), 0);
-    while !door.advance(ms(1_900), 256, &mut woken) {}
+    while !table.advance(ms(1_900), 256, &mut woken) {}
     assert!(woken.is_empty(), "their time is 2 s");
-    while !door.advance(ms(2_100), 256, &mut woken) {
+    while !table.advance(ms(2_100), 256, &mut woken) {
         assert!(woken.len() <= (parts + 1) * 256);
         parts += 1;
     }
     assert_eq!(woken.len(), 100_000);
     assert!(parts >= 390, "{parts} parts");
-    assert!(woken.iter().all(|id| door.told(*id) == Told::Finish));
-    woken.iter().for_each(|id| door.leave(*id));
-    assert_eq!(door.figures().closed[Cause::Silent as usize], 100_000);
+    assert!(woken.iter().all(|id| table.directive(*id) == Directive::Finish));
+    woken.iter().for_each(|id| table.remove(*id));
+    assert_eq!(table.stats().closed[Cause::Silent as usize], 100_000);
 }
 
 // Guards against an address, or a class, that takes the whole table.
 #[test]
 fn an_address_gives_up_its_own_idle_connection_first_and_a_class_over_its_share_is_told() {
-    let (mut door, budget) =
-        door(Terms { per_address: Some(2), per_class: vec![None, Some(1)], ..Terms::default() });
-    let first = enter(&mut door, &budget, ms(0), 1);
-    let second = enter(&mut door, &budget, ms(1), 1);
-    assert_eq!(door.admits(address(1)), Err(None), "neither is idle");
-    assert_eq!(door.admits(address(2)), Ok(()), "another address has its own share");
-    converse(&mut door, ms(2), second);
-    converse(&mut door, ms(3), first);
-    assert_eq!(door.admits(address(1)), Err(Some(second)), "idle for longest");
-    assert_eq!(door.told(second), Told::Finish);
-    assert_eq!(door.admits(address(1)), Err(Some(first)), "the next, as that one ends already");
-    door.leave(second);
-    door.leave(first);
-    let figures = door.figures();
-    assert_eq!(figures.closed[Cause::Address as usize], 2);
-    assert_eq!(figures.refused[Cause::Address as usize], 1);
-    let ids = [1, 2].map(|last| enter(&mut door, &budget, ms(4), last));
-    assert!(!door.opened(ms(5), ids[0], 1));
-    assert!(door.opened(ms(5), ids[1], 1), "a second one of a class of one");
-    door.leave(ids[0]);
-    door.answered(ms(6), ids[1]);
-    door.asked(ms(6), ids[1]);
-    assert!(!door.opened(ms(7), ids[1], 1), "what left is counted no more");
+    let (mut table, budget) = table(ConnectionLimits {
+        per_address: Some(2),
+        per_class: vec![None, Some(1)],
+        ..ConnectionLimits::default()
+    });
+    let first = enter(&mut table, &budget, ms(0), 1);
+    let second = enter(&mut table, &budget, ms(1), 1);
+    assert_eq!(table.check_address_limit(address(1)), Err(None), "neither is idle");
+    assert_eq!(table.check_address_limit(address(2)), Ok(()), "another address has its own share");
+    converse(&mut table, ms(2), second);
+    converse(&mut table, ms(3), first);
+    assert_eq!(table.check_address_limit(address(1)), Err(Some(second)), "idle for longest");
+    assert_eq!(table.directive(second), Directive::Finish);
+    assert_eq!(table.check_address_limit(address(1)), Err(Some(first)), "the next, as that one ends already");
+    table.remove(second);
+    table.remove(first);
+    let stats = table.stats();
+    assert_eq!(stats.closed[Cause::Address as usize], 2);
+    assert_eq!(stats.refused[Cause::Address as usize], 1);
+    let ids = [1, 2].map(|last| enter(&mut table, &budget, ms(4), last));
+    assert!(!table.on_request(ms(5), ids[0], 1));
+    assert!(table.on_request(ms(5), ids[1], 1), "a second one of a class of one");
+    table.remove(ids[0]);
+    table.on_response(ms(6), ids[1]);
+    table.on_request_head(ms(6), ids[1]);
+    assert!(!table.on_request(ms(7), ids[1], 1), "what left is counted no more");
 }
 
 // Guards against a burst of a parked crowd that takes more memory than there is.
 #[test]
 fn a_connection_that_speaks_waits_for_memory_which_an_idle_one_gives_up() {
-    let (mut door, budget) = door(Terms::default());
-    let ids: Vec<_> = (0..11).map(|_| enter(&mut door, &budget, ms(0), 1)).collect();
-    ids[..9].iter().for_each(|id| converse(&mut door, ms(1), *id));
+    let (mut table, budget) = table(ConnectionLimits::default());
+    let ids: Vec<_> = (0..11).map(|_| enter(&mut table, &budget, ms(0), 1)).collect();
+    ids[..9].iter().for_each(|id| converse(&mut table, ms(1), *id));
     assert_eq!(budget.held().bytes, 902);
-    assert_eq!(door.speaks(ms(2), ids[9]), Err(Some(ids[0])));
-    assert_eq!(door.told(ids[0]), Told::Park);
-    door.parked(ids[0]);
-    assert_eq!(door.speaks(ms(2), ids[9]), Ok(()));
-    assert_eq!(door.speaks(ms(3), ids[10]), Err(Some(ids[1])));
+    assert_eq!(table.on_readable(ms(2), ids[9]), Err(Some(ids[0])));
+    assert_eq!(table.directive(ids[0]), Directive::Park);
+    table.on_parked(ids[0]);
+    assert_eq!(table.on_readable(ms(2), ids[9]), Ok(()));
+    assert_eq!(table.on_readable(ms(3), ids[10]), Err(Some(ids[1])));
     let mut woken = Vec::new();
-    while !door.advance(ms(2_100), 64, &mut woken) {}
+    while !table.advance(ms(2_100), 64, &mut woken) {}
     assert!(!woken.contains(&ids[0]), "parked before its time, it is kept as long as any");
     assert!(woken.contains(&ids[10]), "it waits for no longer than a request may take");
-    door.leave(ids[10]);
-    assert_eq!(door.figures().closed[Cause::Bytes as usize], 1);
+    table.remove(ids[10]);
+    assert_eq!(table.stats().closed[Cause::Bytes as usize], 1);
 }
 
 // Guards against a crowd that keeps idle connections while answered ones close, and against waiting for nothing.
 #[test]
 fn who_gives_way_is_the_one_that_is_missed_least() {
-    let (mut door, budget) = door(Terms::default());
-    let [old, new, silent, half] = [0, 1_500, 2_440, 1_900].map(|at| enter(&mut door, &budget, ms(at), 1));
-    converse(&mut door, ms(10), old);
-    converse(&mut door, ms(2_000), new);
-    door.heard(ms(1_900), half);
-    let next = |door: &mut Door, now| door.make_room(ms(now));
-    assert_eq!(next(&mut door, 2_460), Some(old), "unused for over 2 s; the silent one is too young");
-    assert_eq!(next(&mut door, 2_460), Some(half), "half a request for over 0.5 s");
-    assert_eq!(next(&mut door, 2_460), None, "the silent one may speak yet");
-    assert_eq!(next(&mut door, 2_480), Some(silent));
-    assert_eq!(next(&mut door, 2_480), Some(new), "the idle one, where nobody is silent");
-    assert_eq!(door.told(half), Told::Drop);
-    assert_eq!(door.told(new), Told::Finish);
+    let (mut table, budget) = table(ConnectionLimits::default());
+    let [old, new, silent, half] = [0, 1_500, 2_440, 1_900].map(|at| enter(&mut table, &budget, ms(at), 1));
+    converse(&mut table, ms(10), old);
+    converse(&mut table, ms(2_000), new);
+    table.on_bytes_read(ms(1_900), half);
+    let next = |table: &mut ConnectionTable, now| table.evict_for_client(ms(now));
+    assert_eq!(next(&mut table, 2_460), Some(old), "unused for over 2 s; the silent one is too young");
+    assert_eq!(next(&mut table, 2_460), Some(half), "half a request for over 0.5 s");
+    assert_eq!(next(&mut table, 2_460), None, "the silent one may speak yet");
+    assert_eq!(next(&mut table, 2_480), Some(silent));
+    assert_eq!(next(&mut table, 2_480), Some(new), "the idle one, where nobody is silent");
+    assert_eq!(table.directive(half), Directive::Abort);
+    assert_eq!(table.directive(new), Directive::Finish);
 }
 
 // A rule as a property, over the sequences that the module and the node are played with: each request that is open is
@@ -328,30 +343,30 @@
         let share = |floor| Share { floor, most: PLACES };
         let budget = Budget::new(PLACES, [share(4), share(2), share(0)], BYTES).expect("fits");
         let per_class = vec![Some(3); 4];
-        let mut door = Door::new(Terms {
-            crowd: 8,
-            idle: ms(500),
-            busy: 4_000,
-            parked: 100,
+        let mut table = ConnectionTable::new(ConnectionLimits {
+            crowded_at: 8,
+            idle_timeout: ms(500),
+            active_bytes: 4_000,
+            parked_bytes: 100,
             per_class,
-            ..Terms::default()
+            ..ConnectionLimits::default()
         });
         let (mut now, mut open) = (Duration::ZERO, Vec::<(u32, usize)>::new());
         for step in steps {
             match step {
                 Step::Ask { class, patience_ms, .. } => {
                     let Ok(lease) = budget.lease(Side::Clients) else { continue };
-                    let id = door.enter(now, address(1), lease);
-                    if door.speaks(now, id).is_err() {
-                        door.leave(id);
+                    let id = table.insert(now, address(1), lease);
+                    if table.on_readable(now, id).is_err() {
+                        table.remove(id);
                         continue;
                     }
-                    door.heard(now, id);
-                    door.asked(now, id);
-                    door.holds(id, *patience_ms as usize * 20);
+                    table.on_bytes_read(now, id);
+                    table.on_request_head(now, id);
+                    table.reserve_request_bytes(id, *patience_ms as usize * 20);
                     let before = open.iter().filter(|(_, of)| of == class).count();
                     assert_eq!(
-                        door.opened(now, id, *class),
+                        table.on_request(now, id, *class),
                         before >= 3,
                         "the class's open requests are {before}"
                     );
@@ -359,29 +374,29 @@
                 }
                 Step::End { which, .. } if !open.is_empty() => {
                     let (id, _) = open.remove(which % open.len());
-                    door.answered(now, id);
-                    door.flushed(now, id);
+                    table.on_response(now, id);
+                    table.on_flushed(now, id);
                 }
                 Step::Leave { which } if !open.is_empty() => {
                     let (id, _) = open.remove(which % open.len());
-                    door.leave(id);
-                    door.leave(id);
+                    table.remove(id);
+                    table.remove(id);
                 }
                 Step::Pass { ms: time } => {
                     now += ms(*time);
                     let mut woken = Vec::new();
-                    while !door.advance(now, 3, &mut woken) {}
+                    while !table.advance(now, 3, &mut woken) {}
                     for id in woken {
-                        match door.told(id) {
-                            Told::Park => door.parked(id),
-                            Told::Finish | Told::Drop => {
+                        match table.directive(id) {
+                            Directive::Park => table.on_parked(id),
+                            Directive::Finish | Directive::Abort => {
                                 assert!(
                                     open.iter().all(|(of, _)| *of != id),
                                     "{id} is open, and told to end"
                                 );
-                                door.leave(id);
+                                table.remove(id);
                             }
-                            Told::Stay => {}
+                            Directive::Continue => {}
                         }
                     }
                 }
@@ -389,13 +404,13 @@
             }
             let held = budget.held();
             assert!(
-                held.bytes <= BYTES && held.places[0] == door.len(),
+                held.bytes <= BYTES && held.places[0] == table.len(),
                 "{held:?} of {} connections",
-                door.len()
+                table.len()
             );
-            assert_eq!(door.figures().phases[Phase::Open as usize], open.len());
+            assert_eq!(table.stats().phases[Phase::Open as usize], open.len());
         }
-        door.ids().collect::<Vec<_>>().into_iter().for_each(|id| door.leave(id));
+        table.ids().collect::<Vec<_>>().into_iter().for_each(|id| table.remove(id));
         assert_eq!(budget.held(), Default::default());
     });
 }
@@ -404,19 +419,25 @@
 #[test]
 fn a_request_that_comes_whole_as_its_time_runs_out_is_answered_and_then_closed() {
     let budget = Budget::new(4, [Share { floor: 1, most: 4 }; 3], 1_000).expect("fits");
-    let terms = Terms { crowd: 4, idle: ms(60_000), busy: 10, parked: 1, ..Terms::default() };
-    let mut door = Door::new(terms);
-    let id = door.enter(ms(0), address(1), budget.lease(Side::Clients).expect("room"));
-    door.heard(ms(10), id);
+    let terms = ConnectionLimits {
+        crowded_at: 4,
+        idle_timeout: ms(60_000),
+        active_bytes: 10,
+        parked_bytes: 1,
+        ..ConnectionLimits::default()
+    };
+    let mut table = ConnectionTable::new(terms);
+    let id = table.insert(ms(0), address(1), budget.lease(Side::Clients).expect("room"));
+    table.on_bytes_read(ms(10), id);
     let mut woken = Vec::new();
-    while !door.advance(ms(2_500), 100, &mut woken) {}
-    assert_eq!((woken, door.told(id)), (vec![id], Told::Drop), "what is not whole ends at once");
-    door.asked(ms(2_500), id);
-    door.opened(ms(2_500), id, 0);
-    assert_eq!(door.told(id), Told::Finish);
-    door.answered(ms(2_600), id);
-    assert_eq!(door.told(id), Told::Finish, "while its answer is written too");
+    while !table.advance(ms(2_500), 100, &mut woken) {}
+    assert_eq!((woken, table.directive(id)), (vec![id], Directive::Abort), "what is not whole ends at once");
+    table.on_request_head(ms(2_500), id);
+    table.on_request(ms(2_500), id, 0);
+    assert_eq!(table.directive(id), Directive::Finish);
+    table.on_response(ms(2_600), id);
+    assert_eq!(table.directive(id), Directive::Finish, "while its answer is written too");
     // One that is not taken ends at once all the same.
-    while !door.advance(ms(9_000), 100, &mut Vec::new()) {}
-    assert_eq!(door.told(id), Told::Drop);
+    while !table.advance(ms(9_000), 100, &mut Vec::new()) {}
+    assert_eq!(table.directive(id), Directive::Abort);
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,7 +20,7 @@
 use slatelink_config::operators;
 use slatelink_config::platform::{self, Config, ConfigError};
 use slatelink_decide::{Balancer, Name};
-use slatelink_front::{Budget, Share, Side, Terms};
+use slatelink_front::{Budget, ConnectionLimits, Share, Side};
 use slatelink_observe::audit::Stop;
 use slatelink_observe::{Format, Observer, Observers};
 use std::error::Error;
@@ -43,9 +43,9 @@
 
 /// Bytes of a connection in use: hyper's read buffer, parser and task as measured, a head of the longest, and what is read
 /// ahead of it.
-const BUSY: usize = (16 << 10) + LARGEST_HEAD + AHEAD;
+const ACTIVE_CONNECTION_BYTES: usize = (16 << 10) + LARGEST_HEAD + AHEAD;
 /// Of one that holds nothing but its socket.
-const PARKED: usize = 1 << 10;
+const PARKED_CONNECTION_BYTES: usize = 1 << 10;
 /// Of one to a cache server: a read buffer and what is around it.
 const SERVERS: usize = 10 << 10;
 /// Of the program itself, without connections.
@@ -55,7 +55,7 @@
 /// A configuration that could not be read for want of the node's own descriptors or memory is read again after this.
 const RELOAD_AGAIN: Duration = Duration::from_millis(100);
 /// The table is told of so often.
-const TELL: Duration = Duration::from_secs(1);
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Runs a node until it is told to stop; on a current-thread runtime, within a `LocalSet`.
 pub async fn run(
@@ -81,7 +81,7 @@
     let beside = side.as_ref().map_or(0, |_| MultiGet::DESCRIPTORS);
     let places = sockets.saturating_sub(SPARE_SOCKETS + Observers::descriptors(&wanted) + beside);
     let budget = shares(&wanted, places, sockets, memory)?;
-    let terms = terms(&wanted.front, &classes, &budget, sockets)?;
+    let connection_limits = connection_limits(&wanted.front, &classes, &budget, sockets)?;
     let observers = Observers::start(&wanted, &classes, format)?;
     let log = observers.log.clone();
     let stops = observers.stops()?;
@@ -95,7 +95,7 @@
     let (heard, lists) = mpsc::unbounded_channel();
     let (stages, stage) = watch::channel(Stage::Serving);
     let (follow, ready) = (Rc::new(Notify::new()), Rc::default());
-    let table = Table::new(budget.clone(), Side::Clients, terms.clone());
+    let table = Table::new(budget.clone(), Side::Clients, connection_limits.clone());
     let (connect, keepalive) = (settings.connect_timeout, settings.keepalive);
     let upstream = Rc::new(Upstream::new(budget.clone(), table.clone(), connect, keepalive));
     let room = Room { table: table.clone(), servers: upstream.clone() };
@@ -112,7 +112,7 @@
 
     spawn_local(upstream.clone().sweep());
     spawn_local(table.clone().sweep());
-    spawn_local(tell(table, observers.clone()));
+    spawn_local(report_connections(table, observers.clone()));
     spawn_local(reload(hangup, addresses, observers.clone()));
     let balancer = Balancer::new(settings, seed);
     let (told, to_driver) = mpsc::unbounded_channel();
@@ -124,8 +124,13 @@
         Some(listener) => {
             log.line(&format!("multi-get listens on {}", listener.local_addr()?));
             // One address may well be all that asks there, and a call is no request of a class.
-            let terms = Terms { crowd: usize::MAX, per_address: None, per_class: Vec::new(), ..terms };
-            let room = Room { table: Table::new(budget, Side::Beside, terms), servers: upstream };
+            let connection_limits = ConnectionLimits {
+                crowded_at: usize::MAX,
+                per_address: None,
+                per_class: Vec::new(),
+                ..connection_limits
+            };
+            let room = Room { table: Table::new(budget, Side::Beside, connection_limits), servers: upstream };
             let multiget = MultiGet::new(front.clone(), wanted.multiget.unwrap_or_default(), room);
             Some(spawn_local(multiget.serve(listener)))
         }
@@ -196,7 +201,9 @@
     let beside = wanted.side_port().map_or(0, |_| MultiGet::CONNECTIONS);
     // Of three quarters: the rest is for how memory is cut up. A third of it is the servers' connections'.
     let bytes = memory.map_or(usize::MAX, |memory| {
-        usize::try_from((memory / 4 * 3).saturating_sub(PROGRAM)).unwrap_or(usize::MAX).max(BUSY * 32)
+        usize::try_from((memory / 4 * 3).saturating_sub(PROGRAM))
+            .unwrap_or(usize::MAX)
+            .max(ACTIVE_CONNECTION_BYTES * 32)
     });
     let most = places.min(bytes / 3 / SERVERS);
     let servers = Share { floor: wanted.front.servers_floor(places).min(most), most };
@@ -214,13 +221,13 @@
     })
 }
 
-/// What holds for the table of clients' connections.
-fn terms(
+/// The limits of the table of clients' connections.
+fn connection_limits(
     wanted: &operators::Front,
     classes: &[Name],
     budget: &Budget,
     sockets: usize,
-) -> Result<Terms, String> {
+) -> Result<ConnectionLimits, String> {
     if let Some(name) =
         wanted.per_class.keys().find(|name| !classes.iter().any(|class| class.as_str() == *name))
     {
@@ -230,22 +237,22 @@
     let usable = budget.most(Side::Clients).min(wanted.clients_part(sockets));
     let share =
         |class: &Name| wanted.per_class.get(class.as_str()).map(|part| (usable * part.0 / 100).max(1));
-    Ok(Terms {
-        crowd: (usable - usable / FREE_PART).max(1),
-        idle: wanted.idle(),
+    Ok(ConnectionLimits {
+        crowded_at: (usable - usable / FREE_PART).max(1),
+        idle_timeout: wanted.idle(),
         per_address: wanted.per_address(),
         per_class: classes.iter().map(share).collect(),
-        busy: BUSY,
-        parked: PARKED,
+        active_bytes: ACTIVE_CONNECTION_BYTES,
+        parked_bytes: PARKED_CONNECTION_BYTES,
     })
 }
 
-/// Tells whoever watches of the table, for as long as the node runs.
-async fn tell(table: Rc<Table>, observers: Rc<Observers>) {
-    let mut turns = interval(TELL);
+/// Reports the counts of the table to the observers, for as long as the node runs.
+async fn report_connections(table: Rc<Table>, observers: Rc<Observers>) {
+    let mut turns = interval(REPORT_INTERVAL);
     loop {
         turns.tick().await;
-        observers.connections(&table.figures());
+        observers.connections(&table.stats());
     }
 }
 
--- a/crates/node/src/multiget.rs
+++ b/crates/node/src/multiget.rs
@@ -3,7 +3,7 @@
 
 use crate::driver::Answer;
 use crate::server::{self, ask, key_number, plain, read_body, read_terms, Front, Room, Terms};
-use crate::table::{Heard, Place};
+use crate::table::{Place, ReportingSocket};
 use crate::upstream::Message;
 use bytes::Bytes;
 use http_body_util::{Either, Full};
@@ -138,9 +138,9 @@
 async fn connection(place: Place, side: Rc<MultiGet>) {
     let place = Rc::new(place);
     let service = service_fn(async |request| {
-        place.asked();
+        place.on_request_head();
         let response = respond(&side, &place, request).await.unwrap_or_else(|rejected| {
-            place.answered();
+            place.on_response();
             rejected.map(Either::Left)
         });
         Ok::<_, Infallible>(response)
@@ -149,7 +149,7 @@
     // One call a connection: so its time has a bound, whatever its client takes of the answer.
     http.max_buf_size(server::LARGEST_HEAD).keep_alive(false);
     let longest = side.front.classes.iter().map(|(_, deadline)| *deadline).max().unwrap_or_default();
-    let mut serving = http.serve_connection(Heard(place.clone()), service);
+    let mut serving = http.serve_connection(ReportingSocket(place.clone()), service);
     // With one call a connection it is never idle for long, and parked is as good as over.
     let driven = place.drive(&mut serving, |serving| serving.graceful_shutdown());
     // Cut off, it is as if its client had left.
@@ -188,7 +188,7 @@
     if !items.iter().all(|item| ids.insert(&item.id)) {
         return Err(bad("a req_id stands twice"));
     }
-    place.opened(terms.class.0);
+    place.on_request(terms.class.0);
     // A line waits here for the one before it to be taken: so few are held, however large they are.
     let (sender, lines) = channel(1);
     let (until, parallel) = (at + terms.patience, side.settings.parallel());
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -1,7 +1,7 @@
 //! The clients' side: reads requests, hands them to the driver, writes the answers, sees clients leave.
 
 use crate::driver::{Answer, Input, Taken};
-use crate::table::{Driven, Heard, Place, Table};
+use crate::table::{Driven, Place, ReportingSocket, Table};
 use crate::upstream::{Message, OpenIds, Upstream, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -191,14 +191,14 @@
 /// Serves a connection until it ends, or has been idle for a while: then its socket is given back.
 async fn busy(place: Rc<Place>, front: Rc<Front>) -> Driven {
     let service = service_fn(async |request| {
-        place.asked();
+        place.on_request_head();
         let response = respond(&front, &place, request).await;
-        place.answered();
+        place.on_response();
         Ok::<_, Infallible>(response)
     });
     let mut http = http1::Builder::new();
     http.max_buf_size(LARGEST_HEAD);
-    let mut serving = http.serve_connection(Heard(place.clone()), service);
+    let mut serving = http.serve_connection(ReportingSocket(place.clone()), service);
     let driven = place.drive(&mut serving, |serving| serving.graceful_shutdown()).await;
     match driven {
         Driven::Over => {
@@ -236,7 +236,7 @@
     // the others the least of waits between two.
     // Where places run out an answered connection makes room at once: kept, it would stand idle for its time while
     // others wait unaccepted, or cannot connect at all.
-    if !usable || place.wanted() || place.overrun() || *front.stage.borrow() >= Stage::Leaving {
+    if !usable || place.closes_with_response() || place.overrun() || *front.stage.borrow() >= Stage::Leaving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -272,18 +272,18 @@
     let mut asked = read_head(front, &head.headers).map_err(|what| plain(StatusCode::BAD_REQUEST, what))?;
     // Where there is no memory for it the body stays unread: the request is refused.
     let large = body.size_hint().lower().min(LARGEST_BODY as u64) as usize;
-    let (fits, body) = match place.holds(large) {
+    let (fits, body) = match place.reserve_request_bytes(large) {
         true => (true, read_body(body).await?),
         false => (false, Bytes::new()),
     };
     // Its client may have gone before it was read: nothing is begun for nobody.
-    if place.left() {
+    if place.client_has_left() {
         return Err(plain(StatusCode::BAD_REQUEST, "its client has gone"));
     }
     // Sent on, it would be a second copy of another client's request.
     let id =
         front.open.enter(asked.id).ok_or_else(|| plain(StatusCode::CONFLICT, "Req-Id is open already"))?;
-    asked.terms.over_share = place.opened(asked.terms.class.0) || !fits;
+    asked.terms.over_share = place.on_request(asked.terms.class.0) || !fits;
     let message = Message { method: head.method, target, id, idempotency_key: asked.idempotency_key, body };
     Ok(reply(ask(front, at, key, asked.terms, message).await))
 }
--- a/crates/node/src/table.rs
+++ b/crates/node/src/table.rs
@@ -1,8 +1,11 @@
-//! The sockets behind the table of clients' connections: what the table says of each is done here.
+//! The sockets behind the table of clients' connections: its directives are carried out here.
 
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
-use slatelink_front::{Budget, Cause, Door, Figures, Id, Lease, Phase, Short, Side, Terms, Told};
+use slatelink_front::{
+    Budget, Cause, ConnectionId, ConnectionLimits, ConnectionStats, ConnectionTable, Directive, Lease, Phase,
+    Short, Side,
+};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
@@ -37,7 +40,7 @@
 
 /// All connections of one port.
 pub struct Table {
-    door: RefCell<Door>,
+    connections: RefCell<ConnectionTable>,
     budget: Budget,
     side: Side,
     origin: Instant,
@@ -48,9 +51,9 @@
 
 impl Table {
     /// A table whose connections are this side's of the budget.
-    pub fn new(budget: Budget, side: Side, terms: Terms) -> Rc<Self> {
+    pub fn new(budget: Budget, side: Side, limits: ConnectionLimits) -> Rc<Self> {
         Rc::new(Self {
-            door: RefCell::new(Door::new(terms)),
+            connections: RefCell::new(ConnectionTable::new(limits)),
             budget,
             side,
             origin: Instant::now(),
@@ -63,12 +66,12 @@
         self.origin.elapsed()
     }
 
-    /// What there is to tell.
-    pub fn figures(&self) -> Figures {
-        self.door.borrow().figures()
+    /// The present counts of connections.
+    pub fn stats(&self) -> ConnectionStats {
+        self.connections.borrow().stats()
     }
 
-    fn wake(&self, id: Id) {
+    fn wake(&self, id: ConnectionId) {
         let waker = self.wakers.borrow().get(id as usize).cloned().flatten();
         // One that was never polled is in the queue to be.
         if let Some(waker) = waker {
@@ -76,20 +79,20 @@
         }
     }
 
-    /// Wakes the one that the table has something to tell, if any. Whether there was one.
-    fn wake_one(&self, found: Option<Id>) -> bool {
+    /// Wakes the connection that has a new directive, if any. Whether there was one.
+    fn wake_one(&self, found: Option<ConnectionId>) -> bool {
         found.inspect(|id| self.wake(*id)).is_some()
     }
 
-    /// Asks the connection that is missed least to close. `false` where none can yet.
-    fn make_room(&self) -> bool {
-        let found = self.door.borrow_mut().make_room(self.now());
+    /// Has one connection close in favour of a client that waits. `false` where none can yet.
+    fn evict_for_client(&self) -> bool {
+        let found = self.connections.borrow_mut().evict_for_client(self.now());
         self.wake_one(found)
     }
 
-    /// Asks one that the terms let close to do so, for a connection to a server. `false` where there is none.
-    pub fn spare(&self) -> bool {
-        let found = self.door.borrow_mut().spare(self.now());
+    /// Has an unused connection close in favour of one to a server. `false` where there is none.
+    pub fn evict_for_server(&self) -> bool {
+        let found = self.connections.borrow_mut().evict_for_server(self.now());
         self.wake_one(found)
     }
 
@@ -101,13 +104,13 @@
         address: IpAddr,
         others: impl Fn(Side) -> bool,
     ) -> Option<Place> {
-        let admitted = self.door.borrow_mut().admits(address);
+        let admitted = self.connections.borrow_mut().check_address_limit(address);
         if let Err(oldest) = admitted {
             // Its own idle one makes room for it, and is as good as closed.
             self.wake(oldest?);
         }
         let lease = self.lease(others).await;
-        let id = self.door.borrow_mut().enter(self.now(), address, lease);
+        let id = self.connections.borrow_mut().insert(self.now(), address, lease);
         let mut wakers = self.wakers.borrow_mut();
         if wakers.len() <= id as usize {
             wakers.resize(id as usize + 1, None);
@@ -121,7 +124,7 @@
         struct Waits<'a>(&'a Table);
         impl Drop for Waits<'_> {
             fn drop(&mut self) {
-                self.0.door.borrow_mut().waited();
+                self.0.connections.borrow_mut().remove_waiter();
             }
         }
         let mut waits = None;
@@ -132,13 +135,13 @@
                 Err(short) => short,
             };
             waits.get_or_insert_with(|| {
-                self.door.borrow_mut().wait();
+                self.connections.borrow_mut().add_waiter();
                 Waits(self)
             });
             if asked == 0 {
                 let made = match short {
-                    Short::Other(side) => others(side) || self.make_room(),
-                    Short::Own => self.make_room(),
+                    Short::Other(side) => others(side) || self.evict_for_client(),
+                    Short::Own => self.evict_for_client(),
                 };
                 asked = if made { LOOKS } else { 0 };
             } else {
@@ -155,7 +158,7 @@
         loop {
             turns.tick().await;
             loop {
-                let done = self.door.borrow_mut().advance(self.now(), PART, &mut woken);
+                let done = self.connections.borrow_mut().advance(self.now(), PART, &mut woken);
                 woken.drain(..).for_each(|id| self.wake(id));
                 if done {
                     break;
@@ -167,21 +170,22 @@
 
     /// Tells all connections to finish what they have taken and close; returns once all have.
     pub async fn close(&self) {
-        let ids: Vec<_> = self.door.borrow().ids().collect();
+        let ids: Vec<_> = self.connections.borrow().ids().collect();
         for part in ids.chunks(PART) {
             for id in part {
-                self.door.borrow_mut().end(*id, Cause::Stop);
+                self.connections.borrow_mut().close(*id, Cause::Stop);
                 self.wake(*id);
             }
             yield_now().await;
         }
-        while !self.door.borrow().is_empty() {
+        while !self.connections.borrow().is_empty() {
             let _ = timeout(ROOM_PAUSE, self.freed.notified()).await;
         }
     }
 
-    fn fed(&self) {
-        let next = self.door.borrow_mut().fed();
+    /// Wakes the connection that has waited longest for memory.
+    fn wake_starved(&self) {
+        let next = self.connections.borrow_mut().next_starved();
         self.wake_one(next);
     }
 }
@@ -259,7 +263,7 @@
 /// A connection's place in the table.
 pub struct Place {
     table: Rc<Table>,
-    id: Id,
+    id: ConnectionId,
     socket: Socket,
 }
 
@@ -272,41 +276,42 @@
         }
     }
 
-    fn told(&self) -> Told {
-        self.table.door.borrow_mut().told(self.id)
+    fn directive(&self) -> Directive {
+        self.table.connections.borrow_mut().directive(self.id)
     }
 
-    /// Whether others may wait for this one, which is about to be answered.
-    pub fn wanted(&self) -> bool {
-        let (wanted, other) = self.table.door.borrow_mut().gives_way(self.table.now(), self.id);
+    /// Whether the connection closes with the response that it is about to write.
+    pub fn closes_with_response(&self) -> bool {
+        let (closes, other) =
+            self.table.connections.borrow_mut().closes_with_response(self.table.now(), self.id);
         self.table.wake_one(other);
-        wanted
+        closes
     }
 
     /// A request's head has come; its body may follow.
-    pub fn asked(&self) {
-        self.table.door.borrow_mut().asked(self.table.now(), self.id);
+    pub fn on_request_head(&self) {
+        self.table.connections.borrow_mut().on_request_head(self.table.now(), self.id);
     }
 
     /// A request of this class has come whole. Whether its class has more of them open than its share.
-    pub fn opened(&self, class: usize) -> bool {
-        self.table.door.borrow_mut().opened(self.table.now(), self.id, class)
+    pub fn on_request(&self, class: usize) -> bool {
+        self.table.connections.borrow_mut().on_request(self.table.now(), self.id, class)
     }
 
     /// So many more bytes are held for its request, until the answer. `false` where there is no memory for them.
-    pub fn holds(&self, bytes: usize) -> bool {
-        self.table.door.borrow_mut().holds(self.id, bytes)
+    pub fn reserve_request_bytes(&self, bytes: usize) -> bool {
+        self.table.connections.borrow_mut().reserve_request_bytes(self.id, bytes)
     }
 
     /// Its answer is at hand.
-    pub fn answered(&self) {
-        self.table.door.borrow_mut().answered(self.table.now(), self.id);
+    pub fn on_response(&self) {
+        self.table.connections.borrow_mut().on_response(self.table.now(), self.id);
     }
 
     /// The connection gives up all but its socket; `before` was read from that and not used.
     pub fn park(&self, before: &Bytes) {
-        self.table.door.borrow_mut().parked(self.id);
-        self.table.fed();
+        self.table.connections.borrow_mut().on_parked(self.id);
+        self.table.wake_starved();
         let mut ahead = self.socket.ahead.borrow_mut();
         let behind = ahead.split();
         // A buffer of its own size: as it comes each would keep all of what it was read into.
@@ -321,13 +326,13 @@
     }
 
     /// Whether the client has gone, also where its end stands behind bytes that nobody has asked for.
-    pub fn left(&self) -> bool {
+    pub fn client_has_left(&self) -> bool {
         self.socket.read_ahead();
         self.socket.ended.get()
     }
 
     /// The same, polled again whenever there is more to look at.
-    fn poll_left(&self, cx: &mut Context<'_>) -> bool {
+    fn poll_client_has_left(&self, cx: &mut Context<'_>) -> bool {
         while !self.socket.ended.get() {
             match self.socket.stream.poll_read_ready(cx) {
                 Poll::Pending => return false,
@@ -343,14 +348,14 @@
     }
 
     fn is_at(&self, phase: Phase) -> bool {
-        self.table.door.borrow().phase(self.id) == phase
+        self.table.connections.borrow().phase(self.id) == phase
     }
 
     /// Keeps a connection that was shut for as long as its client may still be reading, and reads nothing from it: what
     /// crossed the end is its client's to send again, elsewhere.
     pub async fn linger(&self) {
         let Some(wrote) = self.socket.wrote.get().filter(|_| self.socket.shut.get()) else { return };
-        if self.socket.ended.get() || !self.table.door.borrow().may_linger(self.id) {
+        if self.socket.ended.get() || !self.table.connections.borrow().may_linger(self.id) {
             return;
         }
         let until = wrote + LINGER;
@@ -373,18 +378,18 @@
             true => self.socket.stream.poll_read_ready(cx),
             false => Poll::Ready(Ok(())),
         };
-        let told = self.told();
-        if matches!(spoken, Poll::Ready(Err(_))) || told == Told::Drop {
+        let directive = self.directive();
+        if matches!(spoken, Poll::Ready(Err(_))) || directive == Directive::Abort {
             return Poll::Ready(false);
         }
         if spoken.is_ready() {
-            let fed = self.table.door.borrow_mut().speaks(self.table.now(), self.id);
-            let Err(other) = fed else { return Poll::Ready(true) };
+            let reserved = self.table.connections.borrow_mut().on_readable(self.table.now(), self.id);
+            let Err(other) = reserved else { return Poll::Ready(true) };
             self.table.wake_one(other);
             return Poll::Pending;
         }
-        match told {
-            Told::Finish => Poll::Ready(false),
+        match directive {
+            Directive::Finish => Poll::Ready(false),
             _ => Poll::Pending,
         }
     }
@@ -404,18 +409,18 @@
                     return Poll::Ready(Driven::Over);
                 }
                 // hyper looks for the client's end only while it has read nothing more of it.
-                if self.is_at(Phase::Open) && self.poll_left(cx) {
+                if self.is_at(Phase::Open) && self.poll_client_has_left(cx) {
                     return Poll::Ready(Driven::Over);
                 }
-                match self.told() {
-                    Told::Drop => return Poll::Ready(Driven::Over),
-                    Told::Park => return Poll::Ready(Driven::Park),
+                match self.directive() {
+                    Directive::Abort => return Poll::Ready(Driven::Over),
+                    Directive::Park => return Poll::Ready(Driven::Park),
                     // Closed now, hyper would drop the half of a request that it has: its answer closes the connection.
-                    Told::Finish if !closed && !self.is_at(Phase::Asking) => {
+                    Directive::Finish if !closed && !self.is_at(Phase::Asking) => {
                         closed = true;
                         close(Pin::new(serving));
                     }
-                    Told::Finish | Told::Stay => return Poll::Pending,
+                    Directive::Finish | Directive::Continue => return Poll::Pending,
                 }
             }
         })
@@ -425,11 +430,11 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.table.door.borrow_mut().leave(self.id);
+        self.table.connections.borrow_mut().remove(self.id);
         if let Some(waker) = self.table.wakers.borrow_mut().get_mut(self.id as usize) {
             *waker = None;
         }
-        self.table.fed();
+        self.table.wake_starved();
         self.table.freed.notify_one();
     }
 }
@@ -443,23 +448,23 @@
     Park,
 }
 
-/// The socket of the connection in this place, which tells the table what passes on it.
-pub struct Heard(pub Rc<Place>);
+/// The socket of a connection, which reports to the table what is read and written on it.
+pub struct ReportingSocket(pub Rc<Place>);
 
-impl Read for Heard {
+impl Read for ReportingSocket {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let Place { table, id, socket } = &*self.0;
-        let heard = || table.door.borrow_mut().heard(table.now(), *id);
+        let note_read = || table.connections.borrow_mut().on_bytes_read(table.now(), *id);
         let mut ahead = socket.ahead.borrow_mut();
         if !ahead.is_empty() {
             let part = ahead.len().min(buf.remaining());
             buf.put_slice(&ahead[..part]);
             ahead.advance(part);
-            heard();
+            note_read();
             return Poll::Ready(Ok(()));
         }
         // What would follow was dropped in part.
@@ -475,7 +480,7 @@
                 Ok(read) => {
                     buf.put_slice(&bytes[..read]);
                     if read > 0 {
-                        heard();
+                        note_read();
                     }
                     return Poll::Ready(Ok(()));
                 }
@@ -486,7 +491,7 @@
     }
 }
 
-impl Write for Heard {
+impl Write for ReportingSocket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let socket = &self.0.socket;
         socket.poll_write(cx, || socket.stream.try_write(buf))
@@ -495,7 +500,7 @@
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // hyper flushes the socket, which itself holds nothing back, only once all of an answer is written.
         let Place { table, id, .. } = &*self.0;
-        table.door.borrow_mut().flushed(table.now(), *id);
+        table.connections.borrow_mut().on_flushed(table.now(), *id);
         Poll::Ready(Ok(()))
     }
 
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -516,7 +516,7 @@
         for _ in 0..LOOKS {
             match self.budget.lease(Side::Servers) {
                 Ok(lease) => return Ok(lease),
-                Err(Short::Other(Side::Clients)) if asked || self.clients.spare() => {
+                Err(Short::Other(Side::Clients)) if asked || self.clients.evict_for_server() => {
                     asked = true;
                     sleep(LOOK).await;
                 }
--- a/crates/observe/src/figures.rs
+++ b/crates/observe/src/figures.rs
@@ -13,7 +13,7 @@
 use slatelink_config::operators::{Figures as Settings, Format};
 use slatelink_config::{Host, Listing};
 use slatelink_decide::{Availability, ClassId, Name, ServerId, Status};
-use slatelink_front::{Cause, Figures as Connections, Phase};
+use slatelink_front::{Cause, ConnectionStats, Phase};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
@@ -56,7 +56,7 @@
     dropped_reported: u64,
     open_requests: Vec<u64>,
     /// As they were told last.
-    connections: Connections,
+    connections: ConnectionStats,
     /// By host: whether its breaker has tripped and nothing was sent there since.
     blocked: BTreeMap<ServerId, bool>,
     /// Points of one instant and the same tags would replace each other in InfluxDB.
@@ -186,15 +186,15 @@
     }
 
     /// What the table of clients' connections is like.
-    pub fn connections(&self, now: &Connections) {
+    pub fn connections(&self, now: &ConnectionStats) {
         let state = &mut *self.state.borrow_mut();
         let previous = std::mem::replace(&mut state.connections, now.clone());
         for (phase, count) in Phase::ALL.iter().zip(now.phases) {
-            self.add_line(state, "conn.open", &[("phase", phase.word())], count as u64, MetricKind::Gauge);
+            self.add_line(state, "conn.open", &[("phase", phase.label())], count as u64, MetricKind::Gauge);
         }
         self.add_line(state, "conn.waiting", &[], now.waiting as u64, MetricKind::Gauge);
         for (index, cause) in Cause::ALL.iter().enumerate() {
-            let tags = [("cause", cause.word())];
+            let tags = [("cause", cause.label())];
             for (name, count) in [
                 ("conn.closed", now.closed[index] - previous.closed[index]),
                 ("conn.refused", now.refused[index] - previous.refused[index]),
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -67,7 +67,7 @@
     fn learned(&self, _listing: &Listing) {}
 
     /// What the table of clients' connections is like; each second.
-    fn connections(&self, _table: &slatelink_front::Figures) {}
+    fn connections(&self, _table: &slatelink_front::ConnectionStats) {}
 
     /// A line of the decision module's.
     fn said(&self, _text: &str) {}
@@ -211,7 +211,7 @@
         }
     }
 
-    fn connections(&self, table: &slatelink_front::Figures) {
+    fn connections(&self, table: &slatelink_front::ConnectionStats) {
         self.log.turn();
         if let Some(figures) = &self.figures {
             figures.connections(table);
