Move the parts of upstream.rs to modules of one job each: exchange, idling, open ids, peer, socket

Change: pure moves; `request` takes the server's address in place of its record, so that an exchange knows no peers. Compared line by line without imports and visibility, nothing else differs. Measured, debug: the 5 unit tests of upstream and 46 of the command (node_servers, node_clients, node_exhaustion, node_crossings) pass; clippy of the crate is clean.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,43 +1,35 @@
 //! Connections to cache servers, one request at a time on each; attempts and how they end.
 
+mod exchange;
+mod idling;
+mod open_ids;
+mod peer;
+mod socket;
+
+pub use exchange::{Ended, Message, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
+pub use open_ids::OpenIds;
+
 use crate::table::Table;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderName, HeaderValue, HOST};
-use hyper::http::uri::PathAndQuery;
-use hyper::rt::ReadBufCursor;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use exchange::{exchange, request};
+use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use idling::Idling;
+use peer::{Connection, Peer};
 use slatelink_config::Listing;
-use slatelink_decide::{Availability, LoadReport, Note, ServerEntry, ServerId, Status, Timestamp};
+use slatelink_decide::{Availability, ServerEntry, ServerId, Status};
 use slatelink_front::{Budget, Lease, Short, Side};
-use slatelink_wire::read_load;
-use socket2::SockRef;
+use socket::{Permit, Watched, Written};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
-/// The largest body of a message either way.
-pub const LARGEST_BODY: usize = 64 << 10;
 /// The longest head of an answer: one without end costs no more than this, and ends as one that broke off.
 const LARGEST_HEAD: usize = 16 << 10;
-pub const REQ_ID: HeaderName = HeaderName::from_static("req-id");
-pub const REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline-ms");
-pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
-const LOAD: HeaderName = HeaderName::from_static("srv-load");
-const CACHE: HeaderName = HeaderName::from_static("srv-cache");
 /// Share of the servers' idle time after which a kept connection is retired: one that its server is about to
 /// close would take a request only to end it as a reset.
 const IDLE_SHARE: u32 = 2;
@@ -45,69 +37,9 @@
 /// A connection rests for so long after an answer: a second copy of that, some milliseconds late, would be taken for the
 /// answer to the next request, if it is written while that is on its way. Come while the connection rests, it ends it.
 const REST: Duration = Duration::from_millis(20);
-/// So many requests lost on connections that had stood idle about as long, and such a share of all there, show
-/// that servers drop them without a word after that time.
-const DROPS: u32 = 3;
-const DROP_SHARE: f64 = 0.2;
-/// Connections break for other causes too, used ones as well: idleness is to blame past this multiple of that.
-const DROP_EXCESS: f64 = 3.0;
 /// A client's connection that was asked for its place is looked for so often, after so long each time.
 const LOOKS: u32 = 10;
 const LOOK: Duration = Duration::from_millis(5);
-/// What was learnt of drops is forgotten after this: the cause may have gone.
-const RELEARN: Duration = Duration::from_secs(120);
-
-/// What of a client's request goes on to a cache server.
-#[derive(Debug)]
-pub struct Message {
-    pub method: Method,
-    pub target: PathAndQuery,
-    pub id: OpenId,
-    pub idempotency_key: Option<HeaderValue>,
-    pub body: Bytes,
-}
-
-/// The ids of requests that have no final answer yet or an attempt out.
-#[derive(Clone, Debug, Default)]
-pub struct OpenIds(Rc<RefCell<HashSet<HeaderValue>>>);
-
-impl OpenIds {
-    /// `None` for one that is open already.
-    pub fn enter(&self, value: HeaderValue) -> Option<OpenId> {
-        let new = self.0.borrow_mut().insert(value.clone());
-        new.then(|| OpenId { value, ids: self.clone() })
-    }
-}
-
-/// An id for as long as its request is open: it goes with the last that holds the request's message.
-#[derive(Debug)]
-pub struct OpenId {
-    value: HeaderValue,
-    ids: OpenIds,
-}
-
-impl Drop for OpenId {
-    fn drop(&mut self) {
-        self.ids.0.borrow_mut().remove(&self.value);
-    }
-}
-
-/// How an attempt ended.
-#[derive(Debug)]
-pub struct Ended {
-    pub status: Status,
-    pub note: Option<Note>,
-    pub load: LoadReport,
-    /// The body of a 200 answer, whole.
-    pub body: Option<Bytes>,
-}
-
-impl Ended {
-    /// An end that came with no answer.
-    pub fn without_answer(status: Status) -> Self {
-        Self { status, note: None, load: LoadReport::default(), body: None }
-    }
-}
 
 /// Until when an attempt is worth beginning, and worth waiting for.
 #[derive(Clone, Debug)]
@@ -120,209 +52,6 @@
     pub over: Rc<Cell<bool>>,
 }
 
-/// Whether a request has left this machine's hands whole.
-#[derive(Default)]
-struct Written {
-    begun: Cell<bool>,
-    whole: Cell<bool>,
-    /// The connection has stood idle before, most often after an answer.
-    reused: Cell<bool>,
-    /// What must still hold as the first byte is written.
-    permit: RefCell<Option<Permit>>,
-}
-
-impl Written {
-    fn reset(&self, permit: Permit) {
-        self.begun.set(false);
-        self.whole.set(false);
-        self.permit.replace(Some(permit));
-    }
-
-    fn permitted(&self) -> bool {
-        self.permit.borrow().as_ref().is_none_or(Permit::holds)
-    }
-}
-
-/// Leave to begin a request. Between the attempt's own look and the first byte the connection's task has to get its turn,
-/// which takes long on a busy node: the server may have been told to leave, or the client may have gone, meanwhile.
-struct Permit {
-    peer: Rc<Peer>,
-    /// Of the server, when the connection was made.
-    life: u64,
-    begin_by: Instant,
-    over: Rc<Cell<bool>>,
-}
-
-impl Permit {
-    fn holds(&self) -> bool {
-        let server_takes_it = self.peer.takes_work.get() && self.peer.life.get() == self.life;
-        server_takes_it && !self.over.get() && Instant::now() < self.begin_by
-    }
-}
-
-/// A socket that notes when a request's last byte is written. hyper puts a head and a body that is at hand
-/// into one buffer and flushes the socket only when that is empty: a flush after a write is the end of it.
-struct Watched {
-    stream: TokioIo<TcpStream>,
-    written: Rc<Written>,
-}
-
-impl Watched {
-    /// Before the first byte of a request: it must still be permitted, and on a kept connection nothing may stand there to
-    /// be read. hyper looks as well, but only as far as the runtime has polled, and would take what lies in the socket
-    /// (a second copy of the last answer, noise) for the answer to this request.
-    fn check(&self) -> io::Result<()> {
-        if self.written.begun.get() {
-            return Ok(());
-        }
-        if !self.written.permitted() {
-            return Err(io::ErrorKind::PermissionDenied.into());
-        }
-        if !self.written.reused.get() {
-            return Ok(());
-        }
-        match SockRef::from(self.stream.inner()).peek(&mut [MaybeUninit::uninit()]) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
-            Err(error) => Err(error),
-            Ok(_) => Err(io::ErrorKind::ConnectionAborted.into()),
-        }
-    }
-
-    fn note(&self, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(wrote, Poll::Ready(Ok(n)) if n > 0) {
-            self.written.begun.set(true);
-            // It would keep the server's record alive, which keeps this connection.
-            self.written.permit.take();
-        }
-        wrote
-    }
-}
-
-impl hyper::rt::Read for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl hyper::rt::Write for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.check()?;
-        let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.note(wrote)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
-        if matches!(flushed, Poll::Ready(Ok(()))) && self.written.begun.get() {
-            self.written.whole.set(true);
-        }
-        flushed
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.check()?;
-        let wrote = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.note(wrote)
-    }
-}
-
-/// How kept connections fared by how long they had stood idle, and how long one is kept for it. Servers state
-/// when they close idle connections at the latest; some drop them far earlier and say nothing, and the next
-/// request there is lost: its class may not allow another.
-struct Idling {
-    stated: Duration,
-    /// Of the idle times under each power of two of milliseconds: requests, and those that met a drop.
-    spans: [(u32, u32); Self::SPANS],
-    since: Instant,
-}
-
-impl Idling {
-    /// The last one holds all times over about half a minute.
-    const SPANS: usize = 17;
-
-    fn new(stated: Duration, now: Instant) -> Self {
-        Self { stated, spans: [(0, 0); Self::SPANS], since: now }
-    }
-
-    fn note(&mut self, idle: Duration, dropped: bool, now: Instant) {
-        if now - self.since >= RELEARN {
-            *self = Self::new(self.stated, now);
-        }
-        let bits = u64::BITS - (idle.as_millis() as u64).leading_zeros();
-        let (all, lost) = &mut self.spans[(bits as usize).min(Self::SPANS - 1)];
-        *all += 1;
-        *lost += u32::from(dropped);
-    }
-
-    /// The shortest idle time that costs requests, or what is stated.
-    fn limit(&self) -> Duration {
-        let (mut all, mut lost) = (0, 0);
-        for (bits, span) in self.spans.iter().enumerate() {
-            let share = f64::from(span.1) / f64::from(span.0.max(1));
-            let usual = f64::from(lost) / f64::from(all.max(1));
-            if all > 0 && span.1 >= DROPS && share >= DROP_SHARE.max(usual * DROP_EXCESS) {
-                return Duration::from_millis(1 << bits >> 1).min(self.stated);
-            }
-            (all, lost) = (all + span.0, lost + span.1);
-        }
-        self.stated
-    }
-}
-
-/// A connection. Dropping it closes the socket at once, also with an answer under way: that is how an
-/// attempt is given up.
-struct Connection {
-    /// Of its server, when it was made.
-    life: u64,
-    sender: SendRequest<Full<Bytes>>,
-    written: Rc<Written>,
-    task: AbortHandle,
-    kept: Instant,
-    _lease: Lease,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-/// A cache server.
-struct Peer {
-    dial: Cell<SocketAddr>,
-    started: Cell<Option<Timestamp>>,
-    /// Counts the times that it moved or started anew: connections of before lead elsewhere, or nowhere.
-    life: Cell<u64>,
-    takes_work: Cell<bool>,
-    /// The one used last stands last.
-    idle: RefCell<Vec<Connection>>,
-}
-
-impl Peer {
-    /// Keeps a connection for the next request.
-    fn keep(&self, mut connection: Connection) {
-        connection.written.reused.set(true);
-        connection.kept = Instant::now();
-        self.idle.borrow_mut().push(connection);
-    }
-}
-
 /// All cache servers, by id.
 pub struct Upstream {
     peers: RefCell<HashMap<ServerId, Rc<Peer>>>,
@@ -445,7 +174,7 @@
                 peer.keep(connection);
                 return Ended::without_answer(status);
             }
-            let Ok(request) = request(&peer, message, until) else {
+            let Ok(request) = request(peer.dial.get(), message, until) else {
                 return Ended::without_answer(Status::ConnectError);
             };
             let permit = Permit { peer: peer.clone(), life: connection.life, begin_by, over: over.clone() };
@@ -543,63 +272,5 @@
         || error.raw_os_error().is_some_and(|code| WANTS.contains(&code))
 }
 
-fn request(
-    peer: &Peer,
-    message: &Message,
-    until: Instant,
-) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
-    let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-    let mut request = Request::builder()
-        .method(message.method.clone())
-        .uri(Uri::from(message.target.clone()))
-        .header(HOST, peer.dial.get().to_string())
-        .header(REQ_ID, message.id.value.clone())
-        .header(REQ_DEADLINE, left);
-    if let Some(key) = &message.idempotency_key {
-        request = request.header(IDEMPOTENCY_KEY, key.clone());
-    }
-    request.body(Full::new(message.body.clone()))
-}
-
-/// Sends a request and reads its answer. The flag says whether the connection may carry another.
-async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>,
-    request: Request<Full<Bytes>>,
-) -> Result<(Ended, bool), hyper::Error> {
-    let response = sender.send_request(request).await?;
-    let status = outcome(&response);
-    let text = |name: &HeaderName| response.headers().get(name).and_then(|value| value.to_str().ok());
-    let note = match text(&CACHE) {
-        Some("hit") => Some(Note::Hit),
-        Some("miss") => Some(Note::Miss),
-        _ => None,
-    };
-    let load = text(&LOAD).map_or_else(LoadReport::default, |text| read_load(text, '='));
-    // What is stated to be larger than any answer may be is not waited for.
-    if response.body().size_hint().lower() > LARGEST_BODY as u64 {
-        return Ok((Ended { status: Status::Failed, note, load, body: None }, false));
-    }
-    match Limited::new(response.into_body(), LARGEST_BODY).collect().await {
-        Ok(body) => {
-            let body = (status == Status::Ok).then(|| body.to_bytes());
-            Ok((Ended { status, note, load, body }, true))
-        }
-        Err(error) => match error.downcast::<hyper::Error>() {
-            Ok(broken) => Err(*broken),
-            // Larger than any answer may be: it ran, and what it says is of no use.
-            Err(_) => Ok((Ended { status: Status::Failed, note, load, body: None }, false)),
-        },
-    }
-}
-
-fn outcome(response: &Response<Incoming>) -> Status {
-    let declined = response.headers().get(DECLINED).is_some_and(|value| value == "1");
-    match response.status() {
-        StatusCode::OK => Status::Ok,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => Status::QueueFull,
-        _ => Status::Failed,
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/upstream/tests.rs
+++ b/crates/node/src/upstream/tests.rs
@@ -1,4 +1,9 @@
+use super::idling::RELEARN;
 use super::*;
+use socket2::SockRef;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 
 const STATED: Duration = Duration::from_secs(30);
 
