Name the parts of upstream and of the node's table in usual terms

Cause: `Written`, `Permit`, `Watched`, `Idling`, `life`, `takes_work`, `give_way`, `LOOKS`, `REST`, `PART` and others need explaining. No behaviour.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,7 +28,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use table::{Table, AHEAD};
+use table::{Table, MAX_READ_AHEAD};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
@@ -43,7 +43,7 @@
 
 /// Bytes of a connection in use: hyper's read buffer, parser and task as measured, a head of the longest, and what is read
 /// ahead of it.
-const ACTIVE_CONNECTION_BYTES: usize = (16 << 10) + LARGEST_HEAD + AHEAD;
+const ACTIVE_CONNECTION_BYTES: usize = (16 << 10) + LARGEST_HEAD + MAX_READ_AHEAD;
 /// Of one that holds nothing but its socket.
 const PARKED_CONNECTION_BYTES: usize = 1 << 10;
 /// Of one to a cache server: a read buffer and what is around it.
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -94,7 +94,7 @@
 
 impl Room {
     fn others(&self, side: Side) -> bool {
-        side == Side::Servers && self.servers.give_way()
+        side == Side::Servers && self.servers.close_oldest_idle()
     }
 
     /// A place that is taken without a connection, for what counts as one.
--- a/crates/node/src/table.rs
+++ b/crates/node/src/table.rs
@@ -1,4 +1,4 @@
-//! The sockets behind the table of clients' connections: its directives are carried out here.
+//! The sockets behind the table of clients' connections: the table's directives are carried out here.
 
 mod place;
 mod reporting_socket;
@@ -6,7 +6,7 @@
 
 pub use place::{Driven, Place};
 pub use reporting_socket::ReportingSocket;
-pub use socket::AHEAD;
+pub use socket::MAX_READ_AHEAD;
 
 use slatelink_front::{
     Budget, Cause, ConnectionId, ConnectionLimits, ConnectionStats, ConnectionTable, Lease, Short, Side,
@@ -22,13 +22,14 @@
 use tokio::task::yield_now;
 use tokio::time::{interval, timeout, Instant};
 
-const SWEEP: Duration = Duration::from_millis(50);
-/// Connections that are told of at once: others' work goes on between two such parts.
-const PART: usize = 256;
-/// A wait for a place looks again after this: a place may come from elsewhere than this table.
-const ROOM_PAUSE: Duration = Duration::from_millis(10);
-/// One that was asked to give way is waited for so many looks before another one is asked.
-const LOOKS: u32 = 10;
+/// Timeouts are checked this often.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
+/// Connections handled at once; other tasks run between two batches.
+const BATCH: usize = 256;
+/// A wait for a descriptor tries again after this: one may be released elsewhere than in this table.
+const LEASE_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// After an eviction, this many tries for its descriptor before the next eviction.
+const EVICTION_POLLS: u32 = 10;
 
 /// All connections of one port.
 pub struct Table {
@@ -36,7 +37,7 @@
     budget: Budget,
     side: Side,
     origin: Instant,
-    /// By number.
+    /// By connection id.
     wakers: RefCell<Vec<Option<Waker>>>,
     freed: Notify,
 }
@@ -88,8 +89,8 @@
         self.wake_one(found)
     }
 
-    /// Waits for a place for a connection of this address that is accepted. `others` asks another side of the budget
-    /// for one. `None` where its address has all it may.
+    /// Waits for a descriptor for a connection that was accepted from this address. `others` asks another side of the budget
+    /// for one. `None` where the address has all it may have.
     pub async fn admit(
         self: &Rc<Self>,
         stream: TcpStream,
@@ -111,46 +112,46 @@
         Some(Place { table: self.clone(), id, socket: Socket::new(stream) })
     }
 
-    /// Waits for a place. Clients keep the connections they have: left idle, they would keep all others out.
+    /// Waits for a descriptor. Clients keep their connections open: idle ones would keep all other clients out.
     pub async fn lease(&self, others: impl Fn(Side) -> bool) -> Lease {
-        struct Waits<'a>(&'a Table);
-        impl Drop for Waits<'_> {
+        struct Waiter<'a>(&'a Table);
+        impl Drop for Waiter<'_> {
             fn drop(&mut self) {
                 self.0.connections.borrow_mut().remove_waiter();
             }
         }
-        let mut waits = None;
-        let mut asked = 0;
+        let mut waiter = None;
+        let mut polls_left = 0;
         loop {
             let short = match self.budget.lease(self.side) {
                 Ok(lease) => return lease,
                 Err(short) => short,
             };
-            waits.get_or_insert_with(|| {
+            waiter.get_or_insert_with(|| {
                 self.connections.borrow_mut().add_waiter();
-                Waits(self)
+                Waiter(self)
             });
-            if asked == 0 {
+            if polls_left == 0 {
                 let made = match short {
                     Short::Other(side) => others(side) || self.evict_for_client(),
                     Short::Own => self.evict_for_client(),
                 };
-                asked = if made { LOOKS } else { 0 };
+                polls_left = if made { EVICTION_POLLS } else { 0 };
             } else {
-                asked -= 1;
+                polls_left -= 1;
             }
-            let _ = timeout(ROOM_PAUSE, self.freed.notified()).await;
+            let _ = timeout(LEASE_RETRY_INTERVAL, self.freed.notified()).await;
         }
     }
 
     /// Ends connections whose time is up, for as long as the node runs.
     pub async fn sweep(self: Rc<Self>) {
-        let mut turns = interval(SWEEP);
-        let mut woken = Vec::with_capacity(PART);
+        let mut turns = interval(SWEEP_INTERVAL);
+        let mut woken = Vec::with_capacity(BATCH);
         loop {
             turns.tick().await;
             loop {
-                let done = self.connections.borrow_mut().advance(self.now(), PART, &mut woken);
+                let done = self.connections.borrow_mut().advance(self.now(), BATCH, &mut woken);
                 woken.drain(..).for_each(|id| self.wake(id));
                 if done {
                     break;
@@ -160,10 +161,10 @@
         }
     }
 
-    /// Tells all connections to finish what they have taken and close; returns once all have.
+    /// Has all connections finish their requests and close; returns once all have.
     pub async fn close(&self) {
         let ids: Vec<_> = self.connections.borrow().ids().collect();
-        for part in ids.chunks(PART) {
+        for part in ids.chunks(BATCH) {
             for id in part {
                 self.connections.borrow_mut().close(*id, Cause::Stop);
                 self.wake(*id);
@@ -171,7 +172,7 @@
             yield_now().await;
         }
         while !self.connections.borrow().is_empty() {
-            let _ = timeout(ROOM_PAUSE, self.freed.notified()).await;
+            let _ = timeout(LEASE_RETRY_INTERVAL, self.freed.notified()).await;
         }
     }
 
--- a/crates/node/src/table/place.rs
+++ b/crates/node/src/table/place.rs
@@ -13,7 +13,7 @@
 
 /// For so long after its last write to a client a connection stays open unless that closes it: closed over bytes that
 /// nobody has read, it would be reset, and take with it what the client has not read yet.
-const LINGER: Duration = Duration::from_secs(1);
+const LINGER_TIME: Duration = Duration::from_secs(1);
 
 /// A connection's place in the table.
 pub struct Place {
@@ -113,7 +113,7 @@
         if self.socket.ended.get() || !self.table.connections.borrow().may_linger(self.id) {
             return;
         }
-        let until = wrote + LINGER;
+        let until = wrote + LINGER_TIME;
         let mut seen = [0];
         tokio::select! {
             // Closed by the client, unless there are bytes: nothing tells what stands behind those.
@@ -124,7 +124,7 @@
         }
     }
 
-    /// Waits until a connection that holds nothing but its socket speaks, and there is memory to read it. `false` where
+    /// Waits until bytes arrive on a parked connection and there is memory to read them. `false` where
     /// the node ends it first, or it is broken.
     pub fn poll_spoken(&self, cx: &mut Context<'_>) -> Poll<bool> {
         self.follow(cx);
--- a/crates/node/src/table/reporting_socket.rs
+++ b/crates/node/src/table/reporting_socket.rs
@@ -1,7 +1,7 @@
 //! The socket of a connection as hyper uses it.
 
 use super::place::Place;
-use super::socket::{Socket, READ};
+use super::socket::{Socket, READ_BYTES};
 use bytes::Buf;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
@@ -35,8 +35,8 @@
             return Poll::Ready(Ok(()));
         }
         // A cursor does not tell what was read into it: the bytes pass through a buffer that does.
-        let mut bytes = [0; READ];
-        let room = buf.remaining().min(READ);
+        let mut bytes = [0; READ_BYTES];
+        let room = buf.remaining().min(READ_BYTES);
         loop {
             ready!(socket.stream.poll_read_ready(cx))?;
             match socket.try_read(&mut bytes[..room]) {
--- a/crates/node/src/table/socket.rs
+++ b/crates/node/src/table/socket.rs
@@ -7,13 +7,13 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Bytes read from a socket at once.
-pub(super) const READ: usize = 8 << 10;
-/// What a client sends while its request is open is read up to so many bytes, in search of its end behind them. A client
-/// that sends more then gets its answer and no further one: the rest is read and dropped.
-pub const AHEAD: usize = 8 << 10;
-/// Parts read in search of that before other connections have their turn.
-const PARTS: usize = 8;
+/// The bytes of one read.
+pub(super) const READ_BYTES: usize = 8 << 10;
+/// The bytes read ahead, at most, while a request is open, to find out whether the client has closed. A client that sends
+/// more gets this answer and no further one: the rest is read and discarded.
+pub const MAX_READ_AHEAD: usize = 8 << 10;
+/// Reads in a row before other connections have their turn.
+const MAX_READS: usize = 8;
 
 /// A client's socket, read by whoever holds it.
 pub(super) struct Socket {
@@ -67,12 +67,12 @@
 
     /// Reads ahead what there is. Whether bytes may be left.
     pub(super) fn read_ahead(&self) -> bool {
-        let mut part = [0; READ];
-        for _ in 0..PARTS {
+        let mut part = [0; READ_BYTES];
+        for _ in 0..MAX_READS {
             match self.try_read(&mut part) {
                 Ok(n) if n > 0 => {
                     let mut ahead = self.ahead.borrow_mut();
-                    if self.overrun.get() || ahead.len() + n > AHEAD {
+                    if self.overrun.get() || ahead.len() + n > MAX_READ_AHEAD {
                         self.overrun.set(true);
                     } else {
                         ahead.extend_from_slice(&part[..n]);
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,7 +1,7 @@
-//! Connections to cache servers, one request at a time on each; attempts and how they end.
+//! Connections to cache servers, one request at a time on each, and the attempts made on them.
 
 mod exchange;
-mod idling;
+mod idle_history;
 mod open_ids;
 mod peer;
 mod socket;
@@ -13,12 +13,12 @@
 use exchange::{exchange, request};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use idling::Idling;
+use idle_history::IdleHistory;
 use peer::{Connection, Peer};
 use slatelink_config::Listing;
 use slatelink_decide::{Availability, ServerEntry, ServerId, Status};
 use slatelink_front::{Budget, Lease, Short, Side};
-use socket::{Permit, Watched, Written};
+use socket::{SendPermit, WatchedSocket, WriteProgress};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -28,18 +28,20 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
-/// The longest head of an answer: one without end costs no more than this, and ends as one that broke off.
+/// The longest head of an answer: a longer one is read no further, and counts as a connection that broke.
 const LARGEST_HEAD: usize = 16 << 10;
 /// Share of the servers' idle time after which a kept connection is retired: one that its server is about to
 /// close would take a request only to end it as a reset.
 const IDLE_SHARE: u32 = 2;
-const SWEEP: Duration = Duration::from_secs(1);
-/// A connection rests for so long after an answer: a second copy of that, some milliseconds late, would be taken for the
-/// answer to the next request, if it is written while that is on its way. Come while the connection rests, it ends it.
-const REST: Duration = Duration::from_millis(20);
-/// A client's connection that was asked for its place is looked for so often, after so long each time.
-const LOOKS: u32 = 10;
-const LOOK: Duration = Duration::from_millis(5);
+/// Idle connections are checked for their age this often.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// After an answer a connection is not reused for this long: a duplicate of the answer, some milliseconds late, would be
+/// taken for the answer to the next request. One that comes in this time closes the connection.
+const REST_AFTER_ANSWER: Duration = Duration::from_millis(20);
+/// After the eviction of a client's connection its descriptor is polled for at most this often.
+const EVICTION_POLLS: u32 = 10;
+/// The time between two of these polls.
+const EVICTION_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Until when an attempt is worth beginning, and worth waiting for.
 #[derive(Clone, Debug)]
@@ -59,7 +61,7 @@
     /// Its connections share the budget.
     clients: Rc<Table>,
     connect_timeout: Duration,
-    idling: RefCell<Idling>,
+    idle_history: RefCell<IdleHistory>,
 }
 
 impl Upstream {
@@ -70,29 +72,32 @@
             budget,
             clients,
             connect_timeout,
-            idling: RefCell::new(Idling::new(keepalive / IDLE_SHARE, Instant::now())),
+            idle_history: RefCell::new(IdleHistory::new(keepalive / IDLE_SHARE, Instant::now())),
         }
     }
 
     /// Takes in what discovery says of a server.
     pub fn learn(&self, entry: &ServerEntry, dial: Option<SocketAddr>) {
-        let takes_work = entry.availability == Availability::Ready;
+        let accepts_requests = entry.availability == Availability::Ready;
         let mut peers = self.peers.borrow_mut();
         if let Some(peer) = peers.get(&entry.id) {
             let moved = dial.is_some_and(|dial| peer.dial.replace(dial) != dial);
             let anew = peer.started.replace(entry.started) != entry.started;
-            peer.takes_work.set(takes_work);
+            peer.accepts_requests.set(accepts_requests);
             if moved || anew {
-                peer.life.set(peer.life.get() + 1);
+                peer.incarnation.set(peer.incarnation.get() + 1);
             }
-            if moved || anew || !takes_work {
+            if moved || anew || !accepts_requests {
                 peer.idle.borrow_mut().clear();
             }
         } else if let Some(dial) = dial {
-            let (dial, takes_work, started) =
-                (Cell::new(dial), Cell::new(takes_work), Cell::new(entry.started));
-            let (life, idle) = (Cell::default(), RefCell::default());
-            peers.insert(entry.id.clone(), Rc::new(Peer { dial, started, life, takes_work, idle }));
+            let (dial, accepts_requests, started) =
+                (Cell::new(dial), Cell::new(accepts_requests), Cell::new(entry.started));
+            let (incarnation, idle) = (Cell::default(), RefCell::default());
+            peers.insert(
+                entry.id.clone(),
+                Rc::new(Peer { dial, started, incarnation, accepts_requests, idle }),
+            );
         }
     }
 
@@ -101,7 +106,7 @@
         let peers = self.peers.borrow();
         let leaving = listing.hosts.iter().filter(|host| host.availability() != Availability::Ready);
         for peer in leaving.filter_map(|host| peers.get(&ServerId::from(host.id()))) {
-            peer.takes_work.set(false);
+            peer.accepts_requests.set(false);
             peer.idle.borrow_mut().clear();
         }
     }
@@ -109,7 +114,7 @@
     /// Forgets a server that is gone. An attempt on its way there sees that it takes no work any more.
     pub fn forget(&self, server: &ServerId) {
         if let Some(peer) = self.peers.borrow_mut().remove(server) {
-            peer.takes_work.set(false);
+            peer.accepts_requests.set(false);
             peer.idle.borrow_mut().clear();
         }
     }
@@ -130,7 +135,7 @@
     /// Retires idle connections before their servers do.
     pub async fn sweep(self: Rc<Self>) {
         loop {
-            sleep(SWEEP).await;
+            sleep(SWEEP_INTERVAL).await;
             for peer in self.peers.borrow().values() {
                 peer.idle.borrow_mut().retain(|kept| self.fresh(kept));
             }
@@ -138,7 +143,7 @@
     }
 
     fn fresh(&self, connection: &Connection) -> bool {
-        !connection.sender.is_closed() && connection.kept.elapsed() < self.idling.borrow().limit()
+        !connection.sender.is_closed() && connection.idle_since.elapsed() < self.idle_history.borrow().limit()
     }
 
     /// One attempt, until its answer is whole, its connection breaks or its time is up.
@@ -151,7 +156,7 @@
             if over.get() {
                 return Ended::without_answer(Status::Ignored);
             }
-            if !peer.takes_work.get() {
+            if !peer.accepts_requests.get() {
                 return Ended::without_answer(Status::ConnectError);
             }
             let mut connection = match timeout_at(begin_by, self.connection(&peer)).await {
@@ -161,10 +166,10 @@
                 _ => return Ended::without_answer(Status::ConnectError),
             };
             // The news may have come while the connection was being made: nothing new after a drain.
-            if !peer.takes_work.get() {
+            if !peer.accepts_requests.get() {
                 return Ended::without_answer(Status::ConnectError);
             }
-            if connection.life != peer.life.get() {
+            if connection.incarnation != peer.incarnation.get() {
                 continue;
             }
             // So may the client's end have: who has gone is served by nothing that begins now. Nor may a repeat begin
@@ -177,27 +182,33 @@
             let Ok(request) = request(peer.dial.get(), message, until) else {
                 return Ended::without_answer(Status::ConnectError);
             };
-            let permit = Permit { peer: peer.clone(), life: connection.life, begin_by, over: over.clone() };
-            connection.written.reset(permit);
-            let idle = connection.kept.elapsed();
+            let permit = SendPermit {
+                peer: peer.clone(),
+                incarnation: connection.incarnation,
+                begin_by,
+                over: over.clone(),
+            };
+            connection.progress.reset(permit);
+            let idle = connection.idle_since.elapsed();
             let answer = timeout_at(until, exchange(&mut connection.sender, request)).await;
-            let Written { begun, whole, reused, .. } = &*connection.written;
+            let WriteProgress { begun, whole, reused, .. } = &*connection.progress;
             if begun.get() {
                 // On a new one idleness is no cause: what breaks there shows how often others do.
                 let idle = if reused.get() { idle } else { Duration::ZERO };
-                self.idling.borrow_mut().note(idle, matches!(answer, Ok(Err(_))), Instant::now());
+                self.idle_history.borrow_mut().note(idle, matches!(answer, Ok(Err(_))), Instant::now());
             }
             return match answer {
                 Ok(Ok((ended, reusable))) => {
-                    let kept = peer.takes_work.get() && connection.life == peer.life.get();
+                    let kept =
+                        peer.accepts_requests.get() && connection.incarnation == peer.incarnation.get();
                     if reusable && kept && !connection.sender.is_closed() {
                         peer.keep(connection);
                     }
                     ended
                 }
                 // Not a byte went out: a kept connection that turned out to be spent, or a request that is not permitted
-                // any more. Another connection serves, or the looks above end it.
-                Ok(Err(_)) if !begun.get() && (reused.get() || !connection.written.permitted()) => continue,
+                // any more. Another connection serves, or the checks above end it.
+                Ok(Err(_)) if !begun.get() && (reused.get() || !connection.progress.permitted()) => continue,
                 Ok(Err(_)) if whole.get() => Ended::without_answer(Status::Reset),
                 Err(_) if whole.get() => Ended::without_answer(Status::TimedOut),
                 _ => Ended::without_answer(Status::ConnectError),
@@ -209,7 +220,9 @@
         loop {
             let kept = {
                 let mut idle = peer.idle.borrow_mut();
-                let rested = |kept: &Connection| !kept.written.reused.get() || kept.kept.elapsed() >= REST;
+                let rested = |kept: &Connection| {
+                    !kept.progress.reused.get() || kept.idle_since.elapsed() >= REST_AFTER_ANSWER
+                };
                 idle.iter().rposition(rested).map(|place| idle.remove(place))
             };
             let Some(mut kept) = kept else { break };
@@ -218,12 +231,12 @@
             }
         }
         let lease = self.lease().await?;
-        let life = peer.life.get();
+        let incarnation = peer.incarnation.get();
         let connecting = async {
             let stream = TcpStream::connect(peer.dial.get()).await?;
             stream.set_nodelay(true)?;
-            let written = Rc::new(Written::default());
-            let watched = Watched { stream: TokioIo::new(stream), written: written.clone() };
+            let progress = Rc::new(WriteProgress::default());
+            let watched = WatchedSocket { stream: TokioIo::new(stream), progress: progress.clone() };
             let mut http = http1::Builder::new();
             http.max_buf_size(LARGEST_HEAD);
             let (sender, driving) = http.handshake(watched).await.map_err(io::Error::other)?;
@@ -232,40 +245,40 @@
                 let _ = driving.await;
             });
             let task = task.abort_handle();
-            Ok(Connection { life, sender, written, task, kept: Instant::now(), _lease: lease })
+            Ok(Connection { incarnation, sender, progress, task, idle_since: Instant::now(), _lease: lease })
         };
         timeout(self.connect_timeout, connecting).await.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
     }
 
-    /// A place for a new connection. Where all are taken the idle one that has stood longest gives way: a node
-    /// that met every server once must not be kept from the one it needs by connections that nobody uses. Nor by
-    /// those of clients, which need a moment to close.
+    /// A descriptor for a new connection. Where all are in use, the connection that has been idle for longest closes: unused
+    /// connections to other servers must not keep a node from the one it needs. Nor may those of clients, which need a
+    /// moment to close.
     async fn lease(&self) -> io::Result<Lease> {
         let mut asked = false;
-        for _ in 0..LOOKS {
+        for _ in 0..EVICTION_POLLS {
             match self.budget.lease(Side::Servers) {
                 Ok(lease) => return Ok(lease),
                 Err(Short::Other(Side::Clients)) if asked || self.clients.evict_for_server() => {
                     asked = true;
-                    sleep(LOOK).await;
+                    sleep(EVICTION_POLL_INTERVAL).await;
                 }
-                Err(_) if self.give_way() => {}
+                Err(_) if self.close_oldest_idle() => {}
                 Err(_) => break,
             }
         }
         Err(io::ErrorKind::QuotaExceeded.into())
     }
 
-    /// Closes the idle connection that has stood longest. `false` where there is none.
-    pub fn give_way(&self) -> bool {
+    /// Closes the connection that has been idle for longest. `false` where there is none.
+    pub fn close_oldest_idle(&self) -> bool {
         let peers = self.peers.borrow();
         let oldest =
-            peers.values().filter_map(|p| Some((p.idle.borrow().first()?.kept, p))).min_by_key(|o| o.0);
+            peers.values().filter_map(|p| Some((p.idle.borrow().first()?.idle_since, p))).min_by_key(|o| o.0);
         oldest.map(|(_, peer)| drop(peer.idle.borrow_mut().remove(0))).is_some()
     }
 }
 
-/// Whether something failed for want of this process's descriptors, memory or addresses.
+/// Whether an operation failed because this process ran out of descriptors, memory or addresses.
 pub fn own_fault(error: &io::Error) -> bool {
     const WANTS: [i32; 5] = [libc::ENOMEM, libc::ENFILE, libc::EMFILE, libc::EADDRNOTAVAIL, libc::ENOBUFS];
     error.kind() == io::ErrorKind::QuotaExceeded
--- a/crates/node/src/upstream/idling.rs
+++ b/crates/node/src/upstream/idle_history.rs
@@ -3,26 +3,27 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// So many requests lost on connections that had stood idle about as long, and such a share of all there, show
-/// that servers drop them without a word after that time.
-const DROPS: u32 = 3;
-const DROP_SHARE: f64 = 0.2;
-/// Connections break for other causes too, used ones as well: idleness is to blame past this multiple of that.
-const DROP_EXCESS: f64 = 3.0;
-/// What was learnt of drops is forgotten after this: the cause may have gone.
-pub(super) const RELEARN: Duration = Duration::from_secs(120);
+/// This many requests lost on connections of about the same idle time, and this share of all of them, show that servers
+/// drop connections silently after that time.
+const MIN_DROPS: u32 = 3;
+const MIN_DROP_SHARE: f64 = 0.2;
+/// Connections break for other causes as well, whatever their idle time: only losses above this multiple of that rate
+/// count as drops.
+const MIN_DROP_EXCESS: f64 = 3.0;
+/// The history is discarded after this: the cause of the drops may be gone.
+pub(super) const HISTORY_LIFETIME: Duration = Duration::from_secs(120);
 
-/// How kept connections fared by how long they had stood idle, and how long one is kept for it. Servers state
-/// when they close idle connections at the latest; some drop them far earlier and say nothing, and the next
-/// request there is lost: its class may not allow another.
-pub(super) struct Idling {
+/// The requests on kept connections and their losses by idle time, and how long an idle connection is kept because of
+/// them. Servers state when they close idle connections at the latest; some drop them far earlier without notice, and the
+/// next request there is lost: its class may not allow a retry.
+pub(super) struct IdleHistory {
     stated: Duration,
     /// Of the idle times under each power of two of milliseconds: requests, and those that met a drop.
     spans: [(u32, u32); Self::SPANS],
     since: Instant,
 }
 
-impl Idling {
+impl IdleHistory {
     /// The last one holds all times over about half a minute.
     const SPANS: usize = 17;
 
@@ -31,7 +32,7 @@
     }
 
     pub(super) fn note(&mut self, idle: Duration, dropped: bool, now: Instant) {
-        if now - self.since >= RELEARN {
+        if now - self.since >= HISTORY_LIFETIME {
             *self = Self::new(self.stated, now);
         }
         let bits = u64::BITS - (idle.as_millis() as u64).leading_zeros();
@@ -46,7 +47,7 @@
         for (bits, span) in self.spans.iter().enumerate() {
             let share = f64::from(span.1) / f64::from(span.0.max(1));
             let usual = f64::from(lost) / f64::from(all.max(1));
-            if all > 0 && span.1 >= DROPS && share >= DROP_SHARE.max(usual * DROP_EXCESS) {
+            if all > 0 && span.1 >= MIN_DROPS && share >= MIN_DROP_SHARE.max(usual * MIN_DROP_EXCESS) {
                 return Duration::from_millis(1 << bits >> 1).min(self.stated);
             }
             (all, lost) = (all + span.0, lost + span.1);
--- a/crates/node/src/upstream/peer.rs
+++ b/crates/node/src/upstream/peer.rs
@@ -1,6 +1,6 @@
 //! A cache server as the node knows it, and the connections to it.
 
-use super::socket::Written;
+use super::socket::WriteProgress;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
@@ -15,12 +15,12 @@
 /// A connection. Dropping it closes the socket at once, also with an answer under way: that is how an
 /// attempt is given up.
 pub(super) struct Connection {
-    /// Of its server, when it was made.
-    pub(super) life: u64,
+    /// The server's incarnation when it was made.
+    pub(super) incarnation: u64,
     pub(super) sender: SendRequest<Full<Bytes>>,
-    pub(super) written: Rc<Written>,
+    pub(super) progress: Rc<WriteProgress>,
     pub(super) task: AbortHandle,
-    pub(super) kept: Instant,
+    pub(super) idle_since: Instant,
     pub(super) _lease: Lease,
 }
 
@@ -34,18 +34,18 @@
 pub(super) struct Peer {
     pub(super) dial: Cell<SocketAddr>,
     pub(super) started: Cell<Option<Timestamp>>,
-    /// Counts the times that it moved or started anew: connections of before lead elsewhere, or nowhere.
-    pub(super) life: Cell<u64>,
-    pub(super) takes_work: Cell<bool>,
-    /// The one used last stands last.
+    /// Counts how often it moved or restarted: connections made before lead elsewhere, or nowhere.
+    pub(super) incarnation: Cell<u64>,
+    pub(super) accepts_requests: Cell<bool>,
+    /// Idle connections; the one used last comes last.
     pub(super) idle: RefCell<Vec<Connection>>,
 }
 
 impl Peer {
     /// Keeps a connection for the next request.
     pub(super) fn keep(&self, mut connection: Connection) {
-        connection.written.reused.set(true);
-        connection.kept = Instant::now();
+        connection.progress.reused.set(true);
+        connection.idle_since = Instant::now();
         self.idle.borrow_mut().push(connection);
     }
 }
--- a/crates/node/src/upstream/socket.rs
+++ b/crates/node/src/upstream/socket.rs
@@ -13,65 +13,66 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Whether a request has left this machine's hands whole.
+/// How far the request of a connection has been written.
 #[derive(Default)]
-pub(super) struct Written {
+pub(super) struct WriteProgress {
     pub(super) begun: Cell<bool>,
     pub(super) whole: Cell<bool>,
     /// The connection has stood idle before, most often after an answer.
     pub(super) reused: Cell<bool>,
     /// What must still hold as the first byte is written.
-    permit: RefCell<Option<Permit>>,
+    permit: RefCell<Option<SendPermit>>,
 }
 
-impl Written {
-    pub(super) fn reset(&self, permit: Permit) {
+impl WriteProgress {
+    pub(super) fn reset(&self, permit: SendPermit) {
         self.begun.set(false);
         self.whole.set(false);
         self.permit.replace(Some(permit));
     }
 
     pub(super) fn permitted(&self) -> bool {
-        self.permit.borrow().as_ref().is_none_or(Permit::holds)
+        self.permit.borrow().as_ref().is_none_or(SendPermit::holds)
     }
 }
 
-/// Leave to begin a request. Between the attempt's own look and the first byte the connection's task has to get its turn,
-/// which takes long on a busy node: the server may have been told to leave, or the client may have gone, meanwhile.
-pub(super) struct Permit {
+/// Permission to begin a request. Between the attempt's own check and the first byte the connection's task has to be
+/// scheduled, which takes long on a busy node: the server may begin to drain, or the client may leave, meanwhile.
+pub(super) struct SendPermit {
     pub(super) peer: Rc<Peer>,
-    /// Of the server, when the connection was made.
-    pub(super) life: u64,
+    /// The server's incarnation when the connection was made.
+    pub(super) incarnation: u64,
     pub(super) begin_by: Instant,
     pub(super) over: Rc<Cell<bool>>,
 }
 
-impl Permit {
+impl SendPermit {
     fn holds(&self) -> bool {
-        let server_takes_it = self.peer.takes_work.get() && self.peer.life.get() == self.life;
+        let server_takes_it =
+            self.peer.accepts_requests.get() && self.peer.incarnation.get() == self.incarnation;
         server_takes_it && !self.over.get() && Instant::now() < self.begin_by
     }
 }
 
-/// A socket that notes when a request's last byte is written. hyper puts a head and a body that is at hand
+/// A socket that records when a request's first and last byte are written. hyper puts a head and a body that is at hand
 /// into one buffer and flushes the socket only when that is empty: a flush after a write is the end of it.
-pub(super) struct Watched {
+pub(super) struct WatchedSocket {
     pub(super) stream: TokioIo<TcpStream>,
-    pub(super) written: Rc<Written>,
+    pub(super) progress: Rc<WriteProgress>,
 }
 
-impl Watched {
+impl WatchedSocket {
     /// Before the first byte of a request: it must still be permitted, and on a kept connection nothing may stand there to
     /// be read. hyper looks as well, but only as far as the runtime has polled, and would take what lies in the socket
     /// (a second copy of the last answer, noise) for the answer to this request.
     fn check(&self) -> io::Result<()> {
-        if self.written.begun.get() {
+        if self.progress.begun.get() {
             return Ok(());
         }
-        if !self.written.permitted() {
+        if !self.progress.permitted() {
             return Err(io::ErrorKind::PermissionDenied.into());
         }
-        if !self.written.reused.get() {
+        if !self.progress.reused.get() {
             return Ok(());
         }
         match SockRef::from(self.stream.inner()).peek(&mut [MaybeUninit::uninit()]) {
@@ -83,15 +84,15 @@
 
     fn note(&self, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(wrote, Poll::Ready(Ok(n)) if n > 0) {
-            self.written.begun.set(true);
+            self.progress.begun.set(true);
             // It would keep the server's record alive, which keeps this connection.
-            self.written.permit.take();
+            self.progress.permit.take();
         }
         wrote
     }
 }
 
-impl hyper::rt::Read for Watched {
+impl hyper::rt::Read for WatchedSocket {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -101,7 +102,7 @@
     }
 }
 
-impl hyper::rt::Write for Watched {
+impl hyper::rt::Write for WatchedSocket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.check()?;
         let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
@@ -110,8 +111,8 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let flushed = Pin::new(&mut self.stream).poll_flush(cx);
-        if matches!(flushed, Poll::Ready(Ok(()))) && self.written.begun.get() {
-            self.written.whole.set(true);
+        if matches!(flushed, Poll::Ready(Ok(()))) && self.progress.begun.get() {
+            self.progress.whole.set(true);
         }
         flushed
     }
