Name the tests of the lab's rule checker by what they check

Cause: `convicts` is a metaphor. Change: rule_checker.rs, its two tests, `NodeFault` in place of `Wrong`; the assertions are the same. Measured, debug: 2 of 2 pass, as before.

--- a/crates/lab/tests/convicts.rs
+++ b/crates/lab/tests/rule_checker.rs
@@ -1,4 +1,4 @@
-//! The checker can fail: for each rule a faulty node that it convicts, and an honest one that it does not.
+//! The rule checker: for each rule a faulty node whose breach it reports, and a correct node of which it reports none.
 
 use serde_json::Value;
 use slatelink_lab::nodes::Program;
@@ -14,19 +14,19 @@
 
 /// What a faulty node does wrong.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Wrong {
-    Nothing,
+enum NodeFault {
+    None,
     /// Ends a kept connection in place of an answer.
     Loses,
     /// Answers a second time.
     Doubles,
-    /// Makes answers up.
+    /// Answers by itself, without a server.
     Invents,
     /// Sends everything to two servers.
     Repeats,
     /// Refuses what has run.
     Refuses,
-    /// Goes on sending to the server it began with, whatever it is told.
+    /// Goes on sending to the server it began with, whatever discovery reports.
     Ignores,
 }
 
@@ -66,7 +66,7 @@
     Ok(hosts.map(|host| host["dial"].as_str().unwrap().to_owned()).collect())
 }
 
-fn node(wrong: Wrong) -> Program {
+fn node(fault: NodeFault) -> Program {
     Program::InProcess(Arc::new(move |config| {
         let discovery = config["discovery"].as_str().unwrap().to_owned();
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -76,14 +76,14 @@
             for stream in listener.incoming().map_while(Result::ok) {
                 let (discovery, first) = (discovery.clone(), first.clone());
                 // A connection that breaks ends its thread.
-                thread::spawn(move || serve(stream, wrong, &discovery, &first));
+                thread::spawn(move || serve(stream, fault, &discovery, &first));
             }
         });
         Ok(address)
     }))
 }
 
-fn serve(stream: TcpStream, wrong: Wrong, discovery: &str, first: &[String]) -> io::Result<()> {
+fn serve(stream: TcpStream, fault: NodeFault, discovery: &str, first: &[String]) -> io::Result<()> {
     let mut out = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     for served in 0.. {
@@ -93,15 +93,17 @@
             continue;
         }
         let now = ready(discovery)?;
-        let servers = if wrong == Wrong::Ignores { first.to_vec() } else { now };
-        let (answer, value) = match wrong {
-            Wrong::Invents => ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n".to_owned(), b"value".to_vec()),
+        let servers = if fault == NodeFault::Ignores { first.to_vec() } else { now };
+        let (answer, value) = match fault {
+            NodeFault::Invents => {
+                ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n".to_owned(), b"value".to_vec())
+            }
             _ => ask(&servers[0], &head, &body)?,
         };
-        match wrong {
-            Wrong::Loses if served > 0 => return Ok(()),
-            Wrong::Repeats => drop(ask(&servers[1], &head, &body)?),
-            Wrong::Refuses => {
+        match fault {
+            NodeFault::Loses if served > 0 => return Ok(()),
+            NodeFault::Repeats => drop(ask(&servers[1], &head, &body)?),
+            NodeFault::Refuses => {
                 out.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")?;
                 continue;
             }
@@ -109,15 +111,15 @@
         }
         let whole = [answer.as_bytes(), &value[..]].concat();
         out.write_all(&whole)?;
-        if wrong == Wrong::Doubles {
+        if fault == NodeFault::Doubles {
             out.write_all(&whole)?;
         }
     }
     Ok(())
 }
 
-fn broken(wrong: Wrong, rest: &str) -> BTreeSet<Rule> {
-    // Every class a third, and work short enough for one server: what is slow would hide what is wrong.
+fn broken(fault: NodeFault, rest: &str) -> BTreeSet<Rule> {
+    // Every class a third, and work short enough for one server: what is slow would hide the fault.
     let class = |name: &str, effect: &str, share: &str| {
         format!(
             "[[class]]\nname = \"{name}\"\nshare = {share}\neffect = \"{effect}\"\nwork_ms = 1\naim_ms = 2000\n\
@@ -131,36 +133,36 @@
          discovery_late_s = 0.01\nqueue = 500\nfall_s = 0.1\nfall_times = 0.2\n{classes}{rest}"
     );
     let scenario = Scenario::parse(&text, Path::new("day.toml")).unwrap();
-    let played = play(&scenario, &Options::new(node(wrong), 1)).unwrap();
+    let played = play(&scenario, &Options::new(node(fault), 1)).unwrap();
     assert!(!played.record.tries.is_empty());
     played.breaches.iter().map(|breach| breach.rule).collect()
 }
 
 #[test]
-fn an_honest_node_is_not_convicted() {
+fn a_correct_node_breaks_no_rule() {
     let drain = "[[fault]]\nat_s = 0.5\nkind = \"drain\"\nservers = [0]\n";
-    assert_eq!(broken(Wrong::Nothing, drain), BTreeSet::new());
+    assert_eq!(broken(NodeFault::None, drain), BTreeSet::new());
 }
 
 #[test]
-fn each_rule_convicts_the_node_that_breaks_it() {
+fn each_rule_is_reported_for_the_node_that_breaks_it() {
     let cases = [
-        (Wrong::Loses, "", vec![Rule::OneAnswer]),
-        (Wrong::Doubles, "", vec![Rule::OneAnswer]),
-        (Wrong::Invents, "", vec![Rule::OneAnswer]),
-        (Wrong::Repeats, "", vec![Rule::Repeats]),
-        (Wrong::Refuses, "", vec![Rule::Refusals]),
-        (Wrong::Ignores, "[[fault]]\nat_s = 0.5\nkind = \"drain\"\nservers = [0]\n", vec![Rule::Drains]),
+        (NodeFault::Loses, "", vec![Rule::OneAnswer]),
+        (NodeFault::Doubles, "", vec![Rule::OneAnswer]),
+        (NodeFault::Invents, "", vec![Rule::OneAnswer]),
+        (NodeFault::Repeats, "", vec![Rule::Repeats]),
+        (NodeFault::Refuses, "", vec![Rule::Refusals]),
+        (NodeFault::Ignores, "[[fault]]\nat_s = 0.5\nkind = \"drain\"\nservers = [0]\n", vec![Rule::Drains]),
         // All of the load on a server that has just come back cold is more than it can take.
         (
-            Wrong::Nothing,
+            NodeFault::None,
             "[[fault]]\nat_s = 0.3\nfor_s = 0.2\nkind = \"kill\"\nservers = [0]\n\
              [[load.change]]\nkind = \"burst\"\nat_s = 0.8\nfor_s = 1.2\ntimes = 10\n",
             vec![Rule::PushedOver],
         ),
     ];
-    for (wrong, rest, rules) in cases {
-        let broken = broken(wrong, rest);
-        assert!(rules.iter().all(|rule| broken.contains(rule)), "{wrong:?}: {broken:?} lacks {rules:?}");
+    for (fault, rest, rules) in cases {
+        let broken = broken(fault, rest);
+        assert!(rules.iter().all(|rule| broken.contains(rule)), "{fault:?}: {broken:?} lacks {rules:?}");
     }
 }
