Wait for all attempts before the test of a drain that crosses connections being made

Cause, by reading: the test slept 0.2 s and then took it that some requests were on their way to the slow server. On a busy machine those could be requests that had not been read yet, so that it passed without a connection being made; it was not seen to fail. Change: it waits until every request is answered by the other server or on its way to the slow one, and asserts that both happened and that they add up to all. The assertions after the drain are the same.

--- a/crates/cli/tests/node_lists.rs
+++ b/crates/cli/tests/node_lists.rs
@@ -137,9 +137,11 @@
     let node = Node::ready(&config(discovery.address));
     let mut clients: Vec<_> = (1..16).map(|key| (key, node.client())).collect();
     clients.iter_mut().for_each(|(key, client)| client.send(&read("once", *key, 20_000)));
-    wait_for("those of the other server", || other.count() > 0);
-    thread::sleep(Duration::from_millis(200));
-    assert!(other.count() < clients.len(), "some are on their way to the slow one");
+    // Each stands for one attempt: those of the other server are answered, those of the slow one wait for it.
+    wait_for("an attempt of each", || slow.waited_for() + other.count() >= clients.len());
+    let on_their_way = slow.waited_for();
+    assert!(on_their_way > 0 && other.count() > 0, "{on_their_way} on their way to the slow one");
+    assert_eq!(on_their_way + other.count(), clients.len());
     discovery.tell(true, &entries("draining"));
     discovery.wait_until_told(2);
     slow.accept();
