Hold the server list with versions, deltas, leases and epochs in a crate without I/O

Cause: the fan-out of the list is the first missing mechanism of docs/CAPACITY.md; a relay needs a copy of the list that can answer callers at any version.

--- /dev/null
+++ b/crates/membership/tests/properties.rs
@@ -0,0 +1,277 @@
+//! Whatever upstream does, callers end with upstream's list.
+
+mod common;
+
+use common::{list, ms, LEASE};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use slatelink_membership::{Call, List, Question, Replica, Reply, Version};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const SEEDS: std::ops::Range<u8> = 0..4;
+const CASES: u32 = 150;
+/// A step takes a second: a case stays within the time in which callers of an earlier epoch may come.
+const STEPS: usize = 80;
+const STEP: Duration = Duration::from_secs(1);
+const HOSTS: u8 = 6;
+const CALLERS: u8 = 3;
+/// High enough for all restarts to go back.
+const FIRST_VERSION: u64 = 10_000;
+
+/// A server's name and health; `gone` is not among them.
+type Servers = BTreeMap<String, String>;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A server becomes ready, draining or gone.
+    Change(u8, u8),
+    /// Upstream starts anew, at a lower version and with fewer servers.
+    Restart(u8),
+    /// A replica makes its next call; upstream may have forgotten its changes.
+    Call { replica: u8, forgets: bool },
+    /// A caller asks a replica, and the answer reaches it or not.
+    Ask { caller: u8, replica: u8, whole: bool, wait_is_over: bool },
+}
+
+fn step(replicas: u8, restarts: bool) -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..HOSTS, 0..3u8).prop_map(|(host, health)| Step::Change(host, health)),
+        u32::from(restarts) => (0..20u8).prop_map(Step::Restart),
+        5 => (0..replicas, prop::bool::weighted(0.2))
+            .prop_map(|(replica, forgets)| Step::Call { replica, forgets }),
+        5 => (0..CALLERS, 0..replicas, prop::bool::weighted(0.1), any::<bool>()).prop_map(
+            |(caller, replica, whole, wait_is_over)| Step::Ask { caller, replica, whole, wait_is_over }
+        ),
+    ]
+}
+
+/// Discovery: each version's list since its last start.
+struct Upstream {
+    lists: BTreeMap<u64, Servers>,
+}
+
+impl Upstream {
+    fn new() -> Self {
+        let servers = (0..HOSTS).map(|host| (format!("s{host}"), "ready".to_owned())).collect();
+        Self { lists: BTreeMap::from([(FIRST_VERSION, servers)]) }
+    }
+
+    fn version(&self) -> u64 {
+        *self.lists.last_key_value().unwrap().0
+    }
+
+    fn servers(&self) -> &Servers {
+        self.lists.last_key_value().unwrap().1
+    }
+
+    fn change(&mut self, host: u8, health: u8) {
+        let (version, mut servers) = (self.version() + 1, self.servers().clone());
+        match health {
+            0 => servers.insert(format!("s{host}"), "ready".to_owned()),
+            1 => servers.insert(format!("s{host}"), "draining".to_owned()),
+            _ => servers.remove(&format!("s{host}")),
+        };
+        self.lists.insert(version, servers);
+    }
+
+    fn restart(&mut self, version: u64, steps_back: u8) {
+        let servers = self.servers().iter().skip(usize::from(steps_back % 3));
+        let servers = servers.map(|(host, health)| (host.clone(), health.clone())).collect();
+        self.lists = BTreeMap::from([(version, servers)]);
+    }
+
+    fn whole(&self) -> List {
+        let servers: Vec<_> = self.servers().iter().map(|(host, health)| (&**host, &**health)).collect();
+        list(self.version(), true, &servers)
+    }
+
+    fn answer(&self, call: Call, forgets: bool) -> List {
+        let (Call::Watch(after) | Call::Confirm(after)) = call else { return self.whole() };
+        if forgets || !self.lists.contains_key(&after.0) {
+            return self.whole();
+        }
+        // All that was touched since, also where it is again as it was.
+        let mut changes = BTreeMap::new();
+        let mut before = &self.lists[&after.0];
+        for servers in self.lists.range(after.0 + 1..).map(|(_, servers)| servers) {
+            let hosts = before.keys().chain(servers.keys());
+            for host in hosts.filter(|host| before.get(*host) != servers.get(*host)) {
+                changes.insert(host.as_str(), ());
+            }
+            before = servers;
+        }
+        let health = |host: &str| self.servers().get(host).map_or("gone", |health| health);
+        let changes: Vec<_> = changes.keys().map(|host| (*host, health(host))).collect();
+        list(self.version(), false, &changes)
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Caller {
+    version: Option<u64>,
+    servers: Servers,
+}
+
+impl Caller {
+    fn take(&mut self, list: &List) {
+        if list.whole {
+            self.servers.clear();
+        }
+        for (host, health) in common::words(list) {
+            match health.as_str() {
+                "gone" => self.servers.remove(&host),
+                _ => self.servers.insert(host, health),
+            };
+        }
+        self.version = Some(list.version.0);
+    }
+}
+
+/// One or more replicas; replica 2 has replica 0 as its upstream, all others have discovery.
+struct World {
+    upstream: Upstream,
+    replicas: Vec<Replica>,
+    callers: Vec<Caller>,
+    now: Duration,
+}
+
+impl World {
+    fn new(replicas: u8) -> Self {
+        Self {
+            upstream: Upstream::new(),
+            replicas: (0..replicas).map(|_| Replica::new(LEASE * 100)).collect(),
+            callers: vec![Caller::default(); usize::from(CALLERS)],
+            now: Duration::ZERO,
+        }
+    }
+
+    /// Asks a replica without waiting.
+    fn ask(&mut self, replica: usize, after: Option<u64>, wait_is_over: bool) -> Option<List> {
+        let question = Question { after: after.map(Version), came: self.now, wait_is_over };
+        let reply = self.replicas[replica].answer(question, self.now).ok()?;
+        if reply == Reply::Confirm {
+            // It calls upstream at once, and asks for what it lacks.
+            (0..2).for_each(|_| self.call(replica, false));
+            let reply = self.replicas[replica].answer(question, self.now).ok()?;
+            return self.replicas[replica].message(reply);
+        }
+        self.replicas[replica].message(reply)
+    }
+
+    fn call(&mut self, replica: usize, forgets: bool) {
+        let call = self.replicas[replica].next_call();
+        let answer = match (replica, call) {
+            (2, Call::Whole) => self.ask(0, None, true),
+            (2, Call::Watch(after) | Call::Confirm(after)) => self.ask(0, Some(after.0), true),
+            _ => Some(self.upstream.answer(call, forgets)),
+        };
+        let Some(answer) = answer else { return };
+        let now = self.now;
+        // What is rejected has another call made.
+        let _ = self.replicas[replica].apply(call, answer, now, now);
+    }
+
+    /// Where upstream numbers its lists anew up to a version that a replica holds of before, before that has called once,
+    /// nothing in the protocol could show it.
+    fn would_reach_what_is_held(&self) -> bool {
+        self.replicas.iter().any(|replica| replica.version() == Some(Version(self.upstream.version() + 1)))
+    }
+
+    /// Below all that is held: by the same number it could not be told.
+    fn restart(&mut self, steps_back: u8) {
+        let held = self.replicas.iter().filter_map(|replica| replica.version()).map(|version| version.0);
+        let lowest = held.chain([self.upstream.version()]).min().unwrap();
+        self.upstream.restart(lowest - 1 - u64::from(steps_back), steps_back);
+    }
+
+    fn play(&mut self, step: &Step) {
+        self.now += STEP;
+        match *step {
+            Step::Change(..) if self.would_reach_what_is_held() => {}
+            Step::Change(host, health) => self.upstream.change(host, health),
+            Step::Restart(steps_back) => self.restart(steps_back),
+            Step::Call { replica, forgets } => self.call(usize::from(replica), forgets),
+            Step::Ask { caller, replica, whole, wait_is_over } => {
+                let (caller, replica) = (usize::from(caller), usize::from(replica));
+                let after = self.callers[caller].version.filter(|_| !whole);
+                if let Some(list) = self.ask(replica, after, wait_is_over) {
+                    self.callers[caller].take(&list);
+                }
+            }
+        }
+    }
+}
+
+fn check(replicas: u8, restarts: bool, holds: impl Fn(&[Step]) -> Result<(), TestCaseError>) {
+    for seed in SEEDS {
+        let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
+        let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+        let steps = prop::collection::vec(step(replicas, restarts), 1..STEPS);
+        let result = TestRunner::new_with_rng(config, random).run(&steps, |steps| holds(&steps));
+        if let Err(error) = result {
+            panic!("seed {seed}: {error}");
+        }
+    }
+}
+
+// Guards against any order of lists, deltas and restarts that leaves a caller with something else than upstream's list.
+#[test]
+fn a_caller_that_follows_ends_with_exactly_the_list_of_upstream() {
+    check(1, true, |steps| {
+        let mut world = World::new(1);
+        for step in steps {
+            world.play(step);
+        }
+        // A list that shrank is believed the second time; a delta that went back has the whole list asked for.
+        (0..4).for_each(|_| world.call(0, false));
+        for caller in 0..usize::from(CALLERS) {
+            let after = world.callers[caller].version;
+            let list = world.ask(0, after, true);
+            prop_assert!(list.is_some(), "it is answered");
+            world.callers[caller].take(&list.unwrap());
+            prop_assert_eq!(&world.callers[caller].servers, world.upstream.servers());
+            prop_assert_eq!(world.callers[caller].version, Some(world.upstream.version()));
+        }
+        Ok(())
+    });
+}
+
+// Guards against a server that left and comes back by a relay that is behind: no caller goes back to an older version, and
+// what it has is always upstream's list of that version.
+#[test]
+fn a_caller_that_moves_between_relays_never_takes_an_older_state() {
+    check(3, false, |steps| {
+        let mut world = World::new(3);
+        for step in steps {
+            // A caller that asks for the whole list has given up what it had.
+            if matches!(step, Step::Ask { whole: true, .. }) {
+                continue;
+            }
+            let before: Vec<_> = world.callers.iter().map(|caller| caller.version).collect();
+            world.play(step);
+            for (caller, before) in world.callers.iter().zip(before) {
+                prop_assert!(caller.version >= before, "{:?} after {before:?}", caller.version);
+                if let Some(version) = caller.version {
+                    prop_assert_eq!(&caller.servers, &world.upstream.lists[&version]);
+                }
+            }
+        }
+        Ok(())
+    });
+}
+
+// Guards against a time at which the properties hold only because nothing is ever answered.
+#[test]
+fn the_properties_see_answers_of_each_kind() {
+    let mut world = World::new(3);
+    let ask = |caller, replica| Step::Ask { caller, replica, whole: false, wait_is_over: true };
+    let call = |replica| Step::Call { replica, forgets: false };
+    for step in [call(0), call(2), ask(0, 2), Step::Change(1, 2), call(0), ask(1, 0), ask(1, 2), ask(0, 2)] {
+        world.play(&step);
+    }
+    let versions: Vec<_> = world.callers.iter().map(|caller| caller.version).collect();
+    assert_eq!(versions, [Some(FIRST_VERSION + 1), Some(FIRST_VERSION + 1), None]);
+    assert_eq!(world.callers[0].servers, *world.upstream.servers());
+    assert_eq!(world.now, ms(8_000));
+}
