--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod lab;
 mod multiget;
+mod relay;
 mod scale;
 mod up;
 
@@ -43,6 +44,15 @@
     Json,
 }
 
+impl From<LogFormat> for Format {
+    fn from(format: LogFormat) -> Self {
+        match format {
+            LogFormat::Text => Self::Text,
+            LogFormat::Json => Self::Json,
+        }
+    }
+}
+
 /// Without one, the node runs.
 #[derive(Subcommand)]
 enum Command {
@@ -56,6 +66,8 @@
     Lab(lab::Command),
     /// Ask a node's side port for many keys and print a line for each
     MultiGet(multiget::Command),
+    /// Stand between discovery and nodes: pass the server list on, as discovery would
+    Relay(relay::Command),
 }
 
 #[derive(Subcommand)]
@@ -74,6 +86,7 @@
         Some(Command::Audit(AuditCommand::Verify { file })) => verify(file),
         Some(Command::Up(up)) => up.run(),
         Some(Command::Lab(lab)) => lab.run(),
+        Some(Command::Relay(relay)) => relay.run(),
         Some(Command::MultiGet(command)) => one_thread().and_then(|one| one.block_on(command.run())),
     };
     match ended {
@@ -102,13 +115,9 @@
 
 fn start(features: Option<PathBuf>, format: LogFormat) -> Result<ExitCode, Box<dyn Error>> {
     let features = features.map(operators::load).transpose()?.unwrap_or_default();
-    let format = match format {
-        LogFormat::Text => Format::Text,
-        LogFormat::Json => Format::Json,
-    };
     let config = platform::load(|name| std::env::var(name).ok())?;
     // A node has one core: one thread, and no locks between its parts.
-    LocalSet::new().block_on(&one_thread()?, slatelink_node::run(config, features, format))
+    LocalSet::new().block_on(&one_thread()?, slatelink_node::run(config, features, format.into()))
 }
 
 /// A flag that Ctrl-C or SIGTERM raises: what runs then ends in order, and leaves nothing behind.
--- /dev/null
+++ b/crates/cli/tests/relay.rs
@@ -0,0 +1,529 @@
+//! A relay between stand-ins for discovery and callers, some of them real nodes, over loopback sockets.
+
+mod node_common;
+
+use node_common::*;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Long enough that it runs out in no test that does not wait for it.
+const LONG_LEASE: &str = "60000";
+const SHORT_LEASE: &str = "600";
+const FIRST_VERSION: u64 = 50;
+
+/// What a source does with calls.
+#[derive(Clone, Copy, PartialEq)]
+enum Mode {
+    Serves,
+    /// Calls are read and never answered, as where a cut is between.
+    Silent,
+    /// Calls for the whole list are never answered.
+    SilentOnWhole,
+    /// Connections are reset, as where the process is dead.
+    Dead,
+}
+
+struct Lists {
+    mode: Mode,
+    version: u64,
+    servers: BTreeMap<String, Value>,
+    /// By the version that has them, since the last start.
+    changes: Vec<(u64, Value)>,
+    open: Vec<TcpStream>,
+    asked: Vec<String>,
+}
+
+/// Discovery with versions, deltas, waits and faults. It answers a version that it does not know by a delta of its own.
+#[derive(Clone)]
+struct Source {
+    address: SocketAddr,
+    lists: Arc<(Mutex<Lists>, Condvar)>,
+}
+
+impl Source {
+    fn start(mode: Mode, hosts: &[Value]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (open, asked, changes) = (Vec::new(), Vec::new(), Vec::new());
+        let lists = Lists { mode, version: FIRST_VERSION, servers: by_name(hosts), changes, open, asked };
+        let source = Self { address, lists: Arc::new((Mutex::new(lists), Condvar::new())) };
+        let accepting = source.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let source = accepting.clone();
+                source.lock().open.push(stream.try_clone().unwrap());
+                thread::spawn(move || source.serve(stream));
+            }
+        });
+        source
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Lists> {
+        self.lists.0.lock().unwrap()
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Ok(Some(message)) = Message::read(&mut reader) {
+            let path = message.start.split(' ').nth(1).unwrap().to_owned();
+            let Some(body) = self.answer(&path) else { break };
+            if stream.write_all(answer("200 OK", "", &body.to_string()).as_bytes()).is_err() {
+                break;
+            }
+        }
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+
+    fn answer(&self, path: &str) -> Option<Value> {
+        let figure = |name: &str| {
+            let (_, rest) = path.split_once(&format!("{name}="))?;
+            rest.split('&').next()?.parse::<u64>().ok()
+        };
+        let after = figure("after");
+        let ends = Instant::now() + Duration::from_millis(figure("wait_ms").unwrap_or(0));
+        let mut lists = self.lock();
+        lists.asked.push(path.to_owned());
+        loop {
+            let left = ends.saturating_duration_since(Instant::now());
+            match lists.mode {
+                Mode::Dead => return None,
+                Mode::Silent => lists = self.lists.1.wait(lists).unwrap(),
+                Mode::SilentOnWhole if after.is_none() => lists = self.lists.1.wait(lists).unwrap(),
+                _ if after == Some(lists.version) && !left.is_zero() => {
+                    lists = self.lists.1.wait_timeout(lists, left).unwrap().0;
+                }
+                _ => return Some(lists.told(after)),
+            }
+        }
+    }
+
+    fn set(&self, mode: Mode) {
+        let mut lists = self.lock();
+        lists.mode = mode;
+        if mode == Mode::Dead {
+            for stream in lists.open.drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+        self.lists.1.notify_all();
+    }
+
+    /// Changes an entry, in the next version.
+    fn tell(&self, host: Value) {
+        let mut lists = self.lock();
+        lists.version += 1;
+        let change = (lists.version, host.clone());
+        lists.changes.push(change);
+        let name = host["host"].as_str().unwrap().to_owned();
+        match host["health"] == "gone" {
+            true => lists.servers.remove(&name),
+            false => lists.servers.insert(name, host),
+        };
+        self.lists.1.notify_all();
+    }
+
+    /// Starts anew, with another version and other servers.
+    fn restart(&self, version: u64, hosts: &[Value]) {
+        let mut lists = self.lock();
+        (lists.version, lists.servers) = (version, by_name(hosts));
+        lists.changes.clear();
+        self.lists.1.notify_all();
+    }
+
+    fn asked(&self, text: &str) -> usize {
+        self.lock().asked.iter().filter(|path| path.contains(text)).count()
+    }
+}
+
+impl Lists {
+    fn told(&self, after: Option<u64>) -> Value {
+        let hosts: Vec<_> = match after {
+            None => self.servers.values().cloned().collect(),
+            Some(after) => self
+                .changes
+                .iter()
+                .filter(|(version, _)| *version > after)
+                .map(|(_, host)| host.clone())
+                .collect(),
+        };
+        json!({"seq": self.version, "whole": after.is_none(), "hosts": hosts})
+    }
+}
+
+fn by_name(hosts: &[Value]) -> BTreeMap<String, Value> {
+    hosts.iter().map(|host| (host["host"].as_str().unwrap().to_owned(), host.clone())).collect()
+}
+
+fn entry(name: &str, health: &str) -> Value {
+    host(name, SocketAddr::from(([127, 0, 0, 1], 9)), health)
+}
+
+fn two() -> [Value; 2] {
+    [entry("s-1", "ready"), entry("s-2", "ready")]
+}
+
+/// A running relay; it is killed with the test.
+struct Relay {
+    address: SocketAddr,
+    child: Child,
+}
+
+impl Relay {
+    fn start(upstream: &[SocketAddr], more: &[&str]) -> Self {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), upstream, more)
+    }
+
+    fn start_at(listen: SocketAddr, upstream: &[SocketAddr], more: &[&str]) -> Self {
+        let mut command = command();
+        command.args(["relay", "--listen", &listen.to_string(), "--upstream"]);
+        Self::spawn(command.args(upstream.iter().map(SocketAddr::to_string)).args(more))
+    }
+
+    fn spawn(command: &mut Command) -> Self {
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        log.read_line(&mut line).unwrap();
+        let address = line.trim_end().rsplit(' ').next().unwrap().parse();
+        let address = address.unwrap_or_else(|_| panic!("the relay's first line: {line}"));
+        // The rest of its log must not fill the pipe.
+        thread::spawn(move || log.lines().map_while(Result::ok).for_each(drop));
+        Self { address, child }
+    }
+
+    /// Starts one and waits until it has a list.
+    fn ready(upstream: &[SocketAddr], more: &[&str]) -> Self {
+        let relay = Self::start(upstream, more);
+        relay.until_answering();
+        relay
+    }
+
+    fn until_answering(&self) {
+        wait_for("the relay's list", || self.get("/healthz").status() == 200);
+    }
+
+    fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client::on(stream)
+    }
+
+    fn get(&self, path: &str) -> Message {
+        self.client().ask(&request(path))
+    }
+
+    fn list(&self, path: &str) -> Value {
+        let message = self.get(path);
+        assert_eq!(message.status(), 200, "{path}: {}", text(&message));
+        body(&message)
+    }
+
+    fn status(&self) -> Value {
+        body(&self.get("/v1/relay"))
+    }
+
+    /// A caller that waits for something newer than a version, once the relay has it waiting.
+    fn watching(&self, after: u64) -> Client {
+        let waiting = || self.status()["waiting"].as_u64().unwrap();
+        let before = waiting();
+        let mut client = self.client();
+        client.send(&request(&format!("/v1/servers?after={after}&wait_ms=60000")));
+        wait_for("a caller that waits", || waiting() > before);
+        client
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        // It may have exited by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn request(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: relay\r\n\r\n")
+}
+
+fn body(message: &Message) -> Value {
+    serde_json::from_slice(&message.body).unwrap()
+}
+
+fn text(message: &Message) -> &str {
+    std::str::from_utf8(&message.body).unwrap()
+}
+
+fn health(list: &Value) -> Vec<(&str, &str)> {
+    let hosts = list["hosts"].as_array().unwrap().iter();
+    hosts.map(|host| (host["host"].as_str().unwrap(), host["health"].as_str().unwrap())).collect()
+}
+
+fn fails(relay: &Relay, path: &str, why: &str) {
+    let message = relay.get(path);
+    assert!(
+        message.status() == 503 && text(&message).contains(why),
+        "{}: {}",
+        message.status(),
+        text(&message)
+    );
+}
+
+// Guards against answers that differ from discovery's, and against watchers that are left out of a change.
+#[test]
+fn lists_and_watches_are_answered_as_discovery_answers_them() {
+    let source = Source::start(Mode::Serves, &two());
+    let relay = Relay::ready(&[source.address], &["--lease-ms", LONG_LEASE]);
+    assert_eq!(relay.list("/v1/servers"), source.lock().told(None));
+    assert_eq!(relay.list("/v1/servers?after=50&wait_ms=1"), json!({"seq": 50, "whole": false, "hosts": []}));
+    let mut watching: Vec<_> = (0..20).map(|_| relay.watching(50)).collect();
+    source.tell(entry("s-1", "draining"));
+    let change = source.lock().told(Some(50));
+    for client in &mut watching {
+        assert_eq!(body(&client.answer().unwrap()), change);
+    }
+    assert_eq!(relay.list("/v1/servers?after=50"), change, "also to one that comes later");
+    assert_eq!(relay.list("/v1/servers?after=7")["whole"], true, "of an unknown version nothing is known");
+    let counts = relay.status()["callers"].clone();
+    assert_eq!((&counts["change_answers"], &counts["whole_answers"]), (&json!(21), &json!(2)));
+    assert_eq!(source.asked("/v1/servers"), 3, "upstream sees one caller: a whole list and two watches");
+}
+
+// Guards against requests that are guessed at.
+#[test]
+fn requests_that_make_no_sense_are_refused_in_a_sentence() {
+    let source = Source::start(Mode::Serves, &two());
+    let relay = Relay::ready(&[source.address], &[]);
+    let refused = |request: &str, status: u16, why: &str| {
+        let message = relay.client().ask(request);
+        assert!(message.status() == status && text(&message).contains(why), "{request}: {}", text(&message));
+    };
+    refused(
+        &request("/v1/servers?after=1&wait_ms=60001"),
+        400,
+        "wait_ms is 60001: at most 60000 is possible",
+    );
+    refused(&request("/v1/servers?after=x"), 400, "after is \"x\": a whole number is expected");
+    refused(&request("/v1/hosts"), 404, "there is nothing at /v1/hosts");
+    refused("PUT /v1/servers HTTP/1.1\r\nHost: r\r\nContent-Length: 0\r\n\r\n", 405, "GET is expected");
+    for (arguments, why) in [
+        (&["--listen", "127.0.0.1:0"][..], "--upstream"),
+        (&["--upstream", "127.0.0.1:1", "--listen", "127.0.0.1:0", "--lease-ms", "9"], "lease_ms is 9"),
+        (&["--upstream", "127.0.0.1:1", "--listen", "127.0.0.1:0", "--callers", "0"], "callers is 0"),
+        (
+            &["--upstream", "127.0.0.1:1", "--listen", "127.0.0.1:0", "--callers", "999999"],
+            "descriptors leaves no room",
+        ),
+        (&["--config", "/nowhere/relay.toml"], "cannot read /nowhere/relay.toml"),
+    ] {
+        let output = command().arg("relay").args(arguments).output().unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success() && said.contains(why), "{arguments:?}: {said}");
+    }
+}
+
+// Guards against settings that a file has and that are not read, or are read wrongly without a word.
+#[test]
+fn a_relay_reads_its_settings_from_a_file() {
+    let (dead, source) = (Source::start(Mode::Dead, &two()), Source::start(Mode::Serves, &two()));
+    let upstream = [dead.address, source.address].map(|address| address.to_string());
+    let file = |more: &str| {
+        write_config(&format!("upstream = {upstream:?}\nlisten = \"127.0.0.1:0\"\ncallers = 7\n{more}"))
+    };
+    let (good, bad) = (file("lease_ms = 700"), file("leese_ms = 700"));
+    let relay = Relay::spawn(command().args(["relay", "--config"]).arg(&good));
+    relay.until_answering();
+    assert_eq!(relay.status()["most_open"], 7);
+    assert!(relay.status()["lease_left_ms"].as_u64() <= Some(700));
+    let output = command().args(["relay", "--config"]).arg(&bad).output().unwrap();
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert!(said.contains("line 4: unknown field `leese_ms`"), "{said}");
+    [good, bad].iter().for_each(|path| std::fs::remove_file(path).unwrap());
+}
+
+// Guards against an old list that is told as if it were new, and against a relay that does not come back.
+#[test]
+fn when_upstream_dies_callers_are_failed_after_the_lease_until_it_is_back() {
+    let source = Source::start(Mode::Serves, &two());
+    let relay = Relay::ready(&[source.address], &["--lease-ms", SHORT_LEASE]);
+    let mut waiting = relay.watching(50);
+    source.set(Mode::Dead);
+    let failed = waiting.answer().unwrap();
+    assert!(failed.status() == 503 && text(&failed).contains("the lease is 600 ms"), "{}", text(&failed));
+    fails(&relay, "/v1/servers", "nothing was heard from upstream");
+    fails(&relay, "/healthz", "nothing was heard from upstream");
+    assert_eq!(relay.status()["lease_left_ms"], 0);
+    source.tell(entry("s-2", "gone"));
+    source.set(Mode::Serves);
+    relay.until_answering();
+    assert_eq!(health(&relay.list("/v1/servers?after=50")), [("s-2", "gone")]);
+}
+
+// Guards against a relay that waits for ever on an upstream that a cut keeps silent.
+#[test]
+fn when_upstream_falls_silent_the_next_one_is_asked() {
+    let hosts = two();
+    let (first, second) = (Source::start(Mode::Serves, &hosts), Source::start(Mode::Serves, &hosts));
+    let relay = Relay::ready(&[first.address, second.address], &["--lease-ms", "3000"]);
+    let mut waiting = relay.watching(50);
+    first.set(Mode::Silent);
+    second.tell(entry("s-1", "draining"));
+    let told = waiting.answer().unwrap();
+    assert_eq!(told.status(), 200, "within the lease: {}", text(&told));
+    assert_eq!(health(&body(&told)), [("s-1", "draining")]);
+    assert_eq!(
+        second.asked("/v1/servers?after=50&"),
+        1,
+        "from the version that was held, and without a whole list"
+    );
+    // One that is dead is noticed at once, and the first one has come back.
+    first.tell(entry("s-1", "draining"));
+    first.tell(entry("s-1", "gone"));
+    first.set(Mode::Serves);
+    second.set(Mode::Dead);
+    wait_for("the first one's list", || relay.status()["version"] == 52);
+    assert_eq!(health(&relay.list("/v1/servers")), [("s-2", "ready")]);
+}
+
+// Guards against a relay that answers with an empty list, or by an earlier life's, before it has one.
+#[test]
+fn a_relay_that_starts_with_nothing_answers_nobody_until_it_has_a_list() {
+    let source = Source::start(Mode::Silent, &two());
+    let relay = Relay::start(&[source.address], &["--lease-ms", LONG_LEASE]);
+    wait_for("its call", || source.asked("/v1/servers") > 0);
+    for path in ["/v1/servers", "/v1/servers?after=50&wait_ms=60000", "/healthz"] {
+        fails(&relay, path, "no list has come from upstream yet");
+    }
+    source.set(Mode::Serves);
+    relay.until_answering();
+    assert_eq!(relay.list("/v1/servers")["seq"], 50);
+}
+
+// Guards against an older list for a caller that was at a source that is ahead of this relay.
+#[test]
+fn a_relay_that_lags_answers_a_newer_caller_only_once_upstream_has() {
+    let source = Source::start(Mode::Serves, &two());
+    let relay = Relay::ready(&[source.address], &["--lease-ms", LONG_LEASE]);
+    wait_for("its watch", || source.asked("after=50&") == 1);
+    source.set(Mode::Silent);
+    fails(&relay, "/v1/servers?after=52&wait_ms=1000", "upstream has not answered for it");
+    let mut newer = relay.client();
+    newer.send(&request("/v1/servers?after=52&wait_ms=60000"));
+    source.tell(entry("s-1", "draining"));
+    source.tell(entry("s-2", "draining"));
+    source.set(Mode::Serves);
+    wait_for("the relay's list", || relay.status()["version"] == 52);
+    wait_for("a caller that waits", || relay.status()["waiting"] == 1);
+    source.tell(entry("s-1", "gone"));
+    let told = newer.answer().unwrap();
+    assert_eq!(health(&body(&told)), [("s-1", "gone")], "nothing older came before");
+}
+
+// Guards against servers that are back by an old delta, and against callers that stay at versions of before.
+#[test]
+fn when_upstream_tells_something_old_callers_hear_nothing_until_the_whole_list_has_come() {
+    let source = Source::start(Mode::Serves, &two());
+    let relay = Relay::ready(&[source.address], &["--lease-ms", LONG_LEASE]);
+    let mut waiting = relay.watching(50);
+    wait_for("its watch", || source.asked("after=50&") == 1);
+    source.set(Mode::SilentOnWhole);
+    source.restart(3, &[entry("s-1", "gone"), entry("s-2", "ready"), entry("s-3", "ready")]);
+    source.tell(entry("s-2", "draining"));
+    wait_for("the call for the whole list", || source.asked("/v1/servers") > source.asked("after="));
+    wait_for("its rejection", || relay.status()["upstream"]["rejected"] == 1);
+    assert_eq!(relay.list("/v1/servers")["seq"], 50);
+    assert_eq!(health(&relay.list("/v1/servers?after=50")), []);
+    source.set(Mode::Serves);
+    let told = body(&waiting.answer().unwrap());
+    assert_eq!((&told["seq"], &told["whole"]), (&json!(4), &json!(true)));
+    assert_eq!(health(&told), [("s-2", "draining"), ("s-3", "ready")]);
+    assert_eq!(relay.status()["epochs"], 2);
+    assert_eq!(relay.list("/v1/servers?after=50&wait_ms=1")["whole"], true);
+}
+
+// Guards against callers without bound, each of which takes a descriptor and an answer's memory.
+#[test]
+fn callers_past_the_bound_are_refused_and_a_place_that_is_free_is_given_again() {
+    let source = Source::start(Mode::Serves, &two());
+    let relay = Relay::ready(&[source.address], &["--callers", "3"]);
+    let mut held: Vec<_> = (0..3).map(|_| relay.client()).collect();
+    for client in &mut held {
+        assert_eq!(client.ask(&request("/v1/servers")).status(), 200);
+    }
+    let refused = relay.get("/v1/servers");
+    assert_eq!(refused.status(), 503);
+    assert!(text(&refused).contains("there are 3 connections already"), "{}", text(&refused));
+    assert_eq!(refused.header("connection"), Some("close"));
+    let kept = held.pop().unwrap();
+    assert_eq!(held[0].ask(&request("/v1/servers")).status(), 200, "those that are in stay");
+    drop(kept);
+    wait_for("a place", || relay.get("/v1/servers").status() == 200);
+}
+
+// Guards against callers that are cut off without a word when a relay is stopped.
+#[test]
+fn on_sigterm_callers_that_wait_are_failed_and_the_relay_ends() {
+    let source = Source::start(Mode::Serves, &two());
+    let mut relay = Relay::ready(&[source.address], &["--lease-ms", LONG_LEASE]);
+    let mut waiting = relay.watching(50);
+    let pid = relay.child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    let told = waiting.answer().unwrap();
+    assert!(told.status() == 503 && text(&told).contains("the relay stops"), "{}", text(&told));
+    assert_eq!(relay.child.wait().unwrap().code(), Some(0));
+}
+
+// Guards against a node that stops serving without its relay, and against one that never finds the next one.
+#[test]
+fn a_node_whose_relay_dies_serves_on_and_follows_the_next_one() {
+    let servers = [CacheServer::serving("one"), CacheServer::serving("two")];
+    let hosts = [servers[0].entry("s-1", "ready"), servers[1].entry("s-2", "ready")];
+    let source = Source::start(Mode::Serves, &hosts);
+    let relay = Relay::ready(&[source.address], &[]);
+    let address = relay.address;
+    let node = Node::ready(&config(address));
+    drop(relay);
+    for key in 0..20 {
+        assert_eq!(node.read("read", key).status(), 200, "{key}");
+    }
+    source.tell(servers[0].entry("s-1", "draining"));
+    let relay = Relay::start_at(address, &[source.address], &[]);
+    wait_for("the node at its new relay", || {
+        relay.status()["waiting"] == 1 && relay.status()["version"] == 51
+    });
+    serves_without(&node, &servers);
+}
+
+/// The node sends nothing more to the first of two servers, and serves.
+fn serves_without(node: &Node, servers: &[CacheServer; 2]) {
+    let before = servers[0].count();
+    for key in 100..130 {
+        assert_eq!(node.read("read", key).body, b"two", "{key}");
+    }
+    assert_eq!(servers[0].count(), before);
+}
+
+// Guards against a drain that a tier holds back. Each tier passes on what it reads before it calls again, so the node has the
+// drain when its next watch has come to its relay; that is waited for, and no tier's lease or wait is in it: these are longer
+// than any wait of the test.
+#[test]
+fn a_drain_goes_through_two_tiers_to_a_real_node_at_once() {
+    let servers = [CacheServer::serving("one"), CacheServer::serving("two")];
+    let hosts = [servers[0].entry("s-1", "ready"), servers[1].entry("s-2", "ready")];
+    let source = Source::start(Mode::Serves, &hosts);
+    let lease = ["--lease-ms", "3600000"];
+    let region = Relay::ready(&[source.address], &lease);
+    let site = Relay::ready(&[region.address], &lease);
+    let node = Node::ready(&config(site.address));
+    wait_for("the watches", || [&region, &site].iter().all(|relay| relay.status()["waiting"] == 1));
+    source.tell(servers[0].entry("s-1", "draining"));
+    wait_for("the node's next watch", || site.status()["version"] == 51 && site.status()["waiting"] == 1);
+    serves_without(&node, &servers);
+    assert_eq!(site.status()["callers"]["change_answers"], 1);
+    assert_eq!(region.status()["callers"]["change_answers"], 1);
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod listing;
 pub mod operators;
 pub mod platform;
+pub mod relay;
 
 pub use listing::{Host, Listing};
 
--- a/crates/config/src/operators.rs
+++ b/crates/config/src/operators.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use thiserror::Error;
 
@@ -222,11 +222,16 @@
         let source = Source { path: path.clone(), sha256: crate::digest(text.as_bytes()) };
         Settings { source: Some(source), ..settings }
     };
-    parsed.map(read).map_err(|error: toml::de::Error| {
+    parsed.map(read).map_err(|error| SettingsError::malformed(&path, &text, &error))
+}
+
+impl SettingsError {
+    /// What TOML says of a file with this text, with its line.
+    pub(crate) fn malformed(path: &Path, text: &str, error: &toml::de::Error) -> Self {
         let before = error.span().and_then(|span| text.get(..span.start)).unwrap_or_default();
         let line = before.matches('\n').count() + 1;
         // The log has a line for each error.
         let what = error.message().lines().collect::<Vec<_>>().join(" ");
-        SettingsError::Malformed { path: path.clone(), line, what }
-    })
+        Self::Malformed { path: path.to_owned(), line, what }
+    }
 }
--- /dev/null
+++ b/crates/config/src/relay.rs
@@ -0,0 +1,85 @@
+//! What a relay of the server list is told: a TOML file, or the same as arguments.
+
+use crate::operators::SettingsError;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use thiserror::Error;
+
+/// How long a relay answers after upstream's last word, where nothing else is said. A third of it is the wait of a watch, so
+/// that a relay calls upstream once in 3.3 s where nothing changes.
+pub const DEFAULT_LEASE_MS: u64 = 10_000;
+/// Below this a lease would run out between two calls; above it nobody would notice that upstream is gone.
+const LEASE_MS: std::ops::RangeInclusive<u64> = 300..=3_600_000;
+/// Sources that are tried in turn, at most.
+const MOST_UPSTREAMS: usize = 16;
+/// Connections of callers that may be asked for, at most.
+const MOST_CALLERS: usize = 1_000_000;
+
+/// Why a relay cannot start with what it was told.
+#[derive(Debug, Error)]
+pub enum RelayConfigError {
+    /// The file cannot be read, or is not of the expected form.
+    #[error(transparent)]
+    File(#[from] SettingsError),
+    /// There is nothing to relay.
+    #[error("a relay needs 1 to {MOST_UPSTREAMS} upstreams, and {0} are named")]
+    Upstreams(usize),
+    /// The lease is out of its range.
+    #[error("lease_ms is {0}: a number from {start} to {end} is wanted", start = LEASE_MS.start(), end = LEASE_MS.end())]
+    Lease(u64),
+    /// The bound on connections is out of its range.
+    #[error("callers is {0}: a number from 1 to {MOST_CALLERS} is wanted")]
+    Callers(usize),
+}
+
+/// A relay's settings.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelaySettings {
+    /// Discovery, or other relays; the next one is tried when one fails.
+    pub upstream: Vec<SocketAddr>,
+    /// Where callers are answered.
+    pub listen: SocketAddr,
+    /// Callers are failed once nothing was heard from upstream for so long.
+    #[serde(default = "default_lease")]
+    pub lease_ms: u64,
+    /// Connections of callers, at most; what the limit on descriptors allows where nothing is said.
+    pub callers: Option<usize>,
+}
+
+fn default_lease() -> u64 {
+    DEFAULT_LEASE_MS
+}
+
+impl RelaySettings {
+    /// Reads them from a file and checks them.
+    pub fn load(path: &Path) -> Result<Self, RelayConfigError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| SettingsError::Unreadable { path: path.to_owned(), error })?;
+        let settings: Self =
+            toml::from_str(&text).map_err(|error| SettingsError::malformed(path, &text, &error))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Refuses what makes no sense.
+    pub fn check(&self) -> Result<(), RelayConfigError> {
+        if !(1..=MOST_UPSTREAMS).contains(&self.upstream.len()) {
+            return Err(RelayConfigError::Upstreams(self.upstream.len()));
+        }
+        if !LEASE_MS.contains(&self.lease_ms) {
+            return Err(RelayConfigError::Lease(self.lease_ms));
+        }
+        match self.callers.filter(|callers| !(1..=MOST_CALLERS).contains(callers)) {
+            Some(callers) => Err(RelayConfigError::Callers(callers)),
+            None => Ok(()),
+        }
+    }
+
+    /// How long callers are answered after upstream's last word.
+    pub fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+}
--- a/crates/membership/src/replica.rs
+++ b/crates/membership/src/replica.rs
@@ -81,7 +81,7 @@
 }
 
 /// The answer to a caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Reply {
     /// The whole list.
     Whole,
@@ -143,6 +143,8 @@
     heard: Option<Duration>,
     /// The newest version that a caller has and this replica has not.
     wanted: Option<Version>,
+    /// Upstream has shown that it is ahead: what is newer there is asked for before anything else.
+    behind: bool,
     /// A version that upstream does not know, and when the call was sent that showed it.
     unknown: Option<(Version, Duration)>,
 }
@@ -160,6 +162,7 @@
             doubt: None,
             heard: None,
             wanted: None,
+            behind: false,
             unknown: None,
         }
     }
@@ -191,14 +194,17 @@
 
     /// The call that upstream is to have next.
     pub fn next_call(&self) -> Call {
-        match (self.version, self.wanted) {
-            (None, _) => Call::Whole,
-            _ if self.doubt.is_some() => Call::Whole,
-            (Some(_), Some(wanted)) => Call::Confirm(wanted),
-            (Some(held), None) => Call::Watch(held),
+        match (self.next_list_call(), self.wanted) {
+            (Call::Watch(_), Some(wanted)) if !self.behind => Call::Confirm(wanted),
+            (call, _) => call,
         }
     }
 
+    /// The same where upstream is not to be asked for callers' versions now.
+    pub fn next_list_call(&self) -> Call {
+        self.version.filter(|_| self.doubt.is_none()).map_or(Call::Whole, Call::Watch)
+    }
+
     /// Takes in the answer to a call that was sent at `sent` and read at `read`.
     pub fn apply(
         &mut self,
@@ -220,6 +226,7 @@
             (false, held) => self.check_delta(call, &list, held)?,
         }
         self.doubt = None;
+        self.behind = false;
         self.heard = Some(read);
         self.wanted = self.wanted.filter(|wanted| *wanted > list.version);
         Ok(if list.whole { self.take_whole(list, read) } else { self.take_delta(list) })
@@ -246,10 +253,11 @@
             self.doubt = Some(Doubt::WentBack);
             return Err(RejectedList::WentBack { held, listed });
         }
-        match call {
-            Call::Watch(base) if base == held => Ok(()),
-            _ => Err(RejectedList::OtherBase { listed }),
+        if call != Call::Watch(held) {
+            self.behind = listed > held;
+            return Err(RejectedList::OtherBase { listed });
         }
+        Ok(())
     }
 
     fn take_whole(&mut self, list: List, now: Duration) -> Applied {
@@ -310,6 +318,7 @@
     /// The next call goes to another upstream: what the one before was doubted for says nothing of this one.
     pub fn upstream_changed(&mut self) {
         self.doubt = None;
+        self.behind = false;
     }
 
     /// What a caller is answered now. A caller that is to have upstream confirmed is remembered: the next call does that.
--- a/crates/membership/tests/replica.rs
+++ b/crates/membership/tests/replica.rs
@@ -223,6 +223,7 @@
     // Upstream knows it: this one was behind, and asks for what it lacks.
     let other = behind.apply(call, list(9, false, &[]), ms(11), ms(12));
     assert_eq!(other, Err(RejectedList::OtherBase { listed: Version(9) }));
+    assert_eq!(ask(&mut behind, Some(9), ms(12)), Ok(Reply::Confirm), "also while it asks again");
     assert_eq!(behind.next_call(), watch(5));
     behind.apply(watch(5), list(9, false, &[("a", "gone")]), ms(13), ms(14)).unwrap();
     assert_eq!(ask(&mut behind, Some(9), ms(14)), Ok(Reply::ChangesSince(Version(9))));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod driver;
 mod multiget;
+pub mod relay;
 mod server;
 mod table;
 mod upstream;
--- /dev/null
+++ b/crates/node/src/relay.rs
@@ -0,0 +1,107 @@
+//! A relay of the server list on sockets: discovery's protocol on both sides.
+//!
+//! Upstream it is one caller that watches; downstream it answers as discovery does, so that a node needs no change and relays
+//! can stand in tiers. What is answered is decided by `slatelink-membership`; here are the sockets, tasks and signals.
+
+mod answers;
+mod callers;
+mod meter;
+mod publisher;
+mod request;
+mod status;
+mod upstream;
+
+pub use status::{CallerCounts, Status, UpstreamCounts, STATUS_PATH};
+
+use callers::Callers;
+use publisher::Publisher;
+use rustix::process::{getrlimit, Resource};
+use slatelink_config::operators;
+use slatelink_config::relay::RelaySettings;
+use slatelink_observe::{Format, Observers};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::spawn_local;
+use tokio::time::interval;
+use upstream::Upstream;
+
+/// Descriptors left for the runtime, the listener, upstream, refusals and the standard streams.
+const SPARE_DESCRIPTORS: usize = 24 + callers::MOST_REFUSALS;
+/// The log is asked for what it left out so often.
+const LOG_TURN: Duration = Duration::from_secs(1);
+
+/// Why a relay cannot run.
+#[derive(Debug, Error)]
+pub enum RelayError {
+    /// The address is in use, say.
+    #[error("cannot listen on {0}: {1}")]
+    Listen(SocketAddr, std::io::Error),
+    /// The limit of the process is too low.
+    #[error("a limit of {limit} descriptors leaves no room for {callers} callers beside {SPARE_DESCRIPTORS} others")]
+    Descriptors {
+        /// The limit.
+        limit: usize,
+        /// Callers that are wanted.
+        callers: usize,
+    },
+    /// The log.
+    #[error("{0}")]
+    Log(String),
+    /// Signals, or the sockets' own failure.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// Runs a relay until SIGTERM or SIGINT; on a current-thread runtime, within a `LocalSet`.
+pub async fn run(settings: RelaySettings, format: Format) -> Result<(), RelayError> {
+    // Before anything else: a signal without a handler ends the process.
+    let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let most_callers = most_callers(settings.callers)?;
+    let listener = TcpListener::bind(settings.listen).await;
+    let listener = listener.map_err(|error| RelayError::Listen(settings.listen, error))?;
+    let observers =
+        Observers::start(&operators::Settings::default(), &[], format).map_err(RelayError::Log)?;
+    let log = observers.log.clone();
+    log.line(&format!("relay listens on {}", listener.local_addr()?));
+
+    let publisher = Rc::new(Publisher::new(settings.lease()));
+    let counts = Rc::default();
+    let upstream = Upstream::new(&settings, publisher.clone(), Rc::clone(&counts), log.clone());
+    let callers = Rc::new(Callers::new(publisher.clone(), most_callers, counts, log.clone()));
+    spawn_local(upstream.run());
+    spawn_local(publisher.clone().watch_lease(log.clone()));
+    spawn_local(turn_log(log.clone()));
+    let serving = spawn_local(callers.clone().serve(listener));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log.line("relay is told to stop");
+    serving.abort();
+    callers.end().await;
+    Ok(())
+}
+
+async fn turn_log(log: slatelink_observe::Log) {
+    let mut turns = interval(LOG_TURN);
+    loop {
+        turns.tick().await;
+        log.turn();
+    }
+}
+
+/// Connections of callers that the limit on descriptors allows, or those that are wanted if it does.
+fn most_callers(wanted: Option<usize>) -> Result<usize, RelayError> {
+    let limit = getrlimit(Resource::Nofile).current;
+    let limit = limit.map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX));
+    let allowed = limit.saturating_sub(SPARE_DESCRIPTORS);
+    let callers = wanted.unwrap_or(allowed.max(1));
+    if callers > allowed {
+        return Err(RelayError::Descriptors { limit, callers });
+    }
+    Ok(callers)
+}
--- /dev/null
+++ b/crates/node/src/relay/answers.rs
@@ -0,0 +1,50 @@
+//! Answers as they are written, each encoded once for all callers that get the same.
+
+use bytes::Bytes;
+use slatelink_membership::{List, Reply};
+use std::collections::HashMap;
+
+/// Different answers that are kept for one version. Callers that are behind by different versions each have their own; past
+/// this, an answer is encoded for its caller alone.
+const MOST_KEPT: usize = 64;
+
+/// An answer's body, and what is in it.
+#[derive(Clone, Debug)]
+pub struct EncodedList {
+    pub body: Bytes,
+    pub whole: bool,
+    pub entries: usize,
+}
+
+impl EncodedList {
+    fn new(list: &List) -> serde_json::Result<Self> {
+        Ok(Self { body: list.encode()?.into(), whole: list.whole, entries: list.entries.len() })
+    }
+}
+
+/// The answers of the version held.
+#[derive(Debug, Default)]
+pub struct Answers(HashMap<Reply, EncodedList>);
+
+impl Answers {
+    /// There is another list: none of the answers holds any more.
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+
+    /// The answer for this reply, encoded anew where it is not kept.
+    pub fn encoded(
+        &mut self,
+        reply: Reply,
+        list: impl FnOnce() -> Option<List>,
+    ) -> Option<serde_json::Result<EncodedList>> {
+        if let Some(kept) = self.0.get(&reply) {
+            return Some(Ok(kept.clone()));
+        }
+        let encoded = EncodedList::new(&list()?);
+        if let (Ok(encoded), true) = (&encoded, self.0.len() < MOST_KEPT) {
+            self.0.insert(reply, encoded.clone());
+        }
+        Some(encoded)
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/callers.rs
@@ -0,0 +1,237 @@
+//! The callers' side: connections within a bound, requests and their answers.
+
+use super::answers::EncodedList;
+use super::meter::{Counts, Meter, Metered};
+use super::publisher::{PublishError, Publisher};
+use super::request::{Asked, ListRequest, RequestError};
+use super::status::{Status, UpstreamCounts};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slatelink_observe::Log;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// A connection on which no request comes for so long is closed.
+const IDLE: Duration = Duration::from_secs(90);
+/// A head of a request is this long at most.
+const LARGEST_HEAD: usize = 16 << 10;
+/// After a failed accept the next one waits: tried at once, it would fail and spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Connections past the bound that are answered 503 at once; further ones are closed without a word.
+pub const MOST_REFUSALS: usize = 32;
+/// A connection past the bound is open for so long at most.
+const REFUSAL: Duration = Duration::from_secs(1);
+/// At the end of the relay, callers have so long to read their answers.
+const ENDING: Duration = Duration::from_secs(1);
+/// Whether all have is looked at so often.
+const ENDING_POLL: Duration = Duration::from_millis(5);
+
+type Reply = Response<Full<Bytes>>;
+
+/// All connections of callers.
+pub struct Callers {
+    publisher: Rc<Publisher>,
+    log: Log,
+    most_open: usize,
+    open: Cell<usize>,
+    refusing: Cell<usize>,
+    counts: Rc<Counts>,
+    upstream: Rc<Cell<UpstreamCounts>>,
+}
+
+/// A place among connections, given back when dropped.
+struct Place<'a>(&'a Cell<usize>);
+
+impl<'a> Place<'a> {
+    fn take(taken: &'a Cell<usize>, most: usize) -> Option<Self> {
+        (taken.get() < most).then(|| {
+            taken.set(taken.get() + 1);
+            Self(taken)
+        })
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Callers {
+    pub fn new(
+        publisher: Rc<Publisher>,
+        most_open: usize,
+        upstream: Rc<Cell<UpstreamCounts>>,
+        log: Log,
+    ) -> Self {
+        let (open, refusing) = (Cell::new(0), Cell::new(0));
+        Self { publisher, log, most_open, open, refusing, counts: Rc::default(), upstream }
+    }
+
+    /// Accepts connections, for as long as the future lives.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => drop(spawn_local(self.clone().connection(stream))),
+                Err(error) => {
+                    self.log.often("accept", &format!("accept: {error}"));
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Fails all callers, and waits until they have read that or their time is over.
+    pub async fn end(&self) {
+        self.publisher.stop();
+        let all_gone = async {
+            while self.open.get() > 0 {
+                sleep(ENDING_POLL).await;
+            }
+        };
+        // Whoever does not read by then is cut off by the end of the process.
+        let _ = timeout(ENDING, all_gone).await;
+    }
+
+    async fn connection(self: Rc<Self>, stream: TcpStream) {
+        // A caller is answered as soon as there is news.
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let meter = Rc::new(Meter::new(self.counts.clone()));
+        let io = TokioIo::new(Metered::new(stream, meter.clone()));
+        if let Some(_place) = Place::take(&self.open, self.most_open) {
+            self.counts.add(|counts| counts.connections += 1);
+            let service =
+                service_fn(async |request| Ok::<_, Infallible>(self.respond(&meter, request).await));
+            let mut serving = pin!(http().serve_connection(io, service));
+            tokio::select! {
+                // How a connection ends is its caller's affair.
+                _ = &mut serving => return,
+                () = self.publisher.stopped() => serving.as_mut().graceful_shutdown(),
+            }
+            let _ = serving.await;
+        } else {
+            self.counts.add(|counts| counts.connections_refused += 1);
+            self.log.often("callers", "relay: a connection is refused: there are as many as may be");
+            let Some(_place) = Place::take(&self.refusing, MOST_REFUSALS) else { return };
+            let service = service_fn(async |_: Request<Incoming>| {
+                let text = format!("there are {} connections already: ask another source", self.most_open);
+                Ok::<_, Infallible>(closing(plain(StatusCode::SERVICE_UNAVAILABLE, text)))
+            });
+            let _ = timeout(REFUSAL, http().serve_connection(io, service)).await;
+        }
+    }
+
+    async fn respond(&self, meter: &Meter, request: Request<Incoming>) -> Reply {
+        let asked = Asked::parse(request.method(), request.uri());
+        meter.request(matches!(asked, Ok(Asked::List(_))));
+        match asked {
+            Ok(Asked::List(list)) => self.list(list).await,
+            Ok(Asked::Health) => match self.publisher.unavailable() {
+                None => plain(StatusCode::OK, "ready".to_owned()),
+                Some(why) => plain(StatusCode::SERVICE_UNAVAILABLE, why.to_string()),
+            },
+            Ok(Asked::Status) => self.status(),
+            Err(error) => {
+                let status = match error {
+                    RequestError::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
+                    RequestError::Path(_) => StatusCode::NOT_FOUND,
+                    RequestError::Number { .. } | RequestError::Wait(_) => StatusCode::BAD_REQUEST,
+                };
+                // A body that nobody reads would stand before the next request.
+                closing(plain(status, error.to_string()))
+            }
+        }
+    }
+
+    async fn list(&self, request: ListRequest) -> Reply {
+        self.counts.add(|counts| match request.after {
+            Some(_) => counts.watch_calls += 1,
+            None => counts.whole_calls += 1,
+        });
+        match self.publisher.answer(request).await {
+            Ok(list) => self.told(list),
+            Err(error) => {
+                self.counts.add(|counts| counts.refused += 1);
+                let reply = plain(StatusCode::SERVICE_UNAVAILABLE, error.to_string());
+                if matches!(error, PublishError::Stops) {
+                    closing(reply)
+                } else {
+                    reply
+                }
+            }
+        }
+    }
+
+    fn told(&self, list: EncodedList) -> Reply {
+        self.counts.add(|counts| {
+            match (list.whole, list.entries) {
+                (true, _) => counts.whole_answers += 1,
+                (false, 0) => counts.empty_answers += 1,
+                (false, _) => counts.change_answers += 1,
+            }
+            counts.entries += list.entries as u64;
+        });
+        json(list.body)
+    }
+
+    fn status(&self) -> Reply {
+        let now = self.publisher.now();
+        let left =
+            |expires: Duration| u64::try_from(expires.saturating_sub(now).as_millis()).unwrap_or(u64::MAX);
+        let status = self.publisher.look(|replica| Status {
+            version: replica.version().map(|version| version.0),
+            servers: replica.servers(),
+            epochs: replica.epochs(),
+            history_bytes: replica.history_bytes(),
+            lease_left_ms: replica.expires().map(left),
+            open: self.open.get(),
+            most_open: self.most_open,
+            waiting: 0,
+            callers: self.counts.get(),
+            upstream: self.upstream.get(),
+        });
+        match serde_json::to_vec(&Status { waiting: self.publisher.waiting(), ..status }) {
+            Ok(body) => json(body.into()),
+            Err(error) => plain(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        }
+    }
+}
+
+fn http() -> http1::Builder {
+    let mut http = http1::Builder::new();
+    // Without a date, an answer is the same for all callers.
+    http.auto_date_header(false).max_buf_size(LARGEST_HEAD);
+    http.timer(TokioTimer::new()).header_read_timeout(IDLE);
+    http
+}
+
+fn plain(status: StatusCode, text: String) -> Reply {
+    let mut reply = Response::new(Full::new(Bytes::from(text)));
+    *reply.status_mut() = status;
+    reply
+}
+
+fn json(body: Bytes) -> Reply {
+    let mut reply = Response::new(Full::new(body));
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    reply
+}
+
+fn closing(mut reply: Reply) -> Reply {
+    reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    reply
+}
--- /dev/null
+++ b/crates/node/src/relay/meter.rs
@@ -0,0 +1,122 @@
+//! Counts the bytes of a connection by what its request was for.
+
+use super::status::CallerCounts;
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// The counts of all callers, changed in place.
+#[derive(Debug, Default)]
+pub struct Counts(Cell<CallerCounts>);
+
+impl Counts {
+    /// What was counted so far.
+    pub fn get(&self) -> CallerCounts {
+        self.0.get()
+    }
+
+    /// Counts something.
+    pub fn add(&self, with: impl FnOnce(&mut CallerCounts)) {
+        let mut counts = self.0.get();
+        with(&mut counts);
+        self.0.set(counts);
+    }
+}
+
+/// The bytes of one connection.
+#[derive(Debug)]
+pub struct Meter {
+    counts: Rc<Counts>,
+    /// Bytes that were read and belong to no request yet.
+    unclaimed: Cell<u64>,
+    /// Whether what is written now answers a call for the list.
+    counted: Cell<bool>,
+}
+
+impl Meter {
+    pub fn new(counts: Rc<Counts>) -> Self {
+        Self { counts, unclaimed: Cell::new(0), counted: Cell::new(false) }
+    }
+
+    /// A request was read; `counted` if it is one for the list.
+    pub fn request(&self, counted: bool) {
+        let bytes = self.unclaimed.take();
+        self.counted.set(counted);
+        if counted {
+            self.counts.add(|counts| counts.call_bytes += bytes);
+        }
+    }
+
+    fn read(&self, bytes: usize) {
+        self.unclaimed.set(self.unclaimed.get() + bytes as u64);
+    }
+
+    fn written(&self, bytes: usize) {
+        if self.counted.get() {
+            self.counts.add(|counts| counts.answer_bytes += bytes as u64);
+        }
+    }
+}
+
+/// A connection whose bytes are counted.
+pub struct Metered {
+    stream: TcpStream,
+    meter: Rc<Meter>,
+}
+
+impl Metered {
+    pub fn new(stream: TcpStream, meter: Rc<Meter>) -> Self {
+        Self { stream, meter }
+    }
+}
+
+impl AsyncRead for Metered {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        self.meter.read(buffer.filled().len() - before);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Metered {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
+        self.meter.written(written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, parts))?;
+        self.meter.written(written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay/publisher.rs
@@ -0,0 +1,223 @@
+//! The list between upstream and callers: one writer, and callers that wait for its news.
+
+use super::answers::{Answers, EncodedList};
+use super::request::ListRequest;
+use slatelink_membership::{
+    Applied, Call, List, Question, RejectedList, Replica, Reply, Unavailable, Version,
+};
+use slatelink_observe::Log;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::{watch, Notify};
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// A caller with a version that this relay has not waits for upstream's word on it for so long.
+const CONFIRM_PATIENCE: Duration = Duration::from_secs(2);
+/// The lease is looked at again this long after its end: it runs out after that moment, not at it.
+const LEASE_SLACK: Duration = Duration::from_millis(1);
+
+/// Once it has run out, it is looked at so often for whether upstream was heard.
+const LEASE_POLL: Duration = Duration::from_millis(50);
+
+/// Why a caller gets no list.
+#[derive(Debug, Error)]
+pub enum PublishError {
+    /// There is no list, or it is too old.
+    #[error(transparent)]
+    Unavailable(#[from] Unavailable),
+    /// Upstream has not said whether the caller's version is known.
+    #[error("the caller has version {0}, which is not known here, and upstream has not answered for it")]
+    Unconfirmed(Version),
+    /// The list cannot be written.
+    #[error("the list cannot be encoded: {0}")]
+    Encode(#[from] serde_json::Error),
+    /// The relay is about to stop.
+    #[error("the relay stops")]
+    Stops,
+}
+
+/// The list, and who waits for it.
+pub struct Publisher {
+    replica: RefCell<Replica>,
+    answers: RefCell<Answers>,
+    origin: Instant,
+    /// Raised when callers that wait have to be looked at again.
+    revision: watch::Sender<u64>,
+    /// A caller wants upstream's word on a version.
+    confirm: Notify,
+    /// Callers that wait, by the version that they have.
+    waiting: RefCell<BTreeMap<Version, usize>>,
+    stops: watch::Sender<bool>,
+}
+
+/// Counts a caller for as long as it waits.
+struct Waiting<'a>(&'a Publisher, Version);
+
+impl<'a> Waiting<'a> {
+    fn begin(publisher: &'a Publisher, version: Version) -> Self {
+        *publisher.waiting.borrow_mut().entry(version).or_default() += 1;
+        Self(publisher, version)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.0.waiting.borrow_mut();
+        if let Some(count) = waiting.get_mut(&self.1) {
+            *count -= 1;
+            if *count == 0 {
+                waiting.remove(&self.1);
+            }
+        }
+    }
+}
+
+impl Publisher {
+    pub fn new(lease: Duration) -> Self {
+        Self {
+            replica: RefCell::new(Replica::new(lease)),
+            answers: RefCell::default(),
+            origin: Instant::now(),
+            revision: watch::Sender::new(0),
+            confirm: Notify::new(),
+            waiting: RefCell::default(),
+            stops: watch::Sender::new(false),
+        }
+    }
+
+    /// Time as the replica counts it.
+    pub fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// The call that upstream is to have next; one for a caller's version only if that `may_confirm`.
+    pub fn next_call(&self, may_confirm: bool) -> Call {
+        let replica = self.replica.borrow();
+        if may_confirm {
+            replica.next_call()
+        } else {
+            replica.next_list_call()
+        }
+    }
+
+    /// Calls go to another upstream now.
+    pub fn upstream_changed(&self) {
+        self.replica.borrow_mut().upstream_changed();
+    }
+
+    /// Takes in upstream's answer, and wakes all callers that wait if it has news for them.
+    pub fn apply(&self, call: Call, list: List, sent: Duration) -> Result<Applied, RejectedList> {
+        let applied = self.replica.borrow_mut().apply(call, list, sent, self.now());
+        let news = applied.as_ref().is_ok_and(|applied| applied.news);
+        if news {
+            self.answers.borrow_mut().clear();
+        }
+        if news || !matches!(call, Call::Watch(_)) {
+            self.wake_callers();
+        }
+        applied
+    }
+
+    fn wake_callers(&self) {
+        self.revision.send_modify(|revision| *revision += 1);
+    }
+
+    /// Until a caller wants upstream's word on a version.
+    pub async fn confirm_wanted(&self) {
+        while !matches!(self.next_call(true), Call::Confirm(_)) {
+            self.confirm.notified().await;
+        }
+    }
+
+    /// Answers a caller, once there is something to answer.
+    pub async fn answer(&self, request: ListRequest) -> Result<EncodedList, PublishError> {
+        let (came, ends) = (self.now(), Instant::now() + request.wait);
+        let (mut revision, mut stops) = (self.revision.subscribe(), self.stops.subscribe());
+        loop {
+            if *stops.borrow_and_update() {
+                return Err(PublishError::Stops);
+            }
+            let wait_is_over = Instant::now() >= ends;
+            let question = Question { after: request.after, came, wait_is_over };
+            let reply = self.replica.borrow_mut().answer(question, self.now())?;
+            let (until, _waiting) = match (reply, request.after) {
+                (Reply::Wait, Some(version)) => (ends, Some(Waiting::begin(self, version))),
+                (Reply::Confirm, Some(version)) => {
+                    if self.now() >= came + CONFIRM_PATIENCE {
+                        return Err(PublishError::Unconfirmed(version));
+                    }
+                    self.confirm.notify_one();
+                    (self.origin + came + CONFIRM_PATIENCE, None)
+                }
+                _ => return self.encoded(reply),
+            };
+            tokio::select! {
+                _ = revision.changed() => {}
+                _ = stops.changed() => {}
+                () = sleep_until(until) => {}
+            }
+        }
+    }
+
+    fn encoded(&self, reply: Reply) -> Result<EncodedList, PublishError> {
+        let replica = self.replica.borrow();
+        let encoded = self.answers.borrow_mut().encoded(reply, || replica.message(reply));
+        Ok(encoded.ok_or(Unavailable::NoList)??)
+    }
+
+    /// Fails callers that wait at the moment the lease runs out.
+    pub async fn watch_lease(self: Rc<Self>, log: Log) {
+        let mut revision = self.revision.subscribe();
+        loop {
+            let expires = self.replica.borrow().expires();
+            let Some(expires) = expires else {
+                if revision.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            };
+            if self.now() <= expires {
+                sleep_until(self.origin + expires + LEASE_SLACK).await;
+                continue;
+            }
+            log.line("relay: nothing was heard from upstream for the lease: callers are failed");
+            self.wake_callers();
+            while self.replica.borrow().expires() == Some(expires) {
+                sleep(LEASE_POLL).await;
+            }
+            log.line("relay: upstream is heard again: callers are answered");
+        }
+    }
+
+    /// Why callers are failed now, if they are.
+    pub fn unavailable(&self) -> Option<Unavailable> {
+        let question = Question { after: None, came: self.now(), wait_is_over: true };
+        self.replica.borrow_mut().answer(question, self.now()).err()
+    }
+
+    /// Looks at the replica.
+    pub fn look<T>(&self, at: impl FnOnce(&Replica) -> T) -> T {
+        at(&self.replica.borrow())
+    }
+
+    /// Callers that have the version held and wait for a newer one.
+    pub fn waiting(&self) -> usize {
+        let version = self.replica.borrow().version();
+        version.and_then(|version| self.waiting.borrow().get(&version).copied()).unwrap_or(0)
+    }
+
+    /// Fails all callers from now on.
+    pub fn stop(&self) {
+        self.stops.send_replace(true);
+    }
+
+    /// Until callers are failed because the relay stops.
+    pub async fn stopped(&self) {
+        let mut stops = self.stops.subscribe();
+        // The sender is this one's own.
+        let _ = stops.wait_for(|stops| *stops).await;
+    }
+}
