Put relays between discovery and the nodes of a scale run

Cause: what a relay saves at discovery was only reckoned. Real nodes and a split are refused with relays: the run can follow neither there. A run that is killed leaves its relays, as it leaves real nodes.

--- a/crates/cli/src/scale.rs
+++ b/crates/cli/src/scale.rs
@@ -3,6 +3,7 @@
 use crate::lab::{unusable, Code, Node, BROKEN, UNUSABLE};
 use clap::{Args, ValueEnum};
 use indicatif::{ProgressBar, ProgressStyle};
+use slatelink_config::relay::DEFAULT_LEASE_MS;
 use slatelink_lab::scale::bounds::{Estimate, Limits};
 use slatelink_lab::scale::run::{Programs, WorkerProgram};
 use slatelink_lab::scale::{self, Options, Progress, Report, ScaleError, Trouble, TroubleKind};
@@ -62,6 +63,12 @@
     /// Discovery's time for an entry that it writes
     #[arg(long, value_name = "MICROSECONDS", default_value_t = 5)]
     entry_cost: u64,
+    /// Relays between discovery and simulated nodes: the first tier's number, and the second one's
+    #[arg(long, value_name = "N[,M]", value_delimiter = ',')]
+    relays: Vec<usize>,
+    /// How long relays answer after upstream's last word
+    #[arg(long, value_name = "MILLISECONDS", default_value_t = DEFAULT_LEASE_MS)]
+    relay_lease_ms: u64,
     /// What goes wrong
     #[arg(long, value_enum)]
     trouble: Option<TroubleName>,
@@ -111,6 +118,7 @@
                 path: std::env::current_exe()?,
                 arguments: WORKER.map(str::to_owned).to_vec(),
             },
+            relay: std::env::current_exe()?,
         };
         if let Err(error) = announce(&options) {
             return refused(&error);
@@ -156,6 +164,8 @@
             step_wise: self.step_wise,
             call_cost_us: self.call_cost,
             entry_cost_us: self.entry_cost,
+            relays: self.relays.clone(),
+            relay_lease_ms: self.relay_lease_ms,
             trouble,
         }
     }
--- a/crates/cli/tests/scale.rs
+++ b/crates/cli/tests/scale.rs
@@ -91,7 +91,11 @@
 
 /// Each kind of count, with a group's name.
 fn counted(report: &Value, group: &str, names: [&str; 8]) -> [u64; 8] {
-    names.map(|name| report["counts"][group][name].as_u64().unwrap())
+    figures(&report["counts"][group], names)
+}
+
+fn figures(counts: &Value, names: [&str; 8]) -> [u64; 8] {
+    names.map(|name| counts[name].as_u64().unwrap())
 }
 
 const NAMES: [&str; 8] = [
@@ -150,6 +154,52 @@
     assert!(said.starts_with("estimated: 4 processes, "), "the bounds are stated first: {said}");
 }
 
+// Guards against relays that pass calls through, ask for more than one caller would, or change what an answer says; and
+// against counts of one place that go to another.
+#[test]
+fn relays_between_are_one_caller_each_and_nodes_get_what_discovery_would_say() {
+    let file = Report::new("relays");
+    let arguments =
+        ["--real=0", "--simulated=6", "--workers=2", "--servers=20", "--length=3", "--list-changes=1"];
+    // A watch of 60 s, so that none ends within the run.
+    let more = ["--relays=2,3", "--relay-lease-ms=180000", "--step-wise", "--seed=7", "--json", file.path()];
+    let (run, started) = begun(&[&arguments[..], &more[..]].concat(), 7);
+    let output = run.wait_with_output().unwrap();
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    assert_eq!(started.into_iter().filter(|pid| runs(*pid)).count(), 0, "its processes have ended");
+    let report = file.read();
+    assert_eq!(report["behind_at_end"], 0);
+    // A caller at any place: one whole list, three changes, and a watch that waits at the end.
+    let call_bytes = call("/v1/servers") + 4 * call("/v1/servers?after=1&wait_ms=60000");
+    let answer_bytes = answer(true, 20, "ready") + 3 * answer(false, 1, "draining");
+    let caller = [1, 4, call_bytes, 1, 3, answer_bytes, 23, 1];
+    let at_tier = |tier: usize| figures(&report["relays"][tier]["callers"], NAMES);
+    assert_eq!(counted(&report, "discovery", NAMES), caller.map(|count| 2 * count));
+    assert_eq!(at_tier(0), caller.map(|count| 3 * count));
+    assert_eq!(at_tier(1), caller.map(|count| 6 * count));
+    assert_eq!(counted(&report, "simulated", NAMES), at_tier(1));
+    for tier in 0..2 {
+        assert_eq!(report["relays"][tier]["upstream_failed"], 0);
+    }
+    let table = text(&output.stdout);
+    assert!(table.contains("a relay, tier 2 ") && table.contains("relays by tier"), "{table}");
+}
+
+// Guards against nodes behind relays that do not come back after discovery was away.
+#[test]
+fn all_nodes_behind_relays_are_up_to_date_after_discovery_was_away() {
+    let file = Report::new("relays-discovery-down");
+    let arguments = ["--real=0", "--simulated=9", "--workers=2", "--servers=9", "--length=4", "--seed=2"];
+    let trouble = ["--trouble=discovery-down", "--trouble-at=0.5", "--trouble-for=2.5"];
+    // Shorter than discovery is away.
+    let more = ["--relays=2,3", "--relay-lease-ms=600", "--json", file.path()];
+    let output = scale(&[&arguments[..], &trouble[..], &more[..]].concat()).output().unwrap();
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    let report = file.read();
+    assert!(report["behind_at_end"] == 0 && recovered(&report), "{report}");
+    assert!(report["relays"][1]["callers"]["refused"].as_u64() > Some(0), "leases ran out: {report}");
+}
+
 // Guards against a restart or a new configuration that asks discovery more than once.
 #[test]
 fn a_new_configuration_is_one_whole_list_for_each_node() {
@@ -268,6 +318,12 @@
     refused(&["--trouble=zone-lost", "--zones=1"], "at least 2 zones");
     refused(&["--trouble=split", "--trouble-at=25"], "does not end within the run's 30 s");
     refused(&["--trouble-at=3"], "--trouble");
+    refused(&["--relays=2"], "1 real nodes are asked for with relays");
+    refused(&["--real=0", "--relays=2,0"], "--relays is 0");
+    refused(&["--real=0", "--relays=2,3,4"], "3 tiers of relays are asked for: at most 2");
+    refused(&["--real=0", "--relays=2", "--trouble=split"], "with relays between them there is none");
+    refused(&["--real=0", "--relays=2", "--relay-lease-ms=9"], "--relay-lease-ms is 9");
+    refused(&["--real=0", "--relays=200,200"], "405 processes: 300 are the most");
     refused(&["--trouble=flood"], "discovery-down");
     refused(&["--json=/nowhere/report.json"], "cannot write /nowhere/report.json: ");
 }
--- a/crates/lab/src/scale.rs
+++ b/crates/lab/src/scale.rs
@@ -16,6 +16,7 @@
 pub mod protocol;
 pub mod queue;
 pub mod real;
+pub mod relays;
 pub mod report;
 pub mod run;
 pub mod sample;
--- a/crates/lab/src/scale/assignment.rs
+++ b/crates/lab/src/scale/assignment.rs
@@ -1,7 +1,7 @@
 //! Which worker has which nodes, which address of discovery is for whom, and which side of a split a node is on. No I/O.
 
 use crate::scale::options::Options;
-use crate::scale::service::Peer;
+use crate::scale::service::{Caller, Peer};
 use std::net::SocketAddr;
 use std::ops::Range;
 
@@ -9,6 +9,8 @@
 #[derive(Clone, Debug)]
 pub struct Assignment {
     real: usize,
+    /// Relays that have discovery upstream.
+    relays: usize,
     /// The first node of each worker, and the end.
     bounds: Vec<usize>,
 }
@@ -18,7 +20,8 @@
     pub fn new(options: &Options) -> Self {
         let workers = options.used_workers();
         let bound = |place: usize| options.real + options.simulated * place / workers.max(1);
-        Self { real: options.real, bounds: (0..=workers).map(bound).collect() }
+        let relays = options.relays.first().copied().unwrap_or(0);
+        Self { real: options.real, relays, bounds: (0..=workers).map(bound).collect() }
     }
 
     /// Workers there are.
@@ -32,12 +35,19 @@
     }
 
     /// Who calls at discovery's addresses: two follow one another for each real node, and two for each worker's nodes on
-    /// each side of a split.
+    /// each side of a split. At the end there is one for each relay.
     pub fn peers(&self) -> Vec<Peer> {
-        let both = |real, far| (0..2).map(move |address| Peer { real, address, far });
-        let real = (0..self.real).flat_map(|node| both(Some(node), is_far(node)));
-        let shared = (0..self.workers()).flat_map(|_| both(None, false).chain(both(None, true)));
-        real.chain(shared).collect()
+        let both = |caller, far| (0..2).map(move |address| Peer { caller, address, far });
+        let real = (0..self.real).flat_map(|node| both(Caller::RealNode(node), is_far(node)));
+        let simulated = |far| both(Caller::SimulatedNodes, far);
+        let shared = (0..self.workers()).flat_map(|_| simulated(false).chain(simulated(true)));
+        let relay = Peer { caller: Caller::Relay, address: 0, far: false };
+        real.chain(shared).chain((0..self.relays).map(|_| relay)).collect()
+    }
+
+    /// The relays' addresses, of those listed for the peers.
+    pub fn of_relays<'a>(&self, addresses: &'a [SocketAddr]) -> &'a [SocketAddr] {
+        &addresses[addresses.len() - self.relays..]
     }
 
     /// A real node's two addresses, of those listed for the peers.
@@ -67,7 +77,7 @@
     // Guards against a node that two workers run, or none, and against one that calls at another's address.
     #[test]
     fn each_node_has_one_worker_and_addresses_of_its_side() {
-        let options = Options { real: 3, simulated: 8, workers: 3, ..Options::default() };
+        let options = Options { real: 3, simulated: 8, workers: 3, relays: vec![2, 4], ..Options::default() };
         let assignment = Assignment::new(&options);
         let dealt: Vec<_> = (0..assignment.workers()).flat_map(|worker| assignment.nodes(worker)).collect();
         assert_eq!(dealt, (3..11).collect::<Vec<_>>());
@@ -75,16 +85,18 @@
         let addresses: Vec<_> =
             (0..peers.len()).map(|port| SocketAddr::from(([127, 0, 0, 1], port as u16))).collect();
         let at = |address: SocketAddr| peers[usize::from(address.port())];
+        let relay = Peer { caller: Caller::Relay, address: 0, far: false };
+        assert!(assignment.of_relays(&addresses).iter().map(|address| at(*address)).eq([relay; 2]));
         for node in 0..3 {
             let pair = assignment.of_real(node, &addresses).map(at);
-            let peer = |address| Peer { real: Some(node), address, far: is_far(node) };
+            let peer = |address| Peer { caller: Caller::RealNode(node), address, far: is_far(node) };
             assert_eq!(pair, [peer(0), peer(1)]);
         }
         for (worker, node) in
             (0..3).flat_map(|worker| assignment.nodes(worker).map(move |node| (worker, node)))
         {
             let pair = assignment.of_simulated(worker, node, &addresses).map(at);
-            let peer = |address| Peer { real: None, address, far: is_far(node) };
+            let peer = |address| Peer { caller: Caller::SimulatedNodes, address, far: is_far(node) };
             assert_eq!(pair, [peer(0), peer(1)]);
         }
     }
--- a/crates/lab/src/scale/bounds.rs
+++ b/crates/lab/src/scale/bounds.rs
@@ -20,6 +20,10 @@
 const WORKER_KIB: u64 = 16 << 10;
 /// A simulated node without servers, in KiB.
 const SIMULATED_NODE_KIB: u64 = 96;
+/// A relay's process without servers and callers, in KiB.
+const RELAY_KIB: u64 = 16 << 10;
+/// Of it, for each caller: two connections and their tasks.
+const RELAY_CALLER_KIB: u64 = 48;
 /// An entry at a node, with the message it came in, in bytes.
 const ENTRY_BYTES: u64 = 1 << 10;
 
@@ -29,6 +33,8 @@
 const GROUP_LISTENERS: u64 = 2;
 /// Groups of nodes of one worker: one on each side of a cut.
 const WORKER_GROUPS: u64 = 2;
+/// At the run for each relay: its pipe, its address of discovery, its calls there, and the question for its status.
+const RELAY_DESCRIPTORS: u64 = 1 + 1 + NODE_CONNECTIONS + 1;
 /// Pipes to a process.
 const PIPES: u64 = 3;
 /// Descriptors of a process besides.
@@ -97,15 +103,20 @@
             + real * (REAL_NODE_KIB + entries_kib)
             + workers * WORKER_KIB
             + simulated * (SIMULATED_NODE_KIB + entries_kib);
+        let (relays, relay_callers) = relays(options);
+        let memory_kib = memory_kib + relays * (RELAY_KIB + entries_kib) + relay_callers * RELAY_CALLER_KIB;
         let clients = if options.requests > 0.0 { real * 2 * CLIENT_CONNECTIONS as u64 } else { 0 };
         let run = SPARE_DESCRIPTORS
             + nodes * NODE_CONNECTIONS
             + real * (GROUP_LISTENERS + PIPES)
             + workers * (WORKER_GROUPS * GROUP_LISTENERS + PIPES)
+            + relays * RELAY_DESCRIPTORS
             + clients;
         let worker = SPARE_DESCRIPTORS + simulated.div_ceil(workers.max(1)) * NODE_CONNECTIONS;
         let node = if real > 0 { REAL_NODE_SOCKETS as u64 } else { 0 };
-        Self { processes: 1 + real + workers, memory_kib, descriptors: run.max(worker).max(node) }
+        let relay = if relays > 0 { most_of_relay(options) } else { 0 };
+        let descriptors = run.max(worker).max(node).max(relay);
+        Self { processes: 1 + real + workers + relays, memory_kib, descriptors }
     }
 
     /// Refuses a run that takes more than there is.
@@ -125,6 +136,20 @@
     }
 }
 
+/// Relays, and callers of all of them.
+fn relays(options: &Options) -> (u64, u64) {
+    let tiers = 0..options.relays.len();
+    let callers: usize = tiers.map(|tier| options.callers_of_tier(tier)).sum();
+    (options.relays.iter().sum::<usize>() as u64, callers as u64)
+}
+
+/// Descriptors of the relay that has most callers.
+fn most_of_relay(options: &Options) -> u64 {
+    let callers = |(tier, relays): (usize, &usize)| options.callers_of_tier(tier).div_ceil((*relays).max(1));
+    let most = options.relays.iter().enumerate().map(callers).max().unwrap_or(0);
+    SPARE_DESCRIPTORS + most as u64 * NODE_CONNECTIONS
+}
+
 impl Limits {
     /// Of this machine and this process.
     pub fn read() -> Result<Self, BoundsError> {
--- a/crates/lab/src/scale/counts.rs
+++ b/crates/lab/src/scale/counts.rs
@@ -1,6 +1,7 @@
 //! Messages and bytes of control, as discovery's stand-in counts them.
 
 use serde::{Deserialize, Serialize};
+use slatelink_node::relay::CallerCounts;
 use std::ops::{Add, Sub};
 
 /// Control between discovery and a group of nodes. Bytes are those of whole HTTP messages, without TCP and IP.
@@ -58,6 +59,31 @@
     }
 }
 
+/// What a relay counted with its callers.
+impl From<CallerCounts> for ControlCounts {
+    fn from(counts: CallerCounts) -> Self {
+        Self {
+            whole_calls: counts.whole_calls,
+            watch_calls: counts.watch_calls,
+            call_bytes: counts.call_bytes,
+            whole_answers: counts.whole_answers,
+            change_answers: counts.change_answers,
+            empty_answers: counts.empty_answers,
+            refused: counts.refused + counts.connections_refused,
+            answer_bytes: counts.answer_bytes,
+            entries: counts.entries,
+            connections: counts.connections,
+            resets: 0,
+        }
+    }
+}
+
+impl std::iter::Sum for ControlCounts {
+    fn sum<I: Iterator<Item = Self>>(counts: I) -> Self {
+        counts.fold(Self::default(), Add::add)
+    }
+}
+
 impl Add for ControlCounts {
     type Output = Self;
     fn add(self, other: Self) -> Self {
--- a/crates/lab/src/scale/directory.rs
+++ b/crates/lab/src/scale/directory.rs
@@ -5,6 +5,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// The list's version at the start.
+pub const FIRST_VERSION: u64 = 1;
+
 /// What discovery says of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
@@ -70,16 +73,17 @@
 }
 
 impl Directory {
-    /// A list of ready servers, at version 1.
+    /// A list of ready servers, at the first version.
     pub fn new(options: &Options, dial: SocketAddr) -> Self {
         let entry = |server: usize| Entry {
             name: format!("server-{server:05}"),
             zone: Options::zone(server % options.zones),
             health: Health::Ready,
             born_ms: 0,
-            changed: 1,
+            changed: FIRST_VERSION,
         };
-        Self { version: 1, entries: (0..options.servers).map(entry).collect(), dial, latest: None }
+        let entries = (0..options.servers).map(entry).collect();
+        Self { version: FIRST_VERSION, entries, dial, latest: None }
     }
 
     /// The present version.
--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -4,11 +4,12 @@
 use crate::run::Folder;
 use crate::scale::assignment::Assignment;
 use crate::scale::convergence::{Change, Occasion};
-use crate::scale::directory::EntryChange;
+use crate::scale::directory::{EntryChange, FIRST_VERSION};
 use crate::scale::options::Options;
 use crate::scale::processes::monotonic_us;
 use crate::scale::protocol::{NodeSetup, Order, Setup};
 use crate::scale::real::{self, RealNode, RealNodeEvent, Surroundings};
+use crate::scale::relays::Relays;
 use crate::scale::run::{Programs, ScaleError};
 use crate::scale::service::{Acknowledged, Service};
 use crate::scale::state::{FleetEvent, FleetState};
@@ -49,6 +50,10 @@
     pub options: &'a Options,
     /// Discovery.
     pub service: Service,
+    /// Relays between discovery and the nodes.
+    pub relays: Relays,
+    /// The newest version of the list.
+    version: u64,
     /// The processes that simulated nodes share.
     pub workers: Vec<Worker>,
     /// What is known of the members.
@@ -73,6 +78,8 @@
         let (version_sender, acknowledged) = unbounded_channel();
         let service = Service::start(options, traffic.servers, assignment.peers(), version_sender).await?;
         let (real_sender, real_events) = unbounded_channel();
+        let relay_upstream = assignment.of_relays(&service.addresses);
+        let relays = Relays::start(options, &programs.relay, relay_upstream).await?;
         let around = Surroundings {
             scenario: &scenario,
             seed: options.seed,
@@ -89,13 +96,15 @@
         let mut workers = Vec::with_capacity(assignment.workers());
         for place in 0..assignment.workers() {
             let mut worker = Worker::start(place, &programs.worker, worker_sender.clone())?;
-            let setup = setup(options, &assignment, place, addresses, &configuration);
+            let setup = setup(options, &assignment, place, addresses, &relays, &configuration);
             worker.order(&Order::SetUp(setup)).await?;
             workers.push(worker);
         }
         Ok(Self {
             options,
             service,
+            relays,
+            version: FIRST_VERSION,
             workers,
             state: FleetState::new(options)?,
             inbox: Inbox { acknowledged, real: real_events, workers: worker_events },
@@ -118,12 +127,16 @@
             ending.spawn_local(worker.end());
         }
         while ending.join_next().await.is_some() {}
+        self.relays.end().await;
         clients
     }
 
     /// Whether all nodes are up to date, and watch.
     pub fn is_settled(&self) -> bool {
-        self.state.is_up_to_date() && self.service.waiting() >= self.options.nodes()
+        let watching = self.options.relays.first().copied().unwrap_or(self.options.nodes());
+        self.state.is_up_to_date()
+            && self.service.waiting() >= watching
+            && self.relays.are_settled(self.version, self.options)
     }
 
     /// Starts all simulated nodes.
@@ -167,6 +180,7 @@
         occasion: Occasion,
     ) -> Result<(), ScaleError> {
         let changed = self.service.change(changes).await?;
+        self.version = changed.version;
         self.state.list_changes += 1;
         self.state.convergence.changed(Change::List(changed.version), occasion, changed.at_us);
         Ok(())
@@ -191,9 +205,14 @@
     assignment: &Assignment,
     worker: usize,
     addresses: &[SocketAddr],
+    relays: &Relays,
     configuration: &Path,
 ) -> Setup {
-    let node = |number| NodeSetup { number, discovery: assignment.of_simulated(worker, number, addresses) };
+    let node = |number| {
+        let own = assignment.of_simulated(worker, number, addresses);
+        // A new configuration has a node ask its relay anew.
+        NodeSetup { number, discovery: relays.address_for(number).map_or(own, |relay| [relay; 2]) }
+    };
     Setup {
         configuration: configuration.to_owned(),
         nodes: assignment.nodes(worker).map(node).collect(),
--- a/crates/lab/src/scale/options.rs
+++ b/crates/lab/src/scale/options.rs
@@ -1,6 +1,7 @@
 //! What a scale run is asked for, and whether that makes sense.
 
 use serde::Serialize;
+use slatelink_config::relay::DEFAULT_LEASE_MS;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -58,6 +59,10 @@
     pub call_cost_us: u64,
     /// Discovery's time for an entry that it writes, in microseconds.
     pub entry_cost_us: u64,
+    /// Relays between discovery and the nodes, by tier; the first tier has discovery upstream.
+    pub relays: Vec<usize>,
+    /// How long relays answer after upstream's last word, in milliseconds.
+    pub relay_lease_ms: u64,
     /// What goes wrong.
     pub trouble: Option<Trouble>,
 }
@@ -78,6 +83,8 @@
             step_wise: false,
             call_cost_us: 250,
             entry_cost_us: 5,
+            relays: Vec::new(),
+            relay_lease_ms: DEFAULT_LEASE_MS,
             trouble: None,
         }
     }
@@ -122,6 +129,19 @@
         /// How long the run is.
         length_s: f64,
     },
+    /// Real nodes behind relays: what they have in force shows only to whom they call.
+    #[error(
+        "{0} real nodes are asked for with relays: they cannot be followed there, so --real has to be 0"
+    )]
+    RealBehindRelays(usize),
+    /// More tiers than there are.
+    #[error(
+        "{0} tiers of relays are asked for: at most {MOST_TIERS} can stand between discovery and the nodes"
+    )]
+    TooManyTiers(usize),
+    /// A cut is between discovery and nodes, where relays stand.
+    #[error("a split cuts nodes off from discovery: with relays between them there is none to play")]
+    SplitWithRelays,
     /// More changes than can be followed.
     #[error("{changes} changes are planned: at most {MOST_CHANGES} can be followed in a run")]
     TooManyChanges {
@@ -137,6 +157,9 @@
 const MOST_SECONDS: f64 = 86_400.0;
 const MOST_RATE: f64 = 10_000.0;
 const MOST_COST_US: f64 = 1_000_000.0;
+const MOST_TIERS: usize = 2;
+/// What a relay takes for its lease.
+const LEASE_MS: [f64; 2] = [300.0, 3_600_000.0];
 
 impl Options {
     /// Nodes of both kinds.
@@ -149,6 +172,11 @@
         self.workers.min(self.simulated)
     }
 
+    /// Callers of a tier's relays: those of the next tier, or the simulated nodes.
+    pub fn callers_of_tier(&self, tier: usize) -> usize {
+        self.relays.get(tier + 1).copied().unwrap_or(self.simulated)
+    }
+
     /// How long changes are made.
     pub fn length(&self) -> Duration {
         Duration::from_secs_f64(self.length_s)
@@ -192,13 +220,31 @@
         if changes > MOST_CHANGES {
             return Err(OptionsError::TooManyChanges { changes });
         }
+        self.check_relays()?;
         self.trouble.map_or(Ok(()), |trouble| self.check_trouble(trouble))
     }
 
+    fn check_relays(&self) -> Result<(), OptionsError> {
+        for relays in &self.relays {
+            range("--relays", *relays as f64, 1.0, MOST)?;
+        }
+        range("--relay-lease-ms", self.relay_lease_ms as f64, LEASE_MS[0], LEASE_MS[1])?;
+        if self.relays.len() > MOST_TIERS {
+            return Err(OptionsError::TooManyTiers(self.relays.len()));
+        }
+        if !self.relays.is_empty() && self.real > 0 {
+            return Err(OptionsError::RealBehindRelays(self.real));
+        }
+        Ok(())
+    }
+
     fn check_trouble(&self, trouble: Trouble) -> Result<(), OptionsError> {
         let Trouble { kind, at_s, for_s } = trouble;
         range("--trouble-at", at_s, 0.0, MOST_SECONDS)?;
         range("--trouble-for", for_s, 0.0, MOST_SECONDS)?;
+        if kind == TroubleKind::Split && !self.relays.is_empty() {
+            return Err(OptionsError::SplitWithRelays);
+        }
         if kind == TroubleKind::ZoneLost && self.zones < 2 {
             return Err(OptionsError::OnlyZone);
         }
--- a/crates/lab/src/scale/play.rs
+++ b/crates/lab/src/scale/play.rs
@@ -156,7 +156,7 @@
         match step {
             TroubleStep::Begin(kind) => {
                 let figures = self.fleet.service.figures().await?;
-                self.trouble = Some((kind, figures.real + figures.simulated));
+                self.trouble = Some((kind, figures.control()));
                 self.begin(kind).await
             }
             TroubleStep::End(kind) => self.end(kind).await,
@@ -206,7 +206,7 @@
         if !self.until(WORKER_ANSWER, counted).await? {
             return Err(ScaleError::Silent);
         }
-        Ok(Sample::take(self.fleet).await?)
+        Sample::take(self.fleet).await
     }
 
     fn report(
@@ -228,6 +228,7 @@
             discovery: period.discovery(),
             real_node: period.real_node(),
             simulated_node: period.simulated_node(),
+            relays: period.relays(),
             empty_worker_kib: period.empty_workers.resident_kib / self.fleet.workers.len().max(1) as u64,
             list_change: change_times(state.convergence.lists()),
             configuration: change_times(state.convergence.configurations()),
@@ -247,7 +248,7 @@
             to_last_node_ms: ms(Occasion::TroubleBegins),
             recovered_ms: ms(Occasion::TroubleEnds),
             restarted: (kind == TroubleKind::RestartTenth).then_some(restarted),
-            counts: period.after.control() - counts_before,
+            counts: period.after.service.control() - counts_before,
             failed_calls: period.after.failed_calls - period.before.failed_calls,
         }))
     }
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -29,6 +29,8 @@
     pub real_node: Option<Node>,
     /// A simulated node, on average.
     pub simulated_node: Option<Node>,
+    /// The relays between, by tier from discovery on.
+    pub relays: Vec<RelayTier>,
     /// Resident memory of a worker without nodes, in KiB.
     pub empty_worker_kib: u64,
     /// From a planned change of the list until nodes have it in force.
@@ -52,12 +54,37 @@
     pub configurations: u64,
     /// With real nodes, from the first start on.
     pub real: ControlCounts,
-    /// With simulated nodes, from the first start on.
+    /// With simulated nodes, from the first start on; with relays it is these that they call.
     pub simulated: ControlCounts,
+    /// At discovery, with all that call there, from the first start on.
+    pub discovery: ControlCounts,
     /// With real nodes, while it was measured.
     pub real_measured: ControlCounts,
     /// With simulated nodes, while it was measured.
     pub simulated_measured: ControlCounts,
+    /// At discovery, while it was measured.
+    pub discovery_measured: ControlCounts,
+}
+
+/// The relays of one tier. Figures of one relay are means.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct RelayTier {
+    /// So many.
+    pub relays: usize,
+    /// Control of one relay with its callers.
+    pub traffic: Traffic,
+    /// With callers of all of them, from the first start on.
+    pub callers: ControlCounts,
+    /// The same, while it was measured.
+    pub callers_measured: ControlCounts,
+    /// Calls of all of them that upstream did not answer with a list, from the first start on.
+    pub upstream_failed: u64,
+    /// Processor time of one, in microseconds for each second; ten questions for its state a second are in it.
+    pub processor_us_per_s: f64,
+    /// Resident memory of one at the end, in KiB.
+    pub resident_kib: f64,
+    /// Connections of callers with one at the end.
+    pub connections: f64,
 }
 
 /// Discovery.
@@ -171,6 +198,11 @@
             options.seed,
             self.measured_s
         )?;
+        if !options.relays.is_empty() {
+            let tiers: Vec<_> = options.relays.iter().map(usize::to_string).collect();
+            let lease = options.relay_lease_ms;
+            writeln!(f, "relays by tier from discovery on: {}; lease {lease} ms", tiers.join(", "))?;
+        }
         self.per_member(f)?;
         self.times(f)?;
         self.totals(f)
@@ -205,6 +237,12 @@
         if let Some(simulated) = &self.simulated_node {
             node(f, "a simulated node", simulated)?;
         }
+        for (tier, relay) in self.relays.iter().enumerate() {
+            line(f, &format!("a relay, tier {}", tier + 1), &relay.traffic)?;
+            let (processor, memory, sockets) =
+                (relay.processor_us_per_s, relay.resident_kib, relay.connections);
+            writeln!(f, " {processor:>12.0} {processor:>13.0} {memory:>12.0} {sockets:>8.1}")?;
+        }
         let discovery = &self.discovery;
         line(f, "discovery", &discovery.traffic)?;
         let processor = discovery.processor_us_per_s;
@@ -242,12 +280,18 @@
     }
 
     fn totals(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Counts { list_changes, configurations, real, simulated, .. } = &self.counts;
+        let Counts { list_changes, configurations, real, simulated, discovery, .. } = &self.counts;
         writeln!(
             f,
             "\n{list_changes} list changes, {configurations} configurations; messages of the whole run:"
         )?;
-        for (name, counts) in [("real", real), ("simulated", simulated)] {
+        let mut groups = vec![("real".to_owned(), real), ("simulated".to_owned(), simulated)];
+        if !self.relays.is_empty() {
+            let tiers = self.relays.iter().enumerate();
+            groups.extend(tiers.map(|(tier, relay)| (format!("tier {}", tier + 1), &relay.callers)));
+            groups.push(("discovery".to_owned(), discovery));
+        }
+        for (name, counts) in groups {
             writeln!(
                 f,
                 "{name:<10} {} calls ({} for whole lists), {} bytes; {} answers ({} whole, {} of changes, {} empty, \
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -5,6 +5,7 @@
 use crate::scale::fleet::Fleet;
 use crate::scale::options::{Options, OptionsError};
 use crate::scale::play::{Player, FLEET_START};
+use crate::scale::relays::RelayProcessError;
 use crate::scale::report::Report;
 use crate::scale::service::ServiceEnded;
 use crate::scale::workers::WorkersError;
@@ -55,6 +56,9 @@
     /// A real node that gave up.
     #[error("real node {0}: {1}")]
     RealNode(usize, String),
+    /// A relay.
+    #[error(transparent)]
+    Relay(#[from] RelayProcessError),
     /// The stand-in for discovery.
     #[error(transparent)]
     Service(#[from] ServiceEnded),
@@ -105,6 +109,8 @@
     pub node: Program,
     /// The workers'.
     pub worker: WorkerProgram,
+    /// The relays' binary.
+    pub relay: PathBuf,
 }
 
 /// Runs it, until it is over or `stop` is raised. Nothing that it started is left then.
--- a/crates/lab/src/scale/sample.rs
+++ b/crates/lab/src/scale/sample.rs
@@ -4,7 +4,9 @@
 use crate::scale::fleet::Fleet;
 use crate::scale::options::Options;
 use crate::scale::processes::Usage;
-use crate::scale::report::{Counts, Discovery, Node, Traffic};
+use crate::scale::relays::RelayProcess;
+use crate::scale::report::{Counts, Discovery, Node, RelayTier, Traffic};
+use crate::scale::run::ScaleError;
 use crate::scale::service::ServiceFigures;
 use crate::scale::workers::Worker;
 use std::collections::BTreeMap;
@@ -12,12 +14,39 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// What the relays of a tier counted and used so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct TierSample {
+    callers: ControlCounts,
+    upstream_failed: u64,
+    usage: Usage,
+    open: usize,
+}
+
+impl TierSample {
+    async fn take(relays: &[RelayProcess]) -> Result<Self, ScaleError> {
+        let mut sample = Self::default();
+        for relay in relays {
+            let status = relay.status().await?;
+            sample.callers = sample.callers + status.callers.into();
+            sample.upstream_failed += status.upstream.failed;
+            // The run's own are no callers: the one that follows its state, and the one that asked now.
+            sample.open += status.open.saturating_sub(2);
+            let usage = relay.pid().map(Usage::of).transpose()?;
+            sample.usage = [sample.usage, usage.unwrap_or_default()].into_iter().sum();
+        }
+        Ok(sample)
+    }
+}
+
 /// What all members used so far.
 #[derive(Debug)]
 pub struct Sample {
     at: Instant,
     /// What discovery counted and used.
     pub service: ServiceFigures,
+    /// What relays counted and used, by tier.
+    relays: Vec<TierSample>,
     run: Usage,
     /// By process: a restarted node has another one.
     real: BTreeMap<i32, Usage>,
@@ -31,14 +60,19 @@
 
 impl Sample {
     /// Of this moment; workers have answered what they counted.
-    pub async fn take(fleet: &Fleet<'_>) -> io::Result<Self> {
+    pub async fn take(fleet: &Fleet<'_>) -> Result<Self, ScaleError> {
         let state = &fleet.state;
         let real = state.pids.iter().flatten().map(|&pid| Ok((pid, Usage::of(pid)?)));
         let counted = || state.counted.iter().flatten();
         let request_processor_ns = counted().map(|counts| counts.request_processor_ns).sum();
+        let mut relays = Vec::with_capacity(fleet.relays.tiers.len());
+        for tier in &fleet.relays.tiers {
+            relays.push(TierSample::take(tier).await?);
+        }
         Ok(Self {
             at: Instant::now(),
-            service: fleet.service.figures().await.map_err(io::Error::other)?,
+            service: fleet.service.figures().await?,
+            relays,
             run: Usage::of(nix::unistd::getpid().as_raw())?,
             real: real.collect::<io::Result<_>>()?,
             workers: workers_usage(&fleet.workers)?,
@@ -49,9 +83,9 @@
         })
     }
 
-    /// Control with all nodes.
-    pub fn control(&self) -> ControlCounts {
-        self.service.real + self.service.simulated
+    /// Control with simulated nodes: they call at the last relays, or at discovery.
+    fn simulated(&self) -> ControlCounts {
+        self.relays.last().map_or(self.service.simulated, |last| last.callers)
     }
 }
 
@@ -81,14 +115,16 @@
 
     /// Messages and bytes.
     pub fn counts(&self, list_changes: u64, configurations: u64) -> Counts {
-        let (before, after) = (&self.before.service, &self.after.service);
+        let (before, after) = (&self.before, &self.after);
         Counts {
             list_changes,
             configurations,
-            real: after.real,
-            simulated: after.simulated,
-            real_measured: after.real - before.real,
-            simulated_measured: after.simulated - before.simulated,
+            real: after.service.real,
+            simulated: after.simulated(),
+            discovery: after.service.control(),
+            real_measured: after.service.real - before.service.real,
+            simulated_measured: after.simulated() - before.simulated(),
+            discovery_measured: after.service.control() - before.service.control(),
         }
     }
 
@@ -98,7 +134,7 @@
         let processor = after.processor.saturating_sub(before.processor);
         let busy = after.busy.saturating_sub(before.busy);
         Discovery {
-            traffic: Traffic::of(&(self.after.control() - self.before.control()), self.seconds(), 1),
+            traffic: Traffic::of(&(after.control() - before.control()), self.seconds(), 1),
             processor_us_per_s: micros(processor) / self.seconds(),
             busy_share: busy.as_secs_f64() / self.seconds(),
             resident_kib: self.after.run.resident_kib,
@@ -107,6 +143,27 @@
         }
     }
 
+    /// The relays, by tier.
+    pub fn relays(&self) -> Vec<RelayTier> {
+        let tiers = self.options.relays.iter().zip(self.before.relays.iter().zip(&self.after.relays));
+        let tier = |(&relays, (before, after)): (&usize, (&TierSample, &TierSample))| {
+            let each = |whole: f64| whole / relays as f64;
+            let processor = after.usage.processor.saturating_sub(before.usage.processor);
+            let measured = after.callers - before.callers;
+            RelayTier {
+                relays,
+                traffic: Traffic::of(&measured, self.seconds(), relays),
+                callers: after.callers,
+                callers_measured: measured,
+                upstream_failed: after.upstream_failed,
+                processor_us_per_s: each(micros(processor) / self.seconds()),
+                resident_kib: each(after.usage.resident_kib as f64),
+                connections: each(after.open as f64),
+            }
+        };
+        tiers.map(tier).collect()
+    }
+
     /// A real node; `None` where there is none.
     pub fn real_node(&self) -> Option<Node> {
         let counts = self.after.service.real - self.before.service.real;
@@ -131,7 +188,7 @@
     pub fn simulated_node(&self) -> Option<Node> {
         let (before, after) = (&self.before, &self.after);
         let nodes = self.options.simulated as f64;
-        let counts = after.service.simulated - before.service.simulated;
+        let counts = after.simulated() - before.simulated();
         let processor = after.workers.processor.saturating_sub(before.workers.processor);
         let requests = after.request_processor.saturating_sub(before.request_processor);
         let each = |time: Duration| micros(time) / self.seconds() / nodes;
--- a/crates/lab/src/scale/service.rs
+++ b/crates/lab/src/scale/service.rs
@@ -23,11 +23,22 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep_until, timeout, Instant};
 
+/// Who calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Caller {
+    /// A real node, of this number.
+    RealNode(usize),
+    /// Some of the simulated nodes.
+    SimulatedNodes,
+    /// A relay.
+    Relay,
+}
+
 /// Who calls at an address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Peer {
-    /// The real node that the address is for; `None` for one of simulated nodes.
-    pub real: Option<usize>,
+    /// Who it is.
+    pub caller: Caller,
     /// Which of a node's two addresses it is.
     pub address: usize,
     /// Whether a split cuts it off.
@@ -63,6 +74,8 @@
     pub real: ControlCounts,
     /// Control with simulated nodes.
     pub simulated: ControlCounts,
+    /// Control with relays.
+    pub relays: ControlCounts,
     /// Processor time of its thread.
     pub processor: Duration,
     /// Time of its turns, by the stated costs.
@@ -73,6 +86,13 @@
     pub most_open: usize,
 }
 
+impl ServiceFigures {
+    /// Control with all callers.
+    pub fn control(&self) -> ControlCounts {
+        self.real + self.simulated + self.relays
+    }
+}
+
 enum Order {
     Change(Vec<EntryChange>, oneshot::Sender<Changed>),
     Down(bool),
@@ -167,6 +187,7 @@
     acknowledged: UnboundedSender<Acknowledged>,
     real: Cell<ControlCounts>,
     simulated: Cell<ControlCounts>,
+    relays: Cell<ControlCounts>,
     open: Cell<usize>,
     most_open: Cell<usize>,
 }
@@ -205,6 +226,7 @@
             acknowledged,
             real: Cell::default(),
             simulated: Cell::default(),
+            relays: Cell::default(),
             open: Cell::default(),
             most_open: Cell::default(),
         }
@@ -246,6 +268,7 @@
         ServiceFigures {
             real: self.real.get(),
             simulated: self.simulated.get(),
+            relays: self.relays.get(),
             processor: thread_processor_time(),
             busy: self.queue.borrow().busy(),
             open: self.open.get(),
@@ -254,7 +277,11 @@
     }
 
     fn count(&self, peer: Peer, with: impl FnOnce(&mut ControlCounts)) {
-        let group = if peer.real.is_some() { &self.real } else { &self.simulated };
+        let group = match peer.caller {
+            Caller::RealNode(_) => &self.real,
+            Caller::SimulatedNodes => &self.simulated,
+            Caller::Relay => &self.relays,
+        };
         let mut counts = group.get();
         with(&mut counts);
         group.set(counts);
@@ -360,7 +387,7 @@
             }
             counts.call_bytes += bytes as u64;
         });
-        if let (Some(node), Some(after)) = (peer.real, call.after) {
+        if let (Caller::RealNode(node), Some(after)) = (peer.caller, call.after) {
             let acknowledged = Acknowledged { node, address: peer.address, after, at_us: monotonic_us() };
             // The run may be over.
             let _ = self.acknowledged.send(acknowledged);
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -3,7 +3,7 @@
 use slatelink_config::operators;
 use slatelink_decide::{Class, Settings};
 use slatelink_lab::scale::directory::{EntryChange, Health};
-use slatelink_lab::scale::service::{Peer, Service};
+use slatelink_lab::scale::service::{Caller, Peer, Service};
 use slatelink_lab::scale::Options;
 use slatelink_node::control::{run, ControlObserver, ControlOptions};
 use slatelink_observe::{Format, Observers};
@@ -86,7 +86,7 @@
     on_one_thread(async {
         let observers = Observers::start(&operators::Settings::default(), &[], Format::Text).unwrap();
         let size = Options { servers: 1, zones: 1, ..Options::default() };
-        let peers = vec![Peer { real: None, address: 0, far: false }];
+        let peers = vec![Peer { caller: Caller::SimulatedNodes, address: 0, far: false }];
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
         let service = Service::start(&size, nowhere, peers, unbounded_channel().0).await.unwrap();
         let seen = Rc::new(Seen::default());
@@ -122,7 +122,8 @@
     on_one_thread(async {
         let observers = Observers::start(&operators::Settings::default(), &[], Format::Text).unwrap();
         let size = Options { servers: 1, zones: 1, ..Options::default() };
-        let peers = [false, true].map(|far| Peer { real: None, address: 0, far }).to_vec();
+        let peers =
+            [false, true].map(|far| Peer { caller: Caller::SimulatedNodes, address: 0, far }).to_vec();
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
         let service = Service::start(&size, nowhere, peers, unbounded_channel().0).await.unwrap();
         let (near, far) = (Rc::new(Seen::default()), Rc::new(Seen::default()));
--- a/crates/node/src/relay/callers.rs
+++ b/crates/node/src/relay/callers.rs
@@ -113,7 +113,6 @@
         let meter = Rc::new(Meter::new(self.counts.clone()));
         let io = TokioIo::new(Metered::new(stream, meter.clone()));
         if let Some(_place) = Place::take(&self.open, self.most_open) {
-            self.counts.add(|counts| counts.connections += 1);
             let service =
                 service_fn(async |request| Ok::<_, Infallible>(self.respond(&meter, request).await));
             let mut serving = pin!(http().serve_connection(io, service));
--- a/crates/node/src/relay/meter.rs
+++ b/crates/node/src/relay/meter.rs
@@ -35,11 +35,13 @@
     unclaimed: Cell<u64>,
     /// Whether what is written now answers a call for the list.
     counted: Cell<bool>,
+    /// Whether a list was asked for.
+    is_caller: Cell<bool>,
 }
 
 impl Meter {
     pub fn new(counts: Rc<Counts>) -> Self {
-        Self { counts, unclaimed: Cell::new(0), counted: Cell::new(false) }
+        Self { counts, unclaimed: Cell::new(0), counted: Cell::new(false), is_caller: Cell::new(false) }
     }
 
     /// A request was read; `counted` if it is one for the list.
@@ -47,7 +49,11 @@
         let bytes = self.unclaimed.take();
         self.counted.set(counted);
         if counted {
-            self.counts.add(|counts| counts.call_bytes += bytes);
+            let is_first = !self.is_caller.replace(true);
+            self.counts.add(|counts| {
+                counts.call_bytes += bytes;
+                counts.connections += u64::from(is_first);
+            });
         }
     }
 
--- a/crates/node/src/relay/status.rs
+++ b/crates/node/src/relay/status.rs
@@ -26,7 +26,7 @@
     pub answer_bytes: u64,
     /// Entries in all answers.
     pub entries: u64,
-    /// Connections that were accepted, refused ones left out.
+    /// Connections on which a list was asked for.
     pub connections: u64,
     /// Connections that were refused: there were as many as may be.
     pub connections_refused: u64,
