--- a/docs/capacity/measure.sh
+++ b/docs/capacity/measure.sh
@@ -1,16 +1,19 @@
 #!/bin/sh
-# Plays the scale runs of docs/CAPACITY.md one after another: measure.sh SLATELINK FOLDER lists|changes
+# Plays the scale runs of docs/CAPACITY.md one after another: measure.sh SLATELINK FOLDER lists|changes|relays
 # Each run writes FOLDER/scale-NAME.json, which holds its options, and its table to FOLDER/scale-NAME.txt.
 # `lists` has the starts of fleets and discovery past its time, `changes` all else; both take some ten minutes.
+# `relays` has simulated nodes alone, with relays and without, and takes some three minutes.
 set -u
 slatelink=$1
 folder=$2
 
+real=1
+
 run() {
     name=$1
     shift
-    echo "$name: slatelink lab scale --real 1 --workers 3 --zones 55 --seed 30 $*"
-    "$slatelink" lab scale --real 1 --workers 3 --zones 55 --seed 30 "$@" \
+    echo "$name: slatelink lab scale --real $real --workers 3 --zones 55 --seed 30 $*"
+    "$slatelink" lab scale --real $real --workers 3 --zones 55 --seed 30 "$@" \
         --json "$folder/scale-$name.json" > "$folder/scale-$name.txt" 2>&1 || echo "$name: exit code $?"
 }
 
@@ -61,4 +64,23 @@
         --trouble discovery-down --trouble-at 5 --trouble-for 40
 }
 
+# Behind relays real nodes cannot be followed.
+relays() {
+    real=0
+    for relays in 0 22; do
+        tiers=""
+        [ $relays = 0 ] || tiers="--relays $relays"
+        run "relays-$relays-nodes-300-price" \
+            --simulated 300 --servers 300 --list-changes 0.5 --length 16 --call-cost 13600 $tiers
+        run "relays-$relays-nodes-1000" --simulated 1000 --servers 300 --list-changes 0.5 --length 16 $tiers
+    done
+    # Without relays this one does not start (scale-price-1000).
+    run relays-22-nodes-1000-price \
+        --simulated 1000 --servers 300 --list-changes 0.5 --length 16 --call-cost 13600 --relays 22
+    run relays-4-22-nodes-1000-price \
+        --simulated 1000 --servers 300 --list-changes 0.5 --length 16 --call-cost 13600 --relays 4,22
+    run relays-22-restart-tenth-price --simulated 1000 --servers 300 --list-changes 0.2 --length 10 \
+        --call-cost 13600 --relays 22 --trouble restart-tenth --trouble-at 3
+}
+
 "$3"
