Check the membership of a second tier as a property, with restarts of upstream

Cause: a relay whose upstream is a relay takes epochs and whole lists at second hand, and only one tier was played with restarts. Change: a property over callers of a second tier.

--- a/crates/membership/tests/properties.rs
+++ b/crates/membership/tests/properties.rs
@@ -237,6 +237,35 @@
     });
 }
 
+// The same through a second tier, whose upstream is a relay.
+#[test]
+fn a_caller_of_a_second_tier_ends_with_exactly_the_list_of_upstream() {
+    const SITE: u8 = 2;
+    check(3, true, |steps| {
+        let mut world = World::new(3);
+        for step in steps {
+            match step.clone() {
+                // Nobody moves: relays that have noticed a restart and others are not told apart by a caller.
+                Step::Ask { caller, whole, wait_is_over, .. } => {
+                    world.play(&Step::Ask { caller, replica: SITE, whole, wait_is_over });
+                }
+                step => world.play(&step),
+            }
+        }
+        for replica in [0, usize::from(SITE)] {
+            (0..4).for_each(|_| world.call(replica, false));
+        }
+        for caller in 0..usize::from(CALLERS) {
+            let after = world.callers[caller].version;
+            let list = world.ask(usize::from(SITE), after, true);
+            prop_assert!(list.is_some(), "it is answered");
+            world.callers[caller].take(&list.unwrap());
+            prop_assert_eq!(&world.callers[caller].servers, world.upstream.servers());
+        }
+        Ok(())
+    });
+}
+
 // Guards against a server that left and comes back by a relay that is behind: no caller goes back to an older version, and
 // what it has is always upstream's list of that version.
 #[test]
