Bound the list that a relay holds, and ask ever less often where lists go on being rejected

Cause: deltas that name new servers without end would have grown the list without bound, and a list that is rejected each time was asked for 20 times a second. Change: 32 MiB of entries at most, rejected beyond; the pause after rejections doubles up to 2 s.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -11,5 +11,6 @@
 pub use history::{CHANGES_BYTES, MAX_VERSIONS};
 pub use message::{Entry, List, MessageError, Version};
 pub use replica::{
-    Applied, Call, Question, RejectedList, Replica, Reply, Unavailable, EPOCH_OVERLAP, SHRINK_FACTOR,
+    Applied, Call, Question, RejectedList, Replica, Reply, Unavailable, EPOCH_OVERLAP, LIST_BYTES,
+    SHRINK_FACTOR,
 };
--- a/crates/membership/src/replica.rs
+++ b/crates/membership/src/replica.rs
@@ -14,6 +14,9 @@
 /// that name one of these get whole lists. A watch lasts 60 s at most, so each caller has heard something new by then.
 pub const EPOCH_OVERLAP: Duration = Duration::from_secs(120);
 
+/// A list of more bytes than this, as its entries are kept, is not taken: fifty times that of 4,600 servers.
+pub const LIST_BYTES: usize = 32 << 20;
+
 /// The next call to upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -53,6 +56,14 @@
         /// The version that was read.
         listed: Version,
     },
+    /// A list that would take too much memory. The one held stays until its lease runs out.
+    #[error("list {listed} would take {bytes} bytes: at most {LIST_BYTES} are kept")]
+    TooLarge {
+        /// The version that was read.
+        listed: Version,
+        /// Bytes of all entries that would be held.
+        bytes: usize,
+    },
     /// A whole list that is suddenly far smaller.
     #[error(
         "whole list {listed} has {servers} servers and list {held} has {servers_held}: it is asked for again"
@@ -134,6 +145,8 @@
     version: Option<Version>,
     /// By name; none of them is gone.
     servers: BTreeMap<Arc<str>, Entry>,
+    /// Bytes of their entries.
+    bytes: usize,
     history: History,
     earlier: Option<EarlierEpochs>,
     /// Epochs begun, the first list's with them.
@@ -156,6 +169,7 @@
             lease,
             version: None,
             servers: BTreeMap::new(),
+            bytes: 0,
             history: History::default(),
             earlier: None,
             epochs: 0,
@@ -225,6 +239,11 @@
             (true, None) => {}
             (false, held) => self.check_delta(call, &list, held)?,
         }
+        let bytes = self.bytes_with(&list);
+        if bytes > LIST_BYTES {
+            return Err(RejectedList::TooLarge { listed: list.version, bytes });
+        }
+        self.bytes = bytes;
         self.doubt = None;
         self.behind = false;
         self.heard = Some(read);
@@ -232,6 +251,17 @@
         Ok(if list.whole { self.take_whole(list, read) } else { self.take_delta(list) })
     }
 
+    /// Bytes of the entries held once this list is applied.
+    fn bytes_with(&self, list: &List) -> usize {
+        let newest = || newest_of_each(&list.entries);
+        let added: usize = newest().filter(|entry| !entry.is_gone()).map(Entry::bytes).sum();
+        if list.whole {
+            return added;
+        }
+        let replaced = newest().filter_map(|entry| self.servers.get(entry.host()));
+        self.bytes + added - replaced.map(Entry::bytes).sum::<usize>()
+    }
+
     /// The second whole list in a row that is too small is believed.
     fn check_whole(&mut self, list: &List, held: Version) -> Result<(), RejectedList> {
         let servers = newest_of_each(&list.entries).filter(|entry| !entry.is_gone()).count();
--- a/crates/node/src/relay/upstream.rs
+++ b/crates/node/src/relay/upstream.rs
@@ -101,6 +101,8 @@
     log: Log,
     /// Calls that failed since the last list that was applied.
     failures: u32,
+    /// Lists that were rejected since the last one that was applied.
+    rejections: u32,
     confirmed: Option<Instant>,
 }
 
@@ -111,6 +113,16 @@
     GivenUp,
 }
 
+/// What became of a list.
+enum Taken {
+    /// Callers have news by it.
+    News,
+    /// It says what was known.
+    NoNews,
+    /// It was not applied.
+    Rejected,
+}
+
 impl Upstream {
     pub fn new(
         settings: &RelaySettings,
@@ -128,6 +140,7 @@
             random: fastrand::Rng::new(),
             log,
             failures: 0,
+            rejections: 0,
             confirmed: None,
         }
     }
@@ -171,12 +184,12 @@
             match self.call(&mut link, address, call).await? {
                 // What is on its way on the old connection would come before the answer on it.
                 Called::GivenUp => link = Link::connect(address).await?,
-                Called::Answered(list) => {
-                    let useful = self.take(call, list, sent);
-                    if !useful && begun.elapsed() < PACE {
-                        sleep(PACE).await;
-                    }
-                }
+                Called::Answered(list) => match self.take(call, list, sent) {
+                    Taken::News => {}
+                    Taken::NoNews if begun.elapsed() >= PACE => {}
+                    Taken::NoNews => sleep(PACE).await,
+                    Taken::Rejected => sleep(self.pace_after_rejection()).await,
+                },
             }
         }
     }
@@ -210,12 +223,17 @@
         }
     }
 
-    /// Hands a list on; whether it was of use.
-    fn take(&mut self, call: Call, list: List, sent: Duration) -> bool {
+    /// The first call after a rejection asks for what was missing; one that goes on being rejected asks ever less often.
+    fn pace_after_rejection(&self) -> Duration {
+        PACE.saturating_mul(1 << (self.rejections.saturating_sub(1)).min(16)).min(LONGEST_BACKOFF)
+    }
+
+    /// Hands a list on.
+    fn take(&mut self, call: Call, list: List, sent: Duration) -> Taken {
         let version = list.version;
         match self.publisher.apply(call, list, sent) {
             Ok(applied) => {
-                self.failures = 0;
+                (self.failures, self.rejections) = (0, 0);
                 self.count(|counts| counts.applied += 1);
                 if applied.new_epoch {
                     self.log.line(&format!("upstream's versions went back: list {version} begins an epoch"));
@@ -224,12 +242,17 @@
                     let text = format!("list {version} names {} servers more than once", applied.duplicates);
                     self.log.often("duplicates", &text);
                 }
-                applied.news
+                if applied.news {
+                    Taken::News
+                } else {
+                    Taken::NoNews
+                }
             }
             Err(rejected) => {
+                self.rejections = self.rejections.saturating_add(1);
                 self.count(|counts| counts.rejected += 1);
                 self.log.often("rejected", &format!("upstream: {rejected}"));
-                false
+                Taken::Rejected
             }
         }
     }
