--- a/crates/cli/tests/scale.rs
+++ b/crates/cli/tests/scale.rs
@@ -331,8 +331,15 @@
 // Guards against processes that outlive a run which is interrupted.
 #[test]
 fn an_interrupted_run_ends_all_that_it_started() {
-    for by in [Signal::INT, Signal::TERM] {
-        let (run, started) = begun(&["--real=2", "--simulated=6", "--workers=2", "--length=600"], 4);
+    let with_nodes = ["--real=2", "--simulated=6", "--workers=2", "--length=600"];
+    let with_relays = ["--real=0", "--simulated=6", "--workers=1", "--relays=1,2", "--length=600"];
+    for (by, arguments) in [
+        (Signal::INT, &with_nodes[..]),
+        (Signal::TERM, &with_nodes[..]),
+        (Signal::INT, &with_relays[..]),
+        (Signal::TERM, &with_relays[..]),
+    ] {
+        let (run, started) = begun(arguments, 4);
         signal(&run, by);
         let output = run.wait_with_output().unwrap();
         assert_eq!(output.status.code(), BROKEN);
