End a test's node before its files are removed

Cause: `files_that_may_grow_no_further_cost_records_that_are_counted_and_nothing_else` removed its folder while its node ran and wrote figures every 20 ms; a file of figures that has vanished is made anew, so that the folder was not empty when it was removed (`DirectoryNotEmpty` at node_exhaustion.rs:153, in 1 of 2 runs of the suite, two at a time beside the lab's tests). Change: the node ends first; no assertion is touched.

--- a/crates/cli/tests/node_exhaustion.rs
+++ b/crates/cli/tests/node_exhaustion.rs
@@ -150,6 +150,8 @@
             .any(|line| line.starts_with("slatelink.figures.dropped:"))
     });
     assert_eq!(node.read("read", 2).status(), 200);
+    // A running node would make its files anew meanwhile.
+    drop(node);
     fs::remove_dir_all(folder).unwrap();
 }
 
