--- a/crates/lab/src/nodes.rs
+++ b/crates/lab/src/nodes.rs
@@ -139,7 +139,7 @@
 
     fn record_event(&self, event: ProcessEvent, detail: &str) {
         let at = self.start.elapsed().as_micros() as u64;
-        tracing::info!(node = self.index, event = ?event, detail, "a node");
+        tracing::info!(node = self.index, life = ?event, word = detail, "a node");
         if let Ok(mut events) = self.events.lock() {
             events.push(NodeEvent { node: self.index, event, at, detail: detail.to_owned() });
         }
