Close an idle server connection where clients take every place that others leave

A trace of the node: `Upstream::lease` asks a client to close and looks ten times for its place, but clients that wait take each place that comes free (10 clients and 5 servers held at all ten looks); then it gave up, with 5 idle connections to servers that it could have closed. Change: its last look but one closes one of these in any case. Test: where_lists_are_pushed_an_agent_that_fails... bounded three quarters of the pauses by the machine's clock and failed once at a load of 14 to 20 (195 ms of 60 ms). Now all pauses are bounded in virtual time, beside the client, and the socket test has a quarter of them within the time and none under a tenth of it, which a constant in place of the setting fails at one of the three times.

--- a/crates/cli/tests/node_leaving.rs
+++ b/crates/cli/tests/node_leaving.rs
@@ -260,16 +260,17 @@
     pauses
 }
 
-// Guards against a fixed time that stands where the settings' should: where lists are pushed, what the agent has counts as
-// told at once, and a drain's time may be as short as this.
+// Guards against settings that do not reach the client of discovery: where lists are pushed, what the agent has counts as told
+// at once, and a drain's time may be as short as this. That no pause is longer is tested in virtual time, beside the
+// client: here all but the shortest may be the machine's.
 #[test]
 fn where_lists_are_pushed_an_agent_that_fails_is_asked_again_within_the_settings_time() {
     for grace in [60, 250, 1_000].map(Duration::from_millis) {
         let pauses = pauses_after_resets(grace);
-        // Of the slowest some may be the machine's.
-        let most = pauses[pauses.len() * 3 / 4];
         println!("{grace:?}: {pauses:?}");
-        assert!(most <= grace, "{most:?} of {grace:?}");
+        let (shortest, quarter) = (pauses[0], pauses[pauses.len() / 4]);
+        assert!(quarter <= grace, "{quarter:?} of {grace:?}");
+        assert!(shortest >= grace / 10, "asked without end: {shortest:?} of {grace:?}");
     }
 }
 
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -98,6 +98,16 @@
     seed: u64,
     pushed: bool,
     log: &Log,
+) -> (UnboundedReceiver<(Instant, Input)>, Rc<watch::Sender<SocketAddr>>) {
+    client_with(address, seed, &Settings { must_follow: !pushed, ..Settings::default() }, log)
+}
+
+/// The same, with these settings.
+fn client_with(
+    address: SocketAddr,
+    seed: u64,
+    settings: &Settings,
+    log: &Log,
 ) -> (UnboundedReceiver<(Instant, Input)>, Rc<watch::Sender<SocketAddr>>) {
     let (events, mut inputs) = unbounded_channel();
     let (told, heard) = unbounded_channel();
@@ -105,9 +115,8 @@
     let addresses = Rc::new(addresses);
     let kept = addresses.clone();
     let random = fastrand::Rng::with_seed(seed);
-    let Settings { stop_sending_within, ask_within, .. } = Settings::default();
-    let log = log.clone();
-    let seq = Some(1);
+    let &Settings { stop_sending_within, ask_within, must_follow, .. } = settings;
+    let (log, seq, pushed) = (log.clone(), Some(1), !must_follow);
     let watching = Discovery { address, seq, pushed, stop_sending_within, ask_within, random, events, log };
     let follow = Rc::new(Notify::new());
     if !pushed {
@@ -248,6 +257,34 @@
     });
 }
 
+// Guards against a fixed time that stands where the settings' should: where lists are pushed, what the agent has counts as
+// told at once, and a drain's time may be as short as this.
+#[test]
+fn where_lists_are_pushed_an_agent_that_fails_is_asked_again_within_the_time_that_the_settings_leave() {
+    for grace in [60, 250, 1_000].map(Duration::from_millis) {
+        for seed in 0..4 {
+            let pauses = play(async |log| {
+                let (address, calls) = stand_in(|_, _| Reply::Reset).await;
+                let settings =
+                    Settings { must_follow: false, stop_sending_within: grace, ..Settings::default() };
+                let _client = client_with(address, seed, &settings, &log);
+                while calls.borrow().len() < 18 {
+                    sleep(Duration::from_millis(10)).await;
+                }
+                let calls = calls.borrow();
+                // The first pause after an open watch is none.
+                calls[1..].windows(2).map(|two| two[1].0 - two[0].0).collect::<Vec<_>>()
+            });
+            assert!(pauses.iter().all(|pause| *pause <= grace), "{pauses:?} of {grace:?}");
+            let total: Duration = pauses.iter().sum();
+            assert!(
+                total >= grace.mul_f64(PUSHED_AGAIN_PART / 2.0) * pauses.len() as u32,
+                "an agent that fails is not asked without end: {pauses:?} of {grace:?}"
+            );
+        }
+    }
+}
+
 // Guards against a node that moves to a discovery whose first call is swallowed, or refused for want of a place in
 // its queue, and has no list from there when all of it counts as told.
 #[test]
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -252,18 +252,21 @@
 
     /// A descriptor for a new connection. Where all are in use, the connection that has been idle for longest closes: unused
     /// connections to other servers must not keep a node from the one it needs. Nor may those of clients, which need a
-    /// moment to close.
+    /// moment to close; clients that wait may take every place that these leave, so the wait ends with an idle connection
+    /// of this side.
     async fn lease(&self) -> io::Result<Lease> {
-        let mut asked = false;
-        for _ in 0..EVICTION_POLLS {
-            match self.budget.lease(Side::Servers) {
+        let mut evicting = false;
+        for polls_left in (0..=EVICTION_POLLS).rev() {
+            let shortage = match self.budget.lease(Side::Servers) {
                 Ok(lease) => return Ok(lease),
-                Err(Short::Other(Side::Clients)) if asked || self.clients.evict_for_server() => {
-                    asked = true;
-                    sleep(EVICTION_POLL_INTERVAL).await;
-                }
-                Err(_) if self.close_oldest_idle() => {}
-                Err(_) => break,
+                Err(shortage) => shortage,
+            };
+            let may_wait = shortage == Short::Other(Side::Clients) && polls_left > 1;
+            if may_wait && (evicting || self.clients.evict_for_server()) {
+                evicting = true;
+                sleep(EVICTION_POLL_INTERVAL).await;
+            } else if !self.close_oldest_idle() {
+                break;
             }
         }
         Err(io::ErrorKind::QuotaExceeded.into())
