--- a/crates/node/src/discovery/leaving_tests.rs
+++ b/crates/node/src/discovery/leaving_tests.rs
@@ -265,6 +265,18 @@
     assert!(took < within, "{took:?} of {within:?}");
 }
 
+/// A client that has just renewed its watch: what it hears, its further calls, the watch and the one that renews it.
+async fn renewed(
+    seed: u64,
+    log: &Log,
+) -> (UnboundedReceiver<(Instant, Input)>, UnboundedReceiver<Asked>, Asked, Asked) {
+    let (address, mut calls) = manual().await;
+    let heard = client_at(address, seed, false, log).0;
+    let old = calls.recv().await.unwrap();
+    let new = calls.recv().await.unwrap();
+    (heard, calls, old, new)
+}
+
 // Guards against an old watch that is given up for a new one which is silent: a call that was given up makes each change
 // count as told 6 s after discovery had it.
 #[test]
@@ -275,10 +287,7 @@
     for change_after in [0, 1_000, 3_100, 6_000, 9_000, 12_000, 16_000].map(Duration::from_millis) {
         for seed in 0..3 {
             let took = play(async |log| {
-                let (address, mut calls) = manual().await;
-                let mut heard = client_at(address, seed, false, &log).0;
-                let old = calls.recv().await.unwrap();
-                let silent = calls.recv().await.unwrap();
+                let (mut heard, mut calls, old, silent) = renewed(seed, &log).await;
                 let changed = silent.at + change_after;
                 let mut watching = vec![old];
                 while let Ok(Some(call)) = timeout_at(changed, calls.recv()).await {
@@ -310,10 +319,7 @@
 fn after_a_change_that_only_the_renewed_watch_brought_a_call_follows_for_the_next_one() {
     for seed in 0..3 {
         let took = play(async |log| {
-            let (address, mut calls) = manual().await;
-            let mut heard = client_at(address, seed, false, &log).0;
-            let old = calls.recv().await.unwrap();
-            let silent = calls.recv().await.unwrap();
+            let (mut heard, mut calls, old, silent) = renewed(seed, &log).await;
             sleep_until(silent.at + OVERLAP + Duration::from_secs(1)).await;
             assert!(old.stands(), "a closed watch is a call that was given up");
             let answered = Instant::now();
