Say once what follows from a call beside open watches

Cause: `verify` and `renew` of discovery's client ended in the same four arms (an answer takes the watches' place, a watch spoke, a failure without a watch is theirs, a failure beside one is not). Change: `end_of_call_beside` serves both; no behaviour is changed.

--- a/crates/node/src/discovery/watching.rs
+++ b/crates/node/src/discovery/watching.rs
@@ -115,13 +115,7 @@
                 self.answered = Some(Instant::now());
                 Beside::Stands
             }
-            Prompt::Answered(called) => {
-                watches.supersede(&mut self.in_flight, OVERLAP);
-                Beside::Called(called)
-            }
-            Prompt::Watch(called) => Beside::Called(called),
-            Prompt::Failed(error) if watches.is_broken() => Beside::Called((Err(error), None)),
-            Prompt::Failed(error) => Beside::Failed(error),
+            prompt => self.end_of_call_beside(prompt, watches),
         }
     }
 
@@ -132,11 +126,17 @@
             return self.renew_by_watch(address, seq, watches).await;
         }
         let ask = if confirm { Ask::Whole } else { Ask::After(seq, BRIEF) };
-        match self.prompt(address, ask, None, None, watches).await {
+        let prompt = self.prompt(address, ask, None, None, watches).await;
+        if confirm && matches!(prompt, Prompt::Answered(_)) {
+            self.confirm_at = None;
+        }
+        self.end_of_call_beside(prompt, watches)
+    }
+
+    /// What follows from a call beside the watches: an answer takes their place, and without a watch a failure is theirs.
+    fn end_of_call_beside(&mut self, prompt: Prompt, watches: &mut Watches) -> Beside {
+        match prompt {
             Prompt::Answered(called) => {
-                if confirm {
-                    self.confirm_at = None;
-                }
                 watches.supersede(&mut self.in_flight, OVERLAP);
                 Beside::Called(called)
             }
