--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -7,9 +7,10 @@
 mod platform;
 mod record;
 mod reload;
+mod upgrade;
 
 use record::Record;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -19,7 +20,7 @@
         return ExitCode::from(2);
     };
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let folder = PathBuf::from(std::env::var("REVIEW_TMP").unwrap_or_else(|_| "/tmp".to_owned()));
+    let folder = platform::run_folder();
     let record = match Record::create(Path::new(record_path)) {
         Ok(record) => record,
         Err(error) => {
@@ -31,6 +32,7 @@
     let held = match case.as_str() {
         "memory" => memory::run(trouble, &folder, &record),
         "reload" => reload::run(trouble, &folder, &record),
+        "upgrade" => upgrade::run(trouble, &folder, &record),
         _ => Err(std::io::Error::other("no such case")),
     };
     match held {
--- a/review/standin/src/platform.rs
+++ b/review/standin/src/platform.rs
@@ -88,6 +88,16 @@
     PathBuf::from(std::env::var("REVIEW_ROOT").unwrap_or_else(|_| ".".to_owned()))
 }
 
+/// Folder for everything of a run, removed at its end.
+pub fn run_folder() -> PathBuf {
+    PathBuf::from(std::env::var("REVIEW_TMP").unwrap_or_else(|_| "/tmp".to_owned()))
+}
+
+/// `$TMPDIR` of a node, which its processes share.
+fn shared_tmp() -> PathBuf {
+    run_folder().join("tmpdir")
+}
+
 /// The deploy file's `run` line.
 fn run_line() -> io::Result<String> {
     let text = fs::read_to_string(root().join("deploy/balancer.toml"))?;
@@ -105,8 +115,21 @@
 impl Node {
     /// Starts a node and waits until it is ready.
     pub fn start(options: Options, folder: &Path) -> io::Result<Self> {
-        let address = free_address()?;
-        fs::create_dir_all(folder.join("tmp"))?;
+        let mut node = Self::spawn(free_address()?, options, folder)?;
+        let until = Instant::now() + Duration::from_secs(10);
+        while !is_ready(node.address) {
+            if Instant::now() >= until || node.has_ended() {
+                return Err(io::Error::other("the node is not ready"));
+            }
+            sleep(Duration::from_millis(50));
+        }
+        Ok(node)
+    }
+
+    /// Starts a process of a node at this address, with a second address of its own.
+    pub fn spawn(address: SocketAddr, options: Options, folder: &Path) -> io::Result<Self> {
+        fs::create_dir_all(folder)?;
+        fs::create_dir_all(shared_tmp())?;
         write_config(folder, address, &options)?;
         let log = File::create(folder.join("log"))?;
         let child = Command::new("/bin/sh")
@@ -117,25 +140,17 @@
             .env("LB_LISTEN", address.to_string())
             .env("LB_DISCOVERY", options.discovery.to_string())
             .env("LB_CONFIG", folder.join("config.json"))
-            .env("TMPDIR", folder.join("tmp"))
+            .env("TMPDIR", shared_tmp())
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        let mut node = Self {
+        Ok(Self {
             address,
             child,
             folder: folder.to_owned(),
             options,
-        };
-        let until = Instant::now() + Duration::from_secs(10);
-        while !is_ready(address) {
-            if Instant::now() >= until || node.has_ended() {
-                return Err(io::Error::other("the node is not ready"));
-            }
-            sleep(Duration::from_millis(50));
-        }
-        Ok(node)
+        })
     }
 
     pub fn signal(&self, signal: i32) {
@@ -161,6 +176,16 @@
         line.trim().strip_suffix(" kB")?.trim().parse().ok()
     }
 
+    /// Exit code, once the process has ended by itself.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.try_wait().ok()??.code()
+    }
+
+    /// Options of the node, for another process of it.
+    pub fn options(&self) -> Options {
+        self.options.clone()
+    }
+
     /// What the node wrote to its log.
     pub fn log(&self) -> String {
         fs::read_to_string(self.folder.join("log")).unwrap_or_default()
@@ -176,7 +201,8 @@
 
 fn write_config(folder: &Path, address: SocketAddr, options: &Options) -> io::Result<()> {
     let text = format!(
-        r#"{{"name":"n1","listen":"{address}","discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{},"settings":{}}}"#,
+        r#"{{"name":"n1","listen":"{address}","console":"{}","discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{},"settings":{}}}"#,
+        free_address()?,
         options.discovery,
         options.memory_mb,
         options.sockets,
