--- a/review/standin/src/discovery.rs
+++ b/review/standin/src/discovery.rs
@@ -55,7 +55,10 @@
     stream.set_nodelay(true)?;
     let mut rest = Vec::new();
     while let Some(request) = read_message(&mut stream, &mut rest)? {
-        let query = request.second_word().split_once('?').map_or("", |(_, query)| query);
+        let query = request
+            .second_word()
+            .split_once('?')
+            .map_or("", |(_, query)| query);
         let number = |name: &str| -> Option<u64> {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             pairs.find(|(known, _)| *known == name)?.1.parse().ok()
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,12 +2,12 @@
 //! rule was broken, 0 if it held, 2 if the case could not run.
 
 mod discovery;
+mod fleet;
 mod http;
 mod memory;
 mod platform;
 mod record;
 mod reload;
-mod upgrade;
 
 use record::Record;
 use std::path::Path;
@@ -32,7 +32,7 @@
     let held = match case.as_str() {
         "memory" => memory::run(trouble, &folder, &record),
         "reload" => reload::run(trouble, &folder, &record),
-        "upgrade" => upgrade::run(trouble, &folder, &record),
+        "fleet" => fleet::run(trouble, &folder, &record),
         _ => Err(std::io::Error::other("no such case")),
     };
     match held {
