--- a/review/standin/src/reload.rs
+++ b/review/standin/src/reload.rs
@@ -25,6 +25,8 @@
 const CLASS: &str = "queue-join";
 /// Clients use a class again this long after the signal; the page allows it after 1.2 s.
 const IN_USE_AFTER: Duration = Duration::from_millis(1500);
+/// The class's window for repeats while it is keyed, with the 50 ms that every limit has on sockets.
+const WINDOW: Duration = Duration::from_millis(4050);
 const LOAD_TIME: Duration = Duration::from_secs(25);
 
 /// What the servers saw of a request.
@@ -146,8 +148,7 @@
     let runs = world.runs.lock().unwrap();
     let answers = world.answers.lock().unwrap();
     let (mut sent_again, mut ran_twice, mut refused) = (0, 0, 0);
-    for (id, (strict, answer)) in answers.iter().filter(|(_, (strict, _))| *strict) {
-        let _ = strict;
+    for (id, (_, answer)) in answers.iter().filter(|(_, (strict, _))| *strict) {
         let Some(seen) = runs.get(id) else { continue };
         if seen.attempts.len() > 1 {
             sent_again += 1;
@@ -167,6 +168,34 @@
             record.line(&format!("request {id} was refused though it may have run"));
         }
     }
+    // While the class is keyed: repeats within the window, which the servers drop, and one run.
+    let (mut keyed, mut keyed_broken) = (0, 0);
+    for (id, _) in answers.iter().filter(|(_, (strict, _))| !strict) {
+        let Some(seen) = runs.get(id) else { continue };
+        keyed += 1;
+        let executions = seen
+            .attempts
+            .iter()
+            .filter(|(_, what)| what.starts_with("ran"));
+        let first = seen.attempts[0].0;
+        let late = seen.attempts.iter().any(|(at, _)| *at > first + WINDOW);
+        if executions.count() > 1 || late {
+            keyed_broken += 1;
+            record.line(&format!("keyed request {id}: {:?}", seen.attempts));
+        }
+    }
+    let unsafe_seen = answers
+        .iter()
+        .filter(|(id, (strict, _))| *strict && runs.contains_key(*id));
+    record.say(&format!(
+        "judged: {} unsafe and {keyed} keyed requests that reached servers",
+        unsafe_seen.count()
+    ));
+    if keyed_broken > 0 {
+        record.say(&format!(
+            "BROKEN: {keyed_broken} keyed requests ran twice or were sent again after their window"
+        ));
+    }
     let mut counts = std::collections::BTreeMap::<&str, u64>::new();
     for (_, answer) in answers.values() {
         *counts.entry(answer).or_default() += 1;
@@ -189,7 +218,7 @@
     if refused > 0 {
         record.say(&format!("BROKEN: {refused} unsafe requests that may have run were refused as safe to send again"));
     }
-    sent_again == 0 && refused == 0
+    sent_again == 0 && refused == 0 && keyed_broken == 0
 }
 
 fn client(address: SocketAddr, world: &World, record: &Record) {
