Bodies: hold one buffer for a body, count responses before they are read

Cause: upstream/body.rs collected the frames of a body until its end. A frame is a view of the buffer into which it was read and keeps that buffer allocated, so 64 KiB in pieces of 64 bytes held some 8 MiB; the limit counted content. Chunks, answers without an end, clients' bodies and multi-get shared the function. Discovery's and the relay's lists were copied already.

Change: body.rs copies each frame into one buffer within the limit and drops the frame; the list client uses the same reader. On related paths: memory for an answer is reserved before it is read and released when it is written; new requests are shed by the decision module when none is left; bodies of failed attempts are discarded; multi-get counts the bodies of its requests, its items hold half of the memory for answers at most, and lines are written one at a time; a connection to an endpoint counts 24 KiB instead of 10 (docs/CAPACITY.md measured 21 to 29); a list may have a sixteenth of the memory, and a connection to discovery reads at most 64 KiB at once.

--- a/crates/admission/src/connections/memory.rs
+++ b/crates/admission/src/connections/memory.rs
@@ -70,10 +70,17 @@
         let reserved = self
             .entry_mut(id)
             .is_none_or(|entry| entry.lease.try_set_bytes(bytes));
-        self.refused[CloseCause::MemoryLimit as usize] += u64::from(!reserved);
+        if !reserved {
+            self.on_memory_refusal();
+        }
         reserved
     }
 
+    /// Counts a request that is to be shed because no memory is left for its bodies.
+    pub fn on_memory_refusal(&mut self) {
+        self.refused[CloseCause::MemoryLimit as usize] += 1;
+    }
+
     /// Records that a connection has released everything except its socket.
     pub fn on_parked(&mut self, id: ConnectionId) {
         if self.phase(id).is_idle() {
--- a/crates/cli/tests/node_common/cache_server.rs
+++ b/crates/cli/tests/node_common/cache_server.rs
@@ -16,6 +16,11 @@
     Response(String),
     /// Writes this text and closes the connection.
     ResponseAndClose(String),
+    /// Writes these pieces as packets of their own, with this pause after each, and keeps the
+    /// connection open.
+    Pieces(Vec<String>, Duration),
+    /// Writes the first text, waits until the gate is open, and writes the second one.
+    Gated(String, Gate, String),
     /// Writes nothing and keeps the connection open until the node closes it.
     NoResponse,
 }
@@ -91,6 +96,14 @@
                             Reply::ResponseAndClose(text) => {
                                 return drop(stream.write_all(text.as_bytes()))
                             }
+                            Reply::Pieces(pieces, pause) => {
+                                write_pieces(&mut stream, &pieces, pause);
+                            }
+                            Reply::Gated(first, gate, rest) => {
+                                drop(stream.write_all(first.as_bytes()));
+                                gate.wait_until_open();
+                                drop(stream.write_all(rest.as_bytes()));
+                            }
                             Reply::NoResponse => {}
                         }
                     }
@@ -131,6 +144,17 @@
     }
 }
 
+/// Writes pieces with a pause after each, until the peer closes the connection.
+pub fn write_pieces(stream: &mut TcpStream, pieces: &[String], pause: Duration) {
+    stream.set_nodelay(true).unwrap();
+    for piece in pieces {
+        if stream.write_all(piece.as_bytes()).is_err() {
+            return;
+        }
+        thread::sleep(pause);
+    }
+}
+
 pub fn endpoint_entry(name: &str, dial: SocketAddr, health: &str) -> Value {
     json!({"host": name, "dial": dial.to_string(), "site": "a", "class": "m2", "block": 0,
            "health": health, "share": 1.0, "born_ms": 0})
--- a/crates/cli/tests/node_common/node.rs
+++ b/crates/cli/tests/node_common/node.rs
@@ -68,6 +68,17 @@
 }
 
 impl Node {
+    /// Returns the peak resident memory of the node's process so far, in kB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let value = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))
+            .unwrap()
+            .trim();
+        value.split(' ').next().unwrap().parse().unwrap()
+    }
+
     /// Starts a node and waits until the node listens.
     pub fn start(config: &Value) -> Self {
         Self::start_with(config, None)
--- a/crates/cli/tests/node_multiget/bounds.rs
+++ b/crates/cli/tests/node_multiget/bounds.rs
@@ -1,10 +1,13 @@
 //! Bounds on the resources of one call and of all calls together.
 
 use crate::multi_get::{
-    all_served, echo_target, multi_get_address, multi_get_command, numbered_keys,
-    MULTI_GET_FEATURES,
+    all_served, connect, echo_target, item, multi_get_address, multi_get_command, numbered_keys,
+    post_request, MULTI_GET_FEATURES,
+};
+use crate::node_common::{
+    api_request, config, http_response, wait_for, CacheServer, Discovery, Gate, Message, Node,
+    Reply,
 };
-use crate::node_common::{api_request, config, wait_for, CacheServer, Discovery, Gate, Node};
 use serde_json::json;
 use std::process::Stdio;
 
@@ -66,3 +69,60 @@
     assert_eq!(node.read("read", 2_000).status(), 200);
     drop(idle_clients);
 }
+
+// Guards against finished items that hold more memory than the node has while their clients read
+// nothing, and that leave no memory for the clients of the other port.
+#[test]
+fn unread_items_of_the_largest_size_stay_within_the_memory_limit_and_block_no_client() {
+    const MEMORY_MB: u64 = 32;
+    const CALLS: u64 = 8;
+    const ITEMS: u64 = 64;
+    // In JSON, each byte of this body takes six characters.
+    let body = "\u{1}".repeat(64 << 10);
+    let reply = move |request: &Message| {
+        let body = if request.start.contains("/api/f") {
+            "value"
+        } else {
+            &body
+        };
+        Reply::Response(http_response("200 OK", "", body))
+    };
+    let servers: Vec<_> = (0..8).map(|_| CacheServer::start(reply.clone())).collect();
+    let entries: Vec<_> = servers
+        .iter()
+        .enumerate()
+        .map(|(i, server)| server.entry(&format!("s-{i}"), "ready"))
+        .collect();
+    let discovery = Discovery::start(&entries);
+    let mut low_memory_config = config(discovery.address);
+    low_memory_config["limits"]["memory_mb"] = json!(MEMORY_MB);
+    let features = format!("{MULTI_GET_FEATURES}parallel = 64\nmax_items = 64\n");
+    let node = Node::with_features(&low_memory_config, &features);
+    let address = multi_get_address(&node);
+    let calls: Vec<_> = (0..CALLS)
+        .map(|call| {
+            let items: Vec<_> = (0..ITEMS)
+                .map(|i| item(&format!("{i:x}"), &format!("{call}-{i}")))
+                .collect();
+            let mut client = connect(address);
+            client.send(&post_request(&json!(items).to_string(), 20_000));
+            client
+        })
+        .collect();
+    let received = || {
+        servers
+            .iter()
+            .map(CacheServer::request_count)
+            .sum::<usize>()
+    };
+    wait_for("items at the servers", || received() >= 30);
+    for request in 0..20 {
+        assert_eq!(
+            node.read("read", 0xf000_0000_0000_0000 + request).status(),
+            200
+        );
+    }
+    let peak_kb = node.peak_memory_kb();
+    assert!(peak_kb < MEMORY_MB << 10, "peak memory is {peak_kb} kB");
+    drop(calls);
+}
--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -1,7 +1,9 @@
 //! Divides a node's descriptors and memory among connections, from the limits of the process and
 //! the operators' settings.
 
+use crate::body::MAX_BODY_BYTES;
 use crate::connections::MAX_READ_AHEAD_BYTES;
+use crate::list_client::MAX_LIST_BYTES;
 use crate::multiget::MultiGet;
 use crate::server::MAX_HEAD_BYTES;
 use slatelink_admission::{Budget, ConnectionKind, ConnectionLimits, Quota};
@@ -19,8 +21,9 @@
 const ACTIVE_CONNECTION_BYTES: usize = (16 << 10) + MAX_HEAD_BYTES + MAX_READ_AHEAD_BYTES;
 /// Memory of a parked connection, which holds only its socket.
 const PARKED_CONNECTION_BYTES: usize = 1 << 10;
-/// Memory of a connection to an endpoint: a read buffer and its overhead.
-const UPSTREAM_CONNECTION_BYTES: usize = 10 << 10;
+/// Memory of a connection to an endpoint: a read buffer of the maximum size, its task and its
+/// socket.
+const UPSTREAM_CONNECTION_BYTES: usize = 24 << 10;
 /// Memory of the program without connections.
 const PROGRAM_BYTES: u64 = 6 << 20;
 /// Number of active client connections that the budget allows even with little memory.
@@ -37,7 +40,15 @@
 /// One part in this many of the memory is left for the allocator's fragmentation.
 const FRAGMENTATION_DIVISOR: u64 = 4;
 /// One part in this many of the connections' memory is for connections to endpoints.
-const UPSTREAM_MEMORY_DIVISOR: usize = 3;
+const UPSTREAM_MEMORY_DIVISOR: usize = 4;
+/// One part in this many of the connections' memory is for the bodies of responses.
+const RESPONSE_MEMORY_DIVISOR: usize = 4;
+/// Number of response bodies of the maximum length that the budget allows even with little memory.
+const MIN_RESPONSE_BODIES: usize = 8;
+/// One part in this many of the process's memory is the limit on an endpoint list's length.
+const LIST_MEMORY_DIVISOR: u64 = 16;
+/// Limit on an endpoint list's length that the budget allows even with little memory.
+const MIN_LIST_LIMIT_BYTES: usize = 1 << 20;
 
 /// Reason why the limits and settings allow no budget.
 #[derive(Debug, Error)]
@@ -83,6 +94,10 @@
     pub shared: Budget,
     /// Limits of client connections.
     pub client_limits: ConnectionLimits,
+    /// Memory for the bodies of responses, in bytes.
+    pub response_bytes: usize,
+    /// Longest endpoint list that is read, in bytes.
+    pub max_list_bytes: usize,
 }
 
 impl ConnectionBudget {
@@ -97,11 +112,14 @@
         limits: ResourceLimits,
     ) -> Result<Self, BudgetError> {
         let admission = &settings.admission;
-        let shared = shared_budget(settings, limits)?;
+        let memory = connection_memory(settings, limits.memory_bytes);
+        let shared = shared_budget(settings, limits, &memory)?;
         let client_limits = client_limits(admission, classes, &shared, limits.descriptors)?;
         Ok(Self {
             shared,
             client_limits,
+            response_bytes: memory.responses,
+            max_list_bytes: max_list_bytes(limits.memory_bytes),
         })
     }
 
@@ -119,9 +137,12 @@
 }
 
 /// Computes the budget shared by all connections, with a reserve for each kind.
-fn shared_budget(settings: &Settings, limits: ResourceLimits) -> Result<Budget, BudgetError> {
+fn shared_budget(
+    settings: &Settings,
+    limits: ResourceLimits,
+    memory: &ConnectionMemory,
+) -> Result<Budget, BudgetError> {
     let available = connection_descriptors(settings, limits.descriptors);
-    let memory = connection_memory(limits.memory_bytes);
     let upstream = upstream_quota(&settings.admission, available, memory.upstream);
     let multi_get = multiget_quota(settings);
     let unreserved = available.saturating_sub(upstream.reserved + multi_get.reserved);
@@ -157,24 +178,44 @@
     clients: usize,
     /// For connections to endpoints.
     upstream: usize,
+    /// For the bodies of responses.
+    responses: usize,
 }
 
-/// Divides the memory left by the program itself and the allocator's fragmentation.
-fn connection_memory(memory_bytes: Option<u64>) -> ConnectionMemory {
+/// Divides the memory left by the program itself, the allocator's fragmentation and the features.
+fn connection_memory(settings: &Settings, memory_bytes: Option<u64>) -> ConnectionMemory {
     let total = memory_bytes.map_or(usize::MAX, |memory| {
         usize::try_from(
             (memory / FRAGMENTATION_DIVISOR * (FRAGMENTATION_DIVISOR - 1))
                 .saturating_sub(PROGRAM_BYTES),
         )
         .unwrap_or(usize::MAX)
+        .saturating_sub(multiget_bytes(settings))
         .max(ACTIVE_CONNECTION_BYTES * MIN_ACTIVE_CONNECTIONS)
     });
+    let upstream = total / UPSTREAM_MEMORY_DIVISOR;
+    let responses = (total / RESPONSE_MEMORY_DIVISOR).max(MAX_BODY_BYTES * MIN_RESPONSE_BODIES);
     ConnectionMemory {
-        clients: total / UPSTREAM_MEMORY_DIVISOR * (UPSTREAM_MEMORY_DIVISOR - 1),
-        upstream: total / UPSTREAM_MEMORY_DIVISOR,
+        clients: total.saturating_sub(upstream + responses),
+        upstream,
+        responses,
     }
 }
 
+/// Returns the memory for the lines that multi-get connections are writing.
+fn multiget_bytes(settings: &Settings) -> usize {
+    settings.multiget_port().map_or(0, |_| MultiGet::LINE_BYTES)
+}
+
+/// Returns the limit on the length of an endpoint list.
+fn max_list_bytes(memory_bytes: Option<u64>) -> usize {
+    memory_bytes.map_or(MAX_LIST_BYTES, |memory| {
+        usize::try_from(memory / LIST_MEMORY_DIVISOR)
+            .unwrap_or(MAX_LIST_BYTES)
+            .clamp(MIN_LIST_LIMIT_BYTES, MAX_LIST_BYTES)
+    })
+}
+
 /// Returns the quota of connections to endpoints, limited by their part of the memory.
 fn upstream_quota(admission: &AdmissionSettings, available: usize, memory_bytes: usize) -> Quota {
     let limit = available.min(memory_bytes / UPSTREAM_CONNECTION_BYTES);
--- a/crates/node/src/connections/handle.rs
+++ b/crates/node/src/connections/handle.rs
@@ -73,6 +73,11 @@
         self.table().reserve_request_bytes(self.id, bytes)
     }
 
+    /// Reports a request that is to be shed because no memory is left for its response.
+    pub fn on_memory_refusal(&self) {
+        self.table().on_memory_refusal();
+    }
+
     /// Reports that the response to a request is about to be written.
     pub fn on_response(&self) {
         self.table().on_response(self.now(), self.id);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -9,6 +9,7 @@
 
 use crate::discovery::{self, DiscoveryOptions};
 use crate::driver::DriverEvent;
+use crate::list_client::MAX_LIST_BYTES;
 use crate::policy_runner::{endpoints, ActionExecutor, PolicyRunner};
 use crate::timer_queue::{sleep_until_some, TimerQueue};
 use generated_requests::RequestGenerator;
@@ -96,6 +97,7 @@
         pushed: !settings.polls_discovery,
         drain_grace: settings.drain_grace,
         max_poll_interval: settings.max_poll_interval,
+        max_list_bytes: MAX_LIST_BYTES,
         random,
         events,
         log: options.log.clone(),
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -54,6 +54,8 @@
     pub drain_grace: Duration,
     /// Time without a call after which the node counts as notified of all changes.
     pub max_poll_interval: Duration,
+    /// Longest answer that is read, in bytes; a longer one is a failed call.
+    pub max_list_bytes: usize,
     /// Source of jitter.
     pub random: fastrand::Rng,
     /// Channel to the driver for the lists, and for an event after each failure that requires the
--- a/crates/node/src/discovery/call.rs
+++ b/crates/node/src/discovery/call.rs
@@ -44,10 +44,11 @@
     driver: Option<ConnectionDriver>,
 }
 
-/// Calls discovery on the given connection if it is still open, otherwise on a new connection.
+/// Calls discovery for a list of at most `max_list_bytes`, on the given connection if it is still open, otherwise on a new connection.
 pub async fn call(
     address: SocketAddr,
     request: ListRequest,
+    max_list_bytes: usize,
     connection: Option<DiscoveryConnection>,
 ) -> CallOutcome {
     let mut connection = match reusable(connection).await {
@@ -57,7 +58,9 @@
             Err(error) => return CallOutcome::failed(error),
         },
     };
-    let result = connection.fetch_list(address, request).await;
+    let result = connection
+        .fetch_list(address, request, max_list_bytes)
+        .await;
     CallOutcome {
         result,
         connection: Some(connection),
@@ -85,8 +88,9 @@
         &mut self,
         address: SocketAddr,
         request: ListRequest,
+        max_list_bytes: usize,
     ) -> Result<EndpointList, DiscoveryError> {
-        let exchange = exchange(&mut self.sender, address, request);
+        let exchange = exchange(&mut self.sender, address, request, max_list_bytes);
         let body = drive_while(&mut self.driver, exchange).await?;
         Ok(serde_json::from_slice(&body).map_err(MessageError::from)?)
     }
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -33,6 +33,8 @@
     drain_grace: Duration,
     /// `DiscoveryOptions::max_poll_interval`.
     pub(super) max_poll_interval: Duration,
+    /// `DiscoveryOptions::max_list_bytes`.
+    max_list_bytes: usize,
     /// Source of jitter.
     pub(super) random: fastrand::Rng,
     /// Channel to the driver.
@@ -72,6 +74,7 @@
             pushed,
             drain_grace,
             max_poll_interval,
+            max_list_bytes,
             random,
             events,
             log,
@@ -82,6 +85,7 @@
             pushed,
             drain_grace,
             max_poll_interval,
+            max_list_bytes,
             random,
             events,
             log,
@@ -201,7 +205,7 @@
         request: ListRequest,
         connection: Option<DiscoveryConnection>,
     ) -> CallId {
-        let future = Box::pin(call(address, request, connection));
+        let future = Box::pin(call(address, request, self.max_list_bytes, connection));
         self.in_flight.start(self.generation, future)
     }
 
--- a/crates/node/src/discovery/tests/harness.rs
+++ b/crates/node/src/discovery/tests/harness.rs
@@ -2,6 +2,7 @@
 
 use crate::discovery::{self, DiscoveryOptions};
 use crate::driver::DriverEvent;
+use crate::list_client::MAX_LIST_BYTES;
 use slatelink_policy::{Availability, Settings};
 use slatelink_telemetry::{Log, LogFormat, Telemetry};
 use std::net::SocketAddr;
@@ -99,6 +100,7 @@
             pushed,
             drain_grace: settings.drain_grace,
             max_poll_interval: settings.max_poll_interval,
+            max_list_bytes: MAX_LIST_BYTES,
             random: fastrand::Rng::with_seed(seed),
             events,
             log: log.clone(),
--- a/crates/node/src/driver/messages.rs
+++ b/crates/node/src/driver/messages.rs
@@ -52,7 +52,8 @@
     pub expected_work: Option<Duration>,
     /// Whether the request changes stored data.
     pub write: bool,
-    /// Whether the class exceeds its quota of open requests, or no memory is left for the body.
+    /// Whether the class exceeds its quota of open requests, or no memory is left for the
+    /// bodies of the request or of its response.
     pub over_quota: bool,
     /// Message to forward to an endpoint.
     pub message: ForwardedRequest,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,9 +7,11 @@
 //! A request passes from `server` (client connections) to `driver` (open requests and the decision
 //! module, run by `policy_runner`) and to `upstream` (connections to endpoints); the results return
 //! as events. `discovery` receives endpoint lists. `node` connects these parts and `startup` runs
-//! them. `budget` sets the resources that connections may use; `shutdown` and `reload` handle
+//! them. `body` reads message bodies within a limit on the bytes held, and `budget` sets the resources
+//! that connections may use; `shutdown` and `reload` handle
 //! signals.
 
+mod body;
 mod budget;
 mod connections;
 pub mod control;
--- a/crates/node/src/list_client.rs
+++ b/crates/node/src/list_client.rs
@@ -8,9 +8,9 @@
 #[cfg(test)]
 mod tests;
 
+use crate::body::{read_to_end, BodyError};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty};
-use hyper::body::Incoming;
+use http_body_util::Empty;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
@@ -26,8 +26,10 @@
 pub const LIST_PATH: &str = "/v1/servers";
 /// Timeout for establishing a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum length of an answer's body, in bytes.
-const MAX_BODY_BYTES: usize = 8 << 20;
+/// Largest limit on the length of an answer's body, in bytes.
+pub const MAX_LIST_BYTES: usize = 8 << 20;
+/// Maximum size of a connection's read buffer and of an answer's head, in bytes.
+const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 
 /// Handle that sends requests on a connection.
 pub type RequestSender = SendRequest<Empty<Bytes>>;
@@ -53,9 +55,12 @@
     /// that a relay has no list.
     #[error("unexpected status of the answer: {0}")]
     Status(StatusCode),
-    /// The body of the answer is longer than the maximum.
-    #[error("answer exceeds {MAX_BODY_BYTES} bytes")]
-    TooLarge,
+    /// The body of the answer is longer than the limit.
+    #[error("answer exceeds {max_bytes} bytes")]
+    TooLarge {
+        /// The limit.
+        max_bytes: usize,
+    },
     /// The body of the answer is not an endpoint list.
     #[error("cannot read the answer: {0}")]
     Malformed(#[from] MessageError),
@@ -100,15 +105,18 @@
         .await
         .map_err(|_| DiscoveryError::ConnectTimedOut)??;
     stream.set_nodelay(true)?;
-    Ok(http1::handshake(TokioIo::new(stream)).await?)
+    let mut http = http1::Builder::new();
+    http.max_buf_size(MAX_READ_BUFFER_BYTES);
+    Ok(http.handshake(TokioIo::new(stream)).await?)
 }
 
-/// Sends a request on a connection to this address and returns the body of the answer. Sets no
-/// timeout.
+/// Sends a request on a connection to this address and returns the body of the answer, which may
+/// have up to `max_bytes`. Sets no timeout.
 pub async fn exchange(
     sender: &mut RequestSender,
     address: SocketAddr,
     request: ListRequest,
+    max_bytes: usize,
 ) -> Result<Vec<u8>, DiscoveryError> {
     let request = Request::get(request.target())
         .header(HOST, address.to_string())
@@ -117,20 +125,9 @@
     if response.status() != StatusCode::OK {
         return Err(DiscoveryError::Status(response.status()));
     }
-    read_body(response.into_body()).await
-}
-
-async fn read_body(mut body: Incoming) -> Result<Vec<u8>, DiscoveryError> {
-    let mut bytes = Vec::new();
-    while let Some(frame) = body.frame().await {
-        // Trailers are ignored.
-        let Ok(data) = frame?.into_data() else {
-            continue;
-        };
-        if bytes.len() + data.len() > MAX_BODY_BYTES {
-            return Err(DiscoveryError::TooLarge);
-        }
-        bytes.extend_from_slice(&data);
+    match read_to_end(response.into_body(), max_bytes).await {
+        Ok(body) => Ok(body),
+        Err(BodyError::TooLarge) => Err(DiscoveryError::TooLarge { max_bytes }),
+        Err(BodyError::Incomplete(error)) => Err(error.into()),
     }
-    Ok(bytes)
 }
--- a/crates/node/src/list_client/tests.rs
+++ b/crates/node/src/list_client/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of calls for the endpoint list, against a listener that answers one connection with given
 //! bytes.
 
-use super::{connect, exchange, DiscoveryError, ListRequest, MAX_BODY_BYTES};
+use super::{connect, exchange, DiscoveryError, ListRequest, MAX_LIST_BYTES};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -34,7 +34,7 @@
     let client = async {
         let (mut sender, connection) = connect(address).await.unwrap();
         tokio::spawn(connection);
-        exchange(&mut sender, address, list_request).await
+        exchange(&mut sender, address, list_request, MAX_LIST_BYTES).await
     };
     let (result, request) = tokio::join!(client, answer_once(listener, head, body));
     (result, request, address)
@@ -67,13 +67,18 @@
 // answer of exactly the maximum length.
 #[tokio::test]
 async fn body_longer_than_the_maximum_returns_too_large() {
-    let longest = vec![b' '; MAX_BODY_BYTES];
+    let longest = vec![b' '; MAX_LIST_BYTES];
     let (result, ..) = call_answered_with(ListRequest::Complete, "200 OK", longest).await;
-    assert_eq!(result.unwrap().len(), MAX_BODY_BYTES);
-    let too_long = vec![b' '; MAX_BODY_BYTES + 1];
+    assert_eq!(result.unwrap().len(), MAX_LIST_BYTES);
+    let too_long = vec![b' '; MAX_LIST_BYTES + 1];
     let (result, ..) = call_answered_with(ListRequest::Complete, "200 OK", too_long).await;
     assert!(
-        matches!(result, Err(DiscoveryError::TooLarge)),
+        matches!(
+            result,
+            Err(DiscoveryError::TooLarge {
+                max_bytes: MAX_LIST_BYTES
+            })
+        ),
         "{result:?}"
     );
 }
--- a/crates/node/src/multiget.rs
+++ b/crates/node/src/multiget.rs
@@ -9,12 +9,14 @@
 mod request;
 mod response;
 
+use crate::body::MAX_BODY_BYTES;
 use crate::connections::{ConnectionHandle, ReportingSocket};
 use crate::server::{
     self, text_response, DescriptorSource, RequestError, ServerContext, MAX_HEAD_BYTES,
 };
 use http_body_util::Either;
 use hyper::body::Incoming;
+use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
@@ -24,10 +26,12 @@
 use slatelink_config::operators::MultiGetSettings;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::channel;
+use tokio::sync::Semaphore;
 use tokio::task::{spawn_local, JoinSet};
 use tokio::time::{timeout, timeout_at, Instant};
 
@@ -37,9 +41,16 @@
 /// Time that a connection has in addition to the longest deadline of its items, for sending the
 /// request and reading the response.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(6);
-/// Capacity of the queue of lines that wait for the connection; small, because each line may be
-/// large.
-const LINE_QUEUE_CAPACITY: usize = 1;
+/// Capacity of the queue of finished items that wait for the connection; small, because each body
+/// may be large.
+const ITEM_QUEUE_CAPACITY: usize = 1;
+
+/// Retry-After of a request whose body finds no memory, in seconds: requests hold memory for about
+/// this long.
+const MEMORY_RETRY_AFTER_S: &str = "1";
+/// One in this many of the response bodies that fit into memory may belong to items. Items keep
+/// theirs until the client reads the lines, and the rest stays for the client port.
+const ITEM_BODIES_DIVISOR: usize = 2;
 
 /// Why a multi-get request cannot be used. No work was started for the request, and its client
 /// receives the text.
@@ -60,12 +71,16 @@
     /// Two items have the same id.
     #[error("a req_id stands twice")]
     DuplicateId,
+    /// No memory is left for the body.
+    #[error("refused: try again later")]
+    MemoryExhausted,
 }
 
 impl From<MultiGetError> for server::HttpResponse {
     fn from(error: MultiGetError) -> Self {
         let status = match error {
             MultiGetError::Request(error) => return error.into(),
+            MultiGetError::MemoryExhausted => return memory_exhausted_response(),
             MultiGetError::TooManyItems => StatusCode::PAYLOAD_TOO_LARGE,
             MultiGetError::Malformed | MultiGetError::InvalidItem | MultiGetError::DuplicateId => {
                 StatusCode::BAD_REQUEST
@@ -75,6 +90,16 @@
     }
 }
 
+/// Returns the response to a request whose body finds no memory.
+fn memory_exhausted_response() -> server::HttpResponse {
+    let text = MultiGetError::MemoryExhausted.to_string();
+    let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, text);
+    response
+        .headers_mut()
+        .insert(RETRY_AFTER, HeaderValue::from_static(MEMORY_RETRY_AFTER_S));
+    response
+}
+
 /// Server of the multi-get port.
 pub struct MultiGet {
     /// Shared with the client port, because items are handled like the requests of that port.
@@ -82,6 +107,8 @@
     settings: MultiGetSettings,
     /// Source of the descriptors of this port's connections.
     descriptors: Rc<DescriptorSource>,
+    /// One permit for each item of all connections that may be in flight or wait for its client.
+    item_permits: Arc<Semaphore>,
 }
 
 impl MultiGet {
@@ -89,17 +116,24 @@
     pub const DESCRIPTORS: usize = 1;
     /// Maximum number of connections at once.
     pub const CONNECTIONS: usize = 8;
+    /// Memory for the lines that all connections are writing, in bytes: a line for each, whose body
+    /// has the maximum length and takes six characters for each byte.
+    pub const LINE_BYTES: usize = Self::CONNECTIONS * 6 * MAX_BODY_BYTES;
 
-    /// Creates a server without connections.
+    /// Creates a server without connections, for a node with `response_bytes` of memory for the
+    /// bodies of responses.
     pub fn new(
         context: Rc<ServerContext>,
         settings: MultiGetSettings,
         descriptors: DescriptorSource,
+        response_bytes: usize,
     ) -> Rc<Self> {
+        let max_items = response_bytes / MAX_BODY_BYTES / ITEM_BODIES_DIVISOR;
         Rc::new(Self {
             context,
             settings,
             descriptors: Rc::new(descriptors),
+            item_permits: Arc::new(Semaphore::new(max_items.clamp(1, Semaphore::MAX_PERMITS))),
         })
     }
 
@@ -155,12 +189,13 @@
         request: Request<Incoming>,
     ) -> Result<HttpResponse, MultiGetError> {
         let received_at = Instant::now();
-        let request = MultiGetRequest::read(request, &self.context, &self.settings).await?;
+        let request = MultiGetRequest::read(request, handle, &self.context, &self.settings).await?;
         handle.on_request(request.parameters.class.0);
         let deadline = received_at + request.parameters.timeout;
-        let (sender, lines) = channel(LINE_QUEUE_CAPACITY);
+        let (sender, finished_items) = channel(ITEM_QUEUE_CAPACITY);
         let items = Items {
             context: self.context.clone(),
+            permits: self.item_permits.clone(),
             parameters: request.parameters,
             deadline,
             max_in_flight: self.settings.parallel_requests(),
@@ -173,6 +208,6 @@
             // disconnected.
             let _ = timeout_at(cancel_at, running_items).await;
         });
-        Ok(lines_response(lines, task))
+        Ok(lines_response(finished_items, task))
     }
 }
--- a/crates/node/src/multiget/items.rs
+++ b/crates/node/src/multiget/items.rs
@@ -1,14 +1,16 @@
 //! Items of a multi-get request, run as requests of this node.
 
 use super::request::Item;
-use super::response::ResponseLine;
+use super::response::FinishedItem;
 use crate::driver::FinalResponse;
 use crate::server::{submit_request, RequestParameters, ServerContext};
 use crate::upstream::ForwardedRequest;
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::mpsc::Sender;
+use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -17,6 +19,8 @@
 pub(super) struct Items {
     /// Context shared with the client port.
     pub context: Rc<ServerContext>,
+    /// One permit for each item of all requests that may hold a response at once.
+    pub permits: Arc<Semaphore>,
     /// Parameters of each item, except its timeout.
     pub parameters: RequestParameters,
     /// Time at which the client stops waiting.
@@ -26,10 +30,9 @@
 }
 
 impl Items {
-    /// Runs the items, and sends a line for each item when it ends. The items in flight are
-    /// canceled if this future is dropped, or if the receiver of the lines is dropped because the
-    /// client disconnected.
-    pub async fn run(self, items: Vec<Item>, lines: Sender<Bytes>) {
+    /// Runs the items, and sends each item when it ends. The items in flight are canceled if this
+    /// future is dropped, or if the receiver is dropped because the client disconnected.
+    pub async fn run(self, items: Vec<Item>, finished: Sender<FinishedItem>) {
         let mut pending = items.into_iter().enumerate();
         let mut in_flight = JoinSet::new();
         loop {
@@ -42,22 +45,30 @@
             let Some(join_result) = in_flight.join_next().await else {
                 return;
             };
-            let Ok(Some(line)) = join_result else {
+            let Ok(Some(item)) = join_result else {
                 continue;
             };
-            if lines.send(line).await.is_err() {
+            if finished.send(item).await.is_err() {
                 return;
             }
         }
     }
 
-    /// Runs one item and returns its line. An item is a client's request without a connection of
-    /// its own. It still leases a descriptor of the client connections, so that items and clients
-    /// share one limit.
-    async fn run_item(self, index: usize, item: Item) -> Option<Bytes> {
+    /// Runs one item. An item is a client's request without a connection of its own. It still leases
+    /// a descriptor of the client connections, so that items and clients share one limit.
+    async fn run_item(self, index: usize, item: Item) -> Option<FinishedItem> {
+        // Fails only if the semaphore is closed, which it never is.
+        let permit = self.permits.acquire_owned().await.ok()?;
         let key_number = item.key_number();
+        let mut finished = FinishedItem {
+            index,
+            key: item.key,
+            status: StatusCode::CONFLICT,
+            body: None,
+            _permit: permit,
+        };
         let Some(id) = self.context.open_ids.register(item.id) else {
-            return ResponseLine::new(index, &item.key, StatusCode::CONFLICT).to_bytes();
+            return Some(finished);
         };
         let _lease = self.context.descriptors.lease().await;
         let started_at = Instant::now();
@@ -74,10 +85,10 @@
         };
         let response =
             submit_request(&self.context, started_at, key_number, parameters, message).await;
-        let mut line = ResponseLine::new(index, &item.key, response.status());
-        if let FinalResponse::Served(body) = &response {
-            line.set_body(body);
+        finished.status = response.status();
+        if let FinalResponse::Served(body) = response {
+            finished.body = Some(body);
         }
-        line.to_bytes()
+        Some(finished)
     }
 }
--- a/crates/node/src/multiget/request.rs
+++ b/crates/node/src/multiget/request.rs
@@ -1,10 +1,10 @@
 //! Reading and checking of multi-get requests.
 
 use super::MultiGetError;
-use crate::server::{
-    key_number, parse_parameters, read_body, RequestError, RequestParameters, ServerContext,
-};
-use hyper::body::Incoming;
+use crate::body::{read_body, MAX_BODY_BYTES};
+use crate::connections::ConnectionHandle;
+use crate::server::{key_number, parse_parameters, RequestError, RequestParameters, ServerContext};
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
@@ -25,15 +25,21 @@
 }
 
 impl MultiGetRequest {
-    /// Reads a complete request and checks it.
+    /// Reads a complete request and checks it. The memory of its body is reserved on the connection
+    /// until the response.
     pub async fn read(
         request: Request<Incoming>,
+        handle: &ConnectionHandle,
         context: &ServerContext,
         settings: &MultiGetSettings,
     ) -> Result<Self, MultiGetError> {
         let (head, body) = request.into_parts();
         check_head(&head)?;
         let parameters = parse_parameters(context, &head.headers).map_err(RequestError::from)?;
+        let stated_bytes = body.size_hint().lower().min(MAX_BODY_BYTES as u64) as usize;
+        if !handle.reserve_request_bytes(stated_bytes) {
+            return Err(MultiGetError::MemoryExhausted);
+        }
         let body = read_body(body).await.map_err(RequestError::from)?;
         let items = parse_items(&body, settings.max_items())?;
         Ok(Self { parameters, items })
--- a/crates/node/src/multiget/response.rs
+++ b/crates/node/src/multiget/response.rs
@@ -1,4 +1,7 @@
 //! The response to a multi-get request: a line of JSON for each item, sent when the item ends.
+//!
+//! A line is written only when the connection takes it, because it may be six times as long as the
+//! body of its item.
 
 use bytes::Bytes;
 use http_body_util::{Either, Full};
@@ -8,16 +11,42 @@
 use serde::Serialize;
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use tokio::sync::mpsc::Receiver;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::JoinSet;
 
 /// The text response to an unusable request, or the lines of its items.
 pub(super) type HttpResponse = Response<Either<Full<Bytes>, ResponseLines>>;
 
-/// Result of an item.
+/// An item that has ended, and waits to be written.
+pub(super) struct FinishedItem {
+    /// Index of the item in the request, from 0.
+    pub index: usize,
+    /// Key as sent by the client.
+    pub key: String,
+    /// Status code that a separate request would have received.
+    pub status: StatusCode,
+    /// Body of a 200 response.
+    pub body: Option<Bytes>,
+    /// Released when the line was written.
+    pub _permit: OwnedSemaphorePermit,
+}
+
+impl FinishedItem {
+    /// Returns the line of the item.
+    fn line(&self) -> ResponseLine<'_> {
+        let mut line = ResponseLine::new(self.index, &self.key, self.status);
+        if let Some(body) = &self.body {
+            line.set_body(body);
+        }
+        line
+    }
+}
+
+/// The line of an item.
 #[derive(Debug, Serialize)]
-pub(super) struct ResponseLine<'a> {
+struct ResponseLine<'a> {
     /// Index of the item in the request, from 0.
     #[serde(rename = "i")]
     index: usize,
@@ -34,7 +63,7 @@
 
 impl<'a> ResponseLine<'a> {
     /// Creates a line without a body.
-    pub fn new(index: usize, key: &'a str, status: StatusCode) -> Self {
+    fn new(index: usize, key: &'a str, status: StatusCode) -> Self {
         Self {
             index,
             key,
@@ -45,7 +74,7 @@
     }
 
     /// Adds the body of the item's response.
-    pub fn set_body(&mut self, body: &'a [u8]) {
+    fn set_body(&mut self, body: &'a [u8]) {
         match std::str::from_utf8(body) {
             Ok(text) => self.body = Some(text),
             Err(_) => {
@@ -56,7 +85,7 @@
     }
 
     /// Returns the line with its line feed; `None` if it cannot be written as JSON.
-    pub fn to_bytes(&self) -> Option<Bytes> {
+    fn to_bytes(&self) -> Option<Bytes> {
         let mut line = serde_json::to_vec(self).ok()?;
         line.push(b'\n');
         Some(line.into())
@@ -65,7 +94,7 @@
 
 /// A streamed body of lines. Dropping it, together with its response, cancels the items in flight.
 pub(super) struct ResponseLines {
-    lines: Receiver<Bytes>,
+    items: Receiver<FinishedItem>,
     /// Task that runs the items: a `JoinSet` aborts it when dropped.
     _task: JoinSet<()>,
 }
@@ -78,15 +107,21 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        self.lines
-            .poll_recv(cx)
-            .map(|line| line.map(|line| Ok(Frame::data(line))))
+        loop {
+            let Some(item) = ready!(self.items.poll_recv(cx)) else {
+                return Poll::Ready(None);
+            };
+            // An item without a line counts as unfinished.
+            if let Some(line) = item.line().to_bytes() {
+                return Poll::Ready(Some(Ok(Frame::data(line))));
+            }
+        }
     }
 }
 
-/// Builds the response that streams the lines sent by `task`.
-pub(super) fn lines_response(lines: Receiver<Bytes>, task: JoinSet<()>) -> HttpResponse {
-    let mut response = Response::new(Either::Right(ResponseLines { lines, _task: task }));
+/// Builds the response that streams the lines of the items that `task` sends.
+pub(super) fn lines_response(items: Receiver<FinishedItem>, task: JoinSet<()>) -> HttpResponse {
+    let mut response = Response::new(Either::Right(ResponseLines { items, _task: task }));
     response.headers_mut().insert(
         CONTENT_TYPE,
         HeaderValue::from_static("application/x-ndjson"),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,5 +1,6 @@
 //! Connects the parts of a node and spawns the tasks that run them.
 
+use crate::body::BodyMemory;
 use crate::budget::ConnectionBudget;
 use crate::connections::ConnectionManager;
 use crate::discovery::{self, DiscoveryOptions};
@@ -81,9 +82,11 @@
             ConnectionKind::Client,
             budget.client_limits.clone(),
         );
+        let response_memory = BodyMemory::new(budget.response_bytes);
         let upstream = Rc::new(Upstream::new(
             budget.shared.clone(),
             connections.clone(),
+            response_memory.clone(),
             settings.connect_timeout,
             settings.keepalive,
         ));
@@ -98,6 +101,7 @@
             server.events,
             telemetry.log.clone(),
             descriptors,
+            response_memory,
         ));
         Self {
             telemetry,
@@ -173,6 +177,7 @@
             pushed,
             drain_grace: settings.drain_grace,
             max_poll_interval: settings.max_poll_interval,
+            max_list_bytes: self.budget.max_list_bytes,
             random: fastrand::Rng::with_seed(start.seed),
             events,
             log: self.telemetry.log.clone(),
@@ -198,7 +203,12 @@
             ),
             upstream: self.upstream.clone(),
         };
-        let multiget = MultiGet::new(self.server.clone(), settings, descriptors);
+        let multiget = MultiGet::new(
+            self.server.clone(),
+            settings,
+            descriptors,
+            self.budget.response_bytes,
+        );
         Ok(spawn_local(multiget.serve(listener)))
     }
 
--- a/crates/node/src/relay/upstream_connection.rs
+++ b/crates/node/src/relay/upstream_connection.rs
@@ -1,6 +1,8 @@
 //! A connection to upstream.
 
-use crate::list_client::{connect, exchange, DiscoveryError, ListRequest, RequestSender};
+use crate::list_client::{
+    connect, exchange, DiscoveryError, ListRequest, RequestSender, MAX_LIST_BYTES,
+};
 use slatelink_membership::ListUpdate;
 use std::net::SocketAddr;
 use tokio::task::JoinSet;
@@ -28,7 +30,7 @@
 
     /// Sends a request and reads its answer, without a timeout.
     pub async fn fetch(&mut self, request: ListRequest) -> Result<ListUpdate, DiscoveryError> {
-        let body = exchange(&mut self.sender, self.address, request).await?;
+        let body = exchange(&mut self.sender, self.address, request, MAX_LIST_BYTES).await?;
         Ok(ListUpdate::parse(&body)?)
     }
 }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -14,7 +14,6 @@
 mod response;
 mod submit;
 
-pub use crate::upstream::read_body;
 pub use accept::serve;
 pub use connection::ClientConnection;
 pub use descriptors::DescriptorSource;
@@ -24,6 +23,7 @@
 pub use response::{text_response, HttpResponse};
 pub use submit::submit_request;
 
+use crate::body::BodyMemory;
 use crate::driver::DriverEvent;
 use crate::shutdown::ShutdownStage;
 use crate::upstream::OpenRequestIds;
@@ -62,6 +62,8 @@
     pub events: UnboundedSender<DriverEvent>,
     /// Source of the descriptors of the client port's connections.
     pub descriptors: Rc<DescriptorSource>,
+    /// Memory for the bodies of responses.
+    pub response_memory: BodyMemory,
     /// The node's log.
     pub log: Log,
     /// Ids of the requests that have no final response yet, or an attempt in flight.
@@ -79,6 +81,7 @@
         events: UnboundedSender<DriverEvent>,
         log: Log,
         descriptors: DescriptorSource,
+        response_memory: BodyMemory,
     ) -> Self {
         let classes = settings.classes.iter().map(|class| RequestClass {
             name: class.name.clone(),
@@ -91,6 +94,7 @@
             stage,
             events,
             descriptors: Rc::new(descriptors),
+            response_memory,
             log,
             open_ids: OpenRequestIds::default(),
             next_request_number: Cell::new(0),
--- a/crates/node/src/server/error.rs
+++ b/crates/node/src/server/error.rs
@@ -2,7 +2,7 @@
 
 use super::parameters::ParameterError;
 use super::response::{method_not_allowed, text_response, HttpResponse};
-use crate::upstream::BodyError;
+use crate::body::BodyError;
 use hyper::StatusCode;
 use thiserror::Error;
 
--- a/crates/node/src/server/request.rs
+++ b/crates/node/src/server/request.rs
@@ -5,9 +5,10 @@
 use super::response::{client_response, text_response, HttpResponse};
 use super::submit::submit_request;
 use super::ServerContext;
+use crate::body::{read_body, BodyError, MAX_BODY_BYTES};
 use crate::connections::ConnectionHandle;
 use crate::shutdown::ShutdownStage;
-use crate::upstream::{read_body, BodyError, ForwardedRequest, MAX_BODY_BYTES};
+use crate::upstream::ForwardedRequest;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, TRANSFER_ENCODING};
@@ -80,7 +81,8 @@
         .ok_or(RequestError::DuplicateId)?;
     let mut parameters = headers.parameters;
     let class_over_quota = connection.on_request(parameters.class.0);
-    parameters.over_quota = class_over_quota || body.unread.is_some();
+    let memory_exhausted = body.unread.is_some() || !has_response_memory(context, connection);
+    parameters.over_quota = class_over_quota || memory_exhausted;
     let message = ForwardedRequest {
         method: head.method,
         target,
@@ -95,6 +97,15 @@
     Ok(client_response(final_response))
 }
 
+/// Checks whether there is memory for the response to a request.
+fn has_response_memory(context: &ServerContext, connection: &ConnectionHandle) -> bool {
+    let has_room = context.response_memory.has_room();
+    if !has_room {
+        connection.on_memory_refusal();
+    }
+    has_room
+}
+
 /// Returns the response to a health check.
 fn health(context: &ServerContext, method: &Method) -> Result<HttpResponse, RequestError> {
     if method != Method::GET {
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -8,7 +8,6 @@
 //! module decides on retries.
 
 mod attempt;
-mod body;
 mod checkout;
 mod exchange;
 mod idle_history;
@@ -18,10 +17,10 @@
 mod write_progress;
 
 pub use attempt::AttemptLimits;
-pub use body::{read_body, BodyError, MAX_BODY_BYTES};
 pub use exchange::{AttemptResult, ForwardedRequest, IDEMPOTENCY_KEY, REQ_DEADLINE, REQ_ID};
 pub use request_ids::OpenRequestIds;
 
+use crate::body::BodyMemory;
 use crate::connections::ConnectionManager;
 use idle_history::IdleHistory;
 use pool::{EndpointPool, PooledConnection};
@@ -49,6 +48,8 @@
     budget: Budget,
     /// Client connections, which share the budget and are evicted for connections to endpoints.
     clients: Rc<ConnectionManager>,
+    /// Memory for the bodies of responses.
+    response_memory: BodyMemory,
     /// Timeout of connecting to an endpoint.
     connect_timeout: Duration,
     /// Determines the timeout of idle connections.
@@ -56,11 +57,13 @@
 }
 
 impl Upstream {
-    /// Creates an instance without endpoints. Connections lease their descriptors from `budget`;
-    /// `keepalive` is the time after which endpoints close idle connections.
+    /// Creates an instance without endpoints. Connections lease their descriptors from `budget`,
+    /// and the bodies of responses reserve `response_memory`; `keepalive` is the time after which
+    /// endpoints close idle connections.
     pub fn new(
         budget: Budget,
         clients: Rc<ConnectionManager>,
+        response_memory: BodyMemory,
         connect_timeout: Duration,
         keepalive: Duration,
     ) -> Self {
@@ -69,6 +72,7 @@
             pools: RefCell::default(),
             budget,
             clients,
+            response_memory,
             connect_timeout,
             idle_history: RefCell::new(IdleHistory::new(idle_timeout, Instant::now())),
         }
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -71,7 +71,7 @@
             canceled: limits.canceled.clone(),
         });
         let idle_time = connection.idle_since.elapsed();
-        let exchange_future = exchange(&mut connection.sender, http_request);
+        let exchange_future = exchange(&mut connection.sender, http_request, &self.response_memory);
         let exchange_result = timeout_at(limits.deadline, exchange_future).await;
         let broken = matches!(exchange_result, Ok(Err(_)));
         self.record_idle_time(&connection.progress, idle_time, broken);
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -1,7 +1,7 @@
 //! One HTTP request to an endpoint, and its response.
 
-use super::body::{read_body, BodyError};
 use super::request_ids::OpenRequestId;
+use crate::body::{discard, read_reserved, BodyError, BodyMemory};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -122,16 +122,24 @@
     pub(super) reusable: bool,
 }
 
-/// Sends a request and reads its response.
+/// Sends a request and reads its response. Only the body of a 200 response is kept, in memory
+/// reserved for it.
 pub(super) async fn exchange(
     sender: &mut SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
+    response_memory: &BodyMemory,
 ) -> Result<Exchange, hyper::Error> {
     let response = sender.send_request(request).await?;
     let mut result = AttemptResult::from_head(&response);
-    match read_body(response.into_body()).await {
+    let body = response.into_body();
+    let read = if result.status == Status::Ok {
+        read_reserved(body, response_memory).await.map(Some)
+    } else {
+        discard(body).await.map(|()| None)
+    };
+    match read {
         Ok(body) => {
-            result.body = (result.status == Status::Ok).then_some(body);
+            result.body = body;
             Ok(Exchange {
                 result,
                 reusable: true,
