Tests: start servers with discovery in one place; one function for a body's length

Cause: four tests started the same servers with discovery by hand, and the server and multi-get worked out a body's stated length twice.

Change: `start_servers` and `total_requests` in the tests' fixtures, `stated_length` beside the readers of bodies. No assertion changed.

--- a/crates/cli/tests/node_common/cache_server.rs
+++ b/crates/cli/tests/node_common/cache_server.rs
@@ -1,5 +1,6 @@
 //! Cache servers whose responses the test defines.
 
+use super::discovery::Discovery;
 use super::http::{http_response, Message};
 use super::waiting::Gate;
 use serde_json::{json, Value};
@@ -155,6 +156,28 @@
     }
 }
 
+/// Starts servers with the same reply, and a discovery that lists them as s-0, s-1 and so on.
+pub fn start_servers(
+    count: usize,
+    reply: impl Fn(&Message) -> Reply + Clone + Send + Sync + 'static,
+) -> (Vec<CacheServer>, Discovery) {
+    let servers: Vec<_> = (0..count)
+        .map(|_| CacheServer::start(reply.clone()))
+        .collect();
+    let entries: Vec<_> = servers
+        .iter()
+        .enumerate()
+        .map(|(i, server)| server.entry(&format!("s-{i}"), "ready"))
+        .collect();
+    let discovery = Discovery::start(&entries);
+    (servers, discovery)
+}
+
+/// Returns the number of requests that all servers have received.
+pub fn total_requests(servers: &[CacheServer]) -> usize {
+    servers.iter().map(CacheServer::request_count).sum()
+}
+
 pub fn endpoint_entry(name: &str, dial: SocketAddr, health: &str) -> Value {
     json!({"host": name, "dial": dial.to_string(), "site": "a", "class": "m2", "block": 0,
            "health": health, "share": 1.0, "born_ms": 0})
--- a/crates/cli/tests/node_common/mod.rs
+++ b/crates/cli/tests/node_common/mod.rs
@@ -12,7 +12,9 @@
 mod slow_server;
 mod waiting;
 
-pub use cache_server::{endpoint_entry, write_pieces, CacheServer, Reply};
+pub use cache_server::{
+    endpoint_entry, start_servers, total_requests, write_pieces, CacheServer, Reply,
+};
 pub use discovery::Discovery;
 pub use http::{api_request, assert_shed, http_response, Client, Message};
 pub use node::{command, config, temporary_path, write_temporary_file, Node};
--- a/crates/cli/tests/node_front.rs
+++ b/crates/cli/tests/node_front.rs
@@ -152,21 +152,11 @@
 #[test]
 fn a_client_waiting_for_a_descriptor_during_shutdown_is_served() {
     let gate = Gate::default();
-    let servers: Vec<_> = (0..8)
-        .map(|_| {
-            let server_gate = gate.clone();
-            CacheServer::start(move |_| {
-                server_gate.wait_until_open();
-                Reply::Response(http_response("200 OK", "", "value"))
-            })
-        })
-        .collect();
-    let entries: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(i, cache_server)| cache_server.entry(&format!("s-{i}"), "ready"))
-        .collect();
-    let discovery = Discovery::start(&entries);
+    let server_gate = gate.clone();
+    let (_servers, discovery) = start_servers(8, move |_| {
+        server_gate.wait_until_open();
+        Reply::Response(http_response("200 OK", "", "value"))
+    });
     let mut node_config = config(discovery.address);
     // This limit leaves ten descriptors for clients, and enough for connections to servers.
     node_config["limits"]["sockets"] = json!(60);
--- a/crates/cli/tests/node_memory.rs
+++ b/crates/cli/tests/node_memory.rs
@@ -32,21 +32,23 @@
     sockets: u32,
     reply: impl Fn(&Message) -> Reply + Clone + Send + Sync + 'static,
 ) -> (Vec<CacheServer>, Discovery, Node) {
-    let servers: Vec<_> = (0..servers)
-        .map(|_| CacheServer::start(reply.clone()))
-        .collect();
-    let entries: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(i, server)| server.entry(&format!("s-{i}"), "ready"))
-        .collect();
-    let discovery = Discovery::start(&entries);
+    let (servers, discovery) = start_servers(servers, reply);
     let mut node_config = config(discovery.address);
     node_config["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": sockets});
     let node = Node::ready(&node_config);
     (servers, discovery, node)
 }
 
+/// Sends a request of this class on each of `count` new connections.
+fn send_requests(node: &Node, count: u64, class: &str, deadline_ms: u64) -> Vec<Client> {
+    let send = |key| {
+        let mut client = node.client();
+        client.send(&api_request(class, key, deadline_ms));
+        client
+    };
+    (0..count).map(send).collect()
+}
+
 fn assert_within_memory_limit(node: &Node) {
     let peak_kb = node.peak_memory_kb();
     assert!(peak_kb < MEMORY_MB << 10, "peak memory is {peak_kb} kB");
@@ -74,13 +76,7 @@
     let pieces = split_message(&response, PIECE_BYTES);
     let (_servers, _discovery, node) =
         start_fleet(8, 256, move |_| Reply::Pieces(pieces.clone(), PIECE_PAUSE));
-    let mut clients: Vec<_> = (0..40u64)
-        .map(|key| {
-            let mut client = node.client();
-            client.send(&api_request("read", key, 20_000));
-            client
-        })
-        .collect();
+    let mut clients = send_requests(&node, 40, "read", 20_000);
     assert_eq!(count_served(&mut clients, MAX_BODY_BYTES), clients.len());
     assert_within_memory_limit(&node);
 }
@@ -100,13 +96,7 @@
     let pieces = split_message(&response, chunk_bytes);
     let (_servers, _discovery, node) =
         start_fleet(8, 256, move |_| Reply::Pieces(pieces.clone(), PIECE_PAUSE));
-    let mut clients: Vec<_> = (0..40u64)
-        .map(|key| {
-            let mut client = node.client();
-            client.send(&api_request("read", key, 20_000));
-            client
-        })
-        .collect();
+    let mut clients = send_requests(&node, 40, "read", 20_000);
     assert_eq!(count_served(&mut clients, MAX_BODY_BYTES), clients.len());
     assert_within_memory_limit(&node);
 }
@@ -119,13 +109,7 @@
     let (_servers, _discovery, node) = start_fleet(8, 256, move |_| {
         Reply::Pieces(pieces.clone(), Duration::from_micros(50))
     });
-    let mut clients: Vec<_> = (0..20u64)
-        .map(|key| {
-            let mut client = node.client();
-            client.send(&api_request("once", key, 1_500));
-            client
-        })
-        .collect();
+    let mut clients = send_requests(&node, 20, "once", 1_500);
     for client in &mut clients {
         let response = client.read_response().expect("a response");
         assert_ne!(response.status(), 200, "the response has not ended");
@@ -175,13 +159,7 @@
         let (most, rest) = response.split_at(response.len() - 1);
         Reply::Gated(most.to_owned(), server_gate.clone(), rest.to_owned())
     });
-    let mut clients: Vec<_> = (0..330u64)
-        .map(|key| {
-            let mut client = node.client();
-            client.send(&api_request("read", key, 20_000));
-            client
-        })
-        .collect();
+    let mut clients = send_requests(&node, 330, "read", 20_000);
     let received = || {
         servers
             .iter()
@@ -254,23 +232,14 @@
 #[test]
 fn clients_that_send_many_bytes_behind_a_request_and_disconnect_use_little_memory() {
     let gate = Gate::default();
+    let server_gate = gate.clone();
     // The servers have more than enough capacity for all clients.
-    let servers: Vec<_> = (0..16)
-        .map(|_| {
-            let server_gate = gate.clone();
-            CacheServer::start(move |request| {
-                if request.header("req-id").is_some_and(|id| id.len() < 4) {
-                    server_gate.wait_until_open();
-                }
-                Reply::Response(http_response("200 OK", "", "value"))
-            })
-        })
-        .collect();
-    let entries = servers
-        .iter()
-        .enumerate()
-        .map(|(i, server)| server.entry(&format!("s-{i}"), "ready"));
-    let discovery = Discovery::start(&entries.collect::<Vec<_>>());
+    let (servers, discovery) = start_servers(16, move |request| {
+        if request.header("req-id").is_some_and(|id| id.len() < 4) {
+            server_gate.wait_until_open();
+        }
+        Reply::Response(http_response("200 OK", "", "value"))
+    });
     let mut node_config = config(discovery.address);
     node_config["limits"]["memory_mb"] = json!(32);
     let node = Node::ready(&node_config);
@@ -284,11 +253,7 @@
         })
         .collect();
     wait_for("all requests at the servers", || {
-        servers
-            .iter()
-            .map(CacheServer::request_count)
-            .sum::<usize>()
-            == senders.len()
+        total_requests(&servers) == senders.len()
     });
     senders
         .iter_mut()
--- a/crates/cli/tests/node_multiget/bounds.rs
+++ b/crates/cli/tests/node_multiget/bounds.rs
@@ -5,8 +5,8 @@
     post_request, MULTI_GET_FEATURES,
 };
 use crate::node_common::{
-    api_request, config, http_response, wait_for, CacheServer, Discovery, Gate, Message, Node,
-    Reply,
+    api_request, config, http_response, start_servers, total_requests, wait_for, CacheServer,
+    Discovery, Gate, Message, Node, Reply,
 };
 use serde_json::json;
 use std::process::Stdio;
@@ -87,13 +87,7 @@
         };
         Reply::Response(http_response("200 OK", "", body))
     };
-    let servers: Vec<_> = (0..8).map(|_| CacheServer::start(reply.clone())).collect();
-    let entries: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(i, server)| server.entry(&format!("s-{i}"), "ready"))
-        .collect();
-    let discovery = Discovery::start(&entries);
+    let (servers, discovery) = start_servers(8, reply);
     let mut low_memory_config = config(discovery.address);
     low_memory_config["limits"]["memory_mb"] = json!(MEMORY_MB);
     let features = format!("{MULTI_GET_FEATURES}parallel = 64\nmax_items = 64\n");
@@ -109,13 +103,7 @@
             client
         })
         .collect();
-    let received = || {
-        servers
-            .iter()
-            .map(CacheServer::request_count)
-            .sum::<usize>()
-    };
-    wait_for("items at the servers", || received() >= 30);
+    wait_for("items at the servers", || total_requests(&servers) >= 30);
     for request in 0..20 {
         assert_eq!(
             node.read("read", 0xf000_0000_0000_0000 + request).status(),
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -58,8 +58,7 @@
 /// Reads a body to its end into one buffer, whose capacity never exceeds `max_bytes`.
 pub async fn read_to_end(body: Incoming, max_bytes: usize) -> Result<Vec<u8>, BodyError> {
     length_bound(&body, max_bytes)?;
-    let stated_length = usize::try_from(body.size_hint().lower()).unwrap_or(max_bytes);
-    let mut bytes = Vec::with_capacity(stated_length);
+    let mut bytes = Vec::with_capacity(stated_length(&body, max_bytes));
     for_each_frame(body, |data| {
         within(bytes.len() + data.len(), max_bytes)?;
         append(&mut bytes, data, max_bytes);
@@ -70,6 +69,11 @@
     Ok(bytes)
 }
 
+/// Returns the length that a body states, up to `max_bytes`; 0 if it states none.
+pub fn stated_length(body: &Incoming, max_bytes: usize) -> usize {
+    usize::try_from(body.size_hint().lower()).map_or(max_bytes, |length| length.min(max_bytes))
+}
+
 /// Returns the largest length that a body may have: its stated length, or `max_bytes` if it states
 /// none. A body whose stated length exceeds the limit is not read.
 fn length_bound(body: &Incoming, max_bytes: usize) -> Result<usize, BodyError> {
--- a/crates/node/src/multiget/request.rs
+++ b/crates/node/src/multiget/request.rs
@@ -1,10 +1,10 @@
 //! Reading and checking of multi-get requests.
 
 use super::MultiGetError;
-use crate::body::{read_body, MAX_BODY_BYTES};
+use crate::body::{read_body, stated_length, MAX_BODY_BYTES};
 use crate::connections::ConnectionHandle;
 use crate::server::{key_number, parse_parameters, RequestError, RequestParameters, ServerContext};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
@@ -36,8 +36,7 @@
         let (head, body) = request.into_parts();
         check_head(&head)?;
         let parameters = parse_parameters(context, &head.headers).map_err(RequestError::from)?;
-        let stated_bytes = body.size_hint().lower().min(MAX_BODY_BYTES as u64) as usize;
-        if !handle.reserve_request_bytes(stated_bytes) {
+        if !handle.reserve_request_bytes(stated_length(&body, MAX_BODY_BYTES)) {
             return Err(MultiGetError::MemoryExhausted);
         }
         let body = read_body(body).await.map_err(RequestError::from)?;
--- a/crates/node/src/server/request.rs
+++ b/crates/node/src/server/request.rs
@@ -5,12 +5,12 @@
 use super::response::{client_response, text_response, HttpResponse};
 use super::submit::submit_request;
 use super::ServerContext;
-use crate::body::{read_body, BodyError, MAX_BODY_BYTES};
+use crate::body::{read_body, stated_length, BodyError, MAX_BODY_BYTES};
 use crate::connections::ConnectionHandle;
 use crate::shutdown::ShutdownStage;
 use crate::upstream::ForwardedRequest;
 use bytes::Bytes;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode};
@@ -163,8 +163,7 @@
     connection: &ConnectionHandle,
     body: Incoming,
 ) -> Result<RequestBody, BodyError> {
-    let min_bytes = body.size_hint().lower().min(MAX_BODY_BYTES as u64) as usize;
-    if !connection.reserve_request_bytes(min_bytes) {
+    if !connection.reserve_request_bytes(stated_length(&body, MAX_BODY_BYTES)) {
         return Ok(RequestBody {
             bytes: Bytes::new(),
             unread: Some(body),
