--- a/crates/admission/src/connections/quotas.rs
+++ b/crates/admission/src/connections/quotas.rs
@@ -91,6 +91,13 @@
         }
     }
 
+    /// Changes the maximum number of requests in flight per class; see
+    /// [`ConnectionLimits::per_class`](super::ConnectionLimits::per_class). Requests in flight
+    /// count against the changed limits.
+    pub fn set_class_limits(&mut self, per_class: Vec<Option<usize>>) {
+        self.limits.per_class = per_class;
+    }
+
     /// Increments the number of requests in flight of a class. Returns whether the class then
     /// exceeds its quota.
     pub(super) fn add_to_class(&mut self, class: usize) -> bool {
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -1,7 +1,13 @@
 //! The platform's configuration: the JSON file named by `LB_CONFIG` and environment variables, read
 //! into typed values.
 
+mod key_tree;
+mod reload;
+
+pub use reload::ReloadBaseline;
+
 use crate::EndpointList;
+use reload::MAX_CLASSES;
 use serde::Deserialize;
 use serde_json::Value;
 use slatelink_policy::Settings;
@@ -49,6 +55,48 @@
     /// The limit on descriptors is below the minimum for a node.
     #[error("a limit of {0} sockets is too low: a node needs at least {MIN_DESCRIPTORS}")]
     DescriptorLimit(usize),
+    /// A changed file lacks a key that the file in force has.
+    #[error("{path} lacks the key {key}")]
+    MissingKey {
+        /// Path of the file.
+        path: PathBuf,
+        /// Path of the key, joined by dots.
+        key: String,
+    },
+    /// A number of a changed file is not above 0.
+    #[error("{path}: {key} is {value}, expected a number above 0")]
+    NotPositive {
+        /// Path of the file.
+        path: PathBuf,
+        /// Path of the key, joined by dots.
+        key: String,
+        /// The value, as JSON.
+        value: String,
+    },
+    /// Two classes of a changed file have the same name.
+    #[error("{path} has two classes named {name:?}")]
+    RepeatedClass {
+        /// Path of the file.
+        path: PathBuf,
+        /// Name of the classes.
+        name: String,
+    },
+    /// A changed file has no class, or too many.
+    #[error("{path} has {count} classes, expected 1 to {MAX_CLASSES}")]
+    ClassCount {
+        /// Path of the file.
+        path: PathBuf,
+        /// Number of classes.
+        count: usize,
+    },
+    /// A changed file changes a setting that is fixed while a node runs.
+    #[error("{path} changes {key}, which needs a restart of the node")]
+    FixedSetting {
+        /// Path of the file.
+        path: PathBuf,
+        /// Path of the key, joined by dots.
+        key: &'static str,
+    },
 }
 
 /// The platform's configuration of a node.
@@ -115,9 +163,26 @@
 /// Reads the file named by `LB_CONFIG`; other variables override its values. `variable` looks up an
 /// environment variable.
 pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    let (path, contents) = read_file(&variable)?;
+    from_contents(variable, path, contents)
+}
+
+/// Reads the file named by `LB_CONFIG`. Returns its path and contents.
+fn read_file(variable: impl Fn(&str) -> Option<String>) -> Result<(PathBuf, Vec<u8>), ConfigError> {
     let path = PathBuf::from(variable(CONFIG_VARIABLE).ok_or(ConfigError::NoPath)?);
-    let contents = read(&path)?;
-    let file = parse(&path, &contents)?;
+    match std::fs::read(&path) {
+        Ok(contents) => Ok((path, contents)),
+        Err(error) => Err(ConfigError::Unreadable { path, error }),
+    }
+}
+
+/// Parses the contents of the file.
+fn from_contents(
+    variable: impl Fn(&str) -> Option<String>,
+    path: PathBuf,
+    contents: Vec<u8>,
+) -> Result<Config, ConfigError> {
+    let file: ConfigFile = parse(&path, &contents)?;
     let address = |name: &'static str, from_file: String| {
         let text = variable(name).unwrap_or(from_file);
         text.parse().map_err(|_| ConfigError::Address {
@@ -145,14 +210,7 @@
     })
 }
 
-fn read(path: &Path) -> Result<Vec<u8>, ConfigError> {
-    std::fs::read(path).map_err(|error| ConfigError::Unreadable {
-        path: path.to_owned(),
-        error,
-    })
-}
-
-fn parse(path: &Path, contents: &[u8]) -> Result<ConfigFile, ConfigError> {
+fn parse<'a, T: Deserialize<'a>>(path: &Path, contents: &'a [u8]) -> Result<T, ConfigError> {
     serde_json::from_slice(contents).map_err(|error| ConfigError::Malformed {
         path: path.to_owned(),
         error,
--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -98,6 +98,10 @@
     pub response_bytes: usize,
     /// Longest endpoint list that is read, in bytes.
     pub max_list_bytes: usize,
+    /// Settings of the class limits.
+    admission: AdmissionSettings,
+    /// Number of connections that clients may use.
+    usable_client_descriptors: usize,
 }
 
 impl ConnectionBudget {
@@ -115,14 +119,24 @@
         let memory = connection_memory(settings, limits.memory_bytes);
         let shared = shared_budget(settings, limits, &memory)?;
         let client_limits = client_limits(admission, classes, &shared, limits.descriptors)?;
+        let usable_client_descriptors =
+            usable_client_descriptors(admission, &shared, limits.descriptors);
         Ok(Self {
             shared,
             client_limits,
             response_bytes: memory.responses,
             max_list_bytes: max_list_bytes(limits.memory_bytes),
+            admission: admission.clone(),
+            usable_client_descriptors,
         })
     }
 
+    /// Returns the maximum number of requests in flight of each of these classes. A limited class
+    /// that is not among them has no effect.
+    pub fn class_limits(&self, classes: &[Name]) -> Vec<Option<usize>> {
+        class_limits(&self.admission, classes, self.usable_client_descriptors)
+    }
+
     /// Returns the limits of multi-get connections. There is no limit per address, because all
     /// multi-get connections may come from one address, and no limit per class, because only the
     /// items of a multi-get request belong to a class.
@@ -241,6 +255,17 @@
         && budget.max_descriptors(ConnectionKind::Upstream) > 0
 }
 
+/// Returns the number of connections that clients may use.
+fn usable_client_descriptors(
+    admission: &AdmissionSettings,
+    budget: &Budget,
+    descriptor_limit: usize,
+) -> usize {
+    budget
+        .max_descriptors(ConnectionKind::Client)
+        .min(admission.client_limit(descriptor_limit))
+}
+
 fn client_limits(
     admission: &AdmissionSettings,
     classes: &[Name],
@@ -248,25 +273,30 @@
     descriptor_limit: usize,
 ) -> Result<ConnectionLimits, BudgetError> {
     check_class_names(admission, classes)?;
-    let usable = budget
-        .max_descriptors(ConnectionKind::Client)
-        .min(admission.client_limit(descriptor_limit));
-    let class_limit = |class: &Name| {
-        admission
-            .percent_per_class
-            .get(class.as_str())
-            .map(|percent| (usable * percent.get() / 100).max(1))
-    };
+    let usable = usable_client_descriptors(admission, budget, descriptor_limit);
     Ok(ConnectionLimits {
         keep_alive_limit: (usable - usable / FREE_CLIENT_DESCRIPTORS_DIVISOR).max(1),
         idle_timeout: admission.idle_timeout(),
         per_address: admission.connections_per_address(),
-        per_class: classes.iter().map(class_limit).collect(),
+        per_class: class_limits(admission, classes, usable),
         active_bytes: ACTIVE_CONNECTION_BYTES,
         parked_bytes: PARKED_CONNECTION_BYTES,
     })
 }
 
+/// Returns the maximum number of requests in flight of each class, of `usable` connections.
+fn class_limits(
+    admission: &AdmissionSettings,
+    classes: &[Name],
+    usable: usize,
+) -> Vec<Option<usize>> {
+    let limit = |class: &Name| {
+        let percent = admission.percent_per_class.get(class.as_str())?;
+        Some((usable * percent.get() / 100).max(1))
+    };
+    classes.iter().map(limit).collect()
+}
+
 /// Checks that every class that the settings limit is one of the platform's classes.
 fn check_class_names(admission: &AdmissionSettings, classes: &[Name]) -> Result<(), BudgetError> {
     let is_known = |name: &String| classes.iter().any(|class| class.as_str() == name);
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -80,6 +80,11 @@
         self.started_at.elapsed()
     }
 
+    /// Changes the maximum number of requests in flight per class, by class number.
+    pub fn set_class_limits(&self, per_class: Vec<Option<usize>>) {
+        self.table.borrow_mut().set_class_limits(per_class);
+    }
+
     /// Returns the current connection counts.
     pub fn stats(&self) -> ConnectionStats {
         self.table.borrow().stats()
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -7,7 +7,7 @@
 
 mod generated_requests;
 
-use crate::discovery::{self, DiscoveryOptions};
+use crate::discovery::{self, DiscoveryOptions, ListTimings};
 use crate::driver::DriverEvent;
 use crate::list_client::MAX_LIST_BYTES;
 use crate::policy_runner::{endpoints, ActionExecutor, PolicyRunner};
@@ -19,6 +19,7 @@
     Settings, Status,
 };
 use slatelink_telemetry::Log;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -95,8 +96,7 @@
         address: options.discovery.clone(),
         version: None,
         pushed: !settings.polls_discovery,
-        drain_grace: settings.drain_grace,
-        max_poll_interval: settings.max_poll_interval,
+        timings: Rc::new(Cell::new(ListTimings::new(settings))),
         max_list_bytes: MAX_LIST_BYTES,
         random,
         events,
@@ -141,6 +141,7 @@
             // Never received: only the discovery client holds the sender.
             DriverEvent::RequestReceived(_)
             | DriverEvent::ClientDisconnected(_)
+            | DriverEvent::SettingsChanged(_)
             | DriverEvent::AttemptEnded { .. } => {}
         }
     }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -32,7 +32,9 @@
 
 use crate::driver::DriverEvent;
 use client::DiscoveryClient;
+use slatelink_policy::Settings;
 use slatelink_telemetry::Log;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,6 +42,26 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// Times of the settings that determine when the node counts as notified of a change.
+#[derive(Clone, Copy, Debug)]
+pub struct ListTimings {
+    /// Grace period after the notification that an endpoint is draining or removed. Once it is
+    /// over, the node sends nothing to the endpoint.
+    pub drain_grace: Duration,
+    /// Time without a call after which the node counts as notified of all changes.
+    pub max_poll_interval: Duration,
+}
+
+impl ListTimings {
+    /// Returns the times of these settings.
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            drain_grace: settings.drain_grace,
+            max_poll_interval: settings.max_poll_interval,
+        }
+    }
+}
+
 /// Initial state, settings and channels of the client.
 pub struct DiscoveryOptions {
     /// Discovery's address. A change supersedes all calls to the previous address.
@@ -49,11 +71,8 @@
     /// Whether lists are pushed to a discovery agent that serves only this node. The client then
     /// always keeps a watch open at the agent, without a request to poll.
     pub pushed: bool,
-    /// Grace period after the notification that an endpoint is draining or removed. Once it is
-    /// over, the node sends nothing to the endpoint.
-    pub drain_grace: Duration,
-    /// Time without a call after which the node counts as notified of all changes.
-    pub max_poll_interval: Duration,
+    /// Times of the settings, which may change.
+    pub timings: Rc<Cell<ListTimings>>,
     /// Longest answer that is read, in bytes; a longer one is a failed call.
     pub max_list_bytes: usize,
     /// Source of jitter.
--- a/crates/node/src/discovery/client.rs
+++ b/crates/node/src/discovery/client.rs
@@ -10,14 +10,16 @@
     LATE_ANSWER_READ_TIME, LATE_FAILURE_BACKOFF, PUSHED_BACKOFF_DRAIN_GRACE_FRACTION,
     RECENT_ANSWER_BACKOFF, RECENT_ANSWER_WINDOW,
 };
-use super::DiscoveryOptions;
+use super::{DiscoveryOptions, ListTimings};
 use crate::driver::DriverEvent;
 use crate::list_client::{DiscoveryError, ListRequest};
 use slatelink_telemetry::Log;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::Notify;
@@ -29,10 +31,8 @@
     pub(super) version: Option<u64>,
     /// `DiscoveryOptions::pushed`.
     pub(super) pushed: bool,
-    /// `DiscoveryOptions::drain_grace`.
-    drain_grace: Duration,
-    /// `DiscoveryOptions::max_poll_interval`.
-    pub(super) max_poll_interval: Duration,
+    /// `DiscoveryOptions::timings`.
+    pub(super) timings: Rc<Cell<ListTimings>>,
     /// `DiscoveryOptions::max_list_bytes`.
     max_list_bytes: usize,
     /// Source of jitter.
@@ -72,8 +72,7 @@
         let DiscoveryOptions {
             version,
             pushed,
-            drain_grace,
-            max_poll_interval,
+            timings,
             max_list_bytes,
             random,
             events,
@@ -83,8 +82,7 @@
         Self {
             version,
             pushed,
-            drain_grace,
-            max_poll_interval,
+            timings,
             max_list_bytes,
             random,
             events,
@@ -177,6 +175,8 @@
         let mean = match failed.error {
             _ if self.pushed && !failed.repeated => Duration::ZERO,
             _ if self.pushed => self
+                .timings
+                .get()
                 .drain_grace
                 .mul_f64(PUSHED_BACKOFF_DRAIN_GRACE_FRACTION),
             DiscoveryError::ConnectTimedOut | DiscoveryError::AnswerTimedOut => Duration::ZERO,
--- a/crates/node/src/discovery/renewal.rs
+++ b/crates/node/src/discovery/renewal.rs
@@ -167,7 +167,9 @@
         }
         let Range { start, end } = FIRST_RENEWAL_FRACTION;
         let fraction = start + (end - start) * self.random.f64();
-        self.max_poll_interval
+        self.timings
+            .get()
+            .max_poll_interval
             .mul_f64(fraction)
             .min(WATCH_RENEWAL_INTERVAL.mean)
     }
--- a/crates/node/src/discovery/tests/harness.rs
+++ b/crates/node/src/discovery/tests/harness.rs
@@ -1,10 +1,12 @@
 //! Runs a client in virtual time and collects the events that the client forwards to the driver.
 
+use crate::discovery::ListTimings;
 use crate::discovery::{self, DiscoveryOptions};
 use crate::driver::DriverEvent;
 use crate::list_client::MAX_LIST_BYTES;
 use slatelink_policy::{Availability, Settings};
 use slatelink_telemetry::{Log, LogFormat, Telemetry};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -98,8 +100,7 @@
             address,
             version: Some(1),
             pushed,
-            drain_grace: settings.drain_grace,
-            max_poll_interval: settings.max_poll_interval,
+            timings: Rc::new(Cell::new(ListTimings::new(settings))),
             max_list_bytes: MAX_LIST_BYTES,
             random: fastrand::Rng::with_seed(seed),
             events,
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -133,6 +133,9 @@
             } => self.on_attempt_ended(id, attempt, result),
             DriverEvent::EndpointListReceived(list) => self.on_endpoint_list_received(&list),
             DriverEvent::DiscoveryFailed => self.on_discovery_failed(),
+            DriverEvent::SettingsChanged(settings) => {
+                self.policy.enqueue(Event::SettingsChanged(settings));
+            }
         }
     }
 
@@ -166,7 +169,8 @@
     fn decision_request(&self, id: RequestId, request: &ClientRequest) -> Request {
         Request {
             id,
-            class: Some(request.class),
+            class: Some(request.class.id),
+            class_terms: Some(request.class.definition.terms()),
             key: request.key,
             deadline: self.policy.timestamp(request.deadline()),
             expected_work: request.expected_work,
--- a/crates/node/src/driver/messages.rs
+++ b/crates/node/src/driver/messages.rs
@@ -1,10 +1,12 @@
 //! Messages to the driver, and its final responses.
 
+use crate::classes::RequestClass;
 use crate::upstream::{AttemptResult, ForwardedRequest};
 use bytes::Bytes;
 use hyper::StatusCode;
 use slatelink_config::EndpointList;
-use slatelink_policy::{ClassId, RequestId};
+use slatelink_policy::{RequestId, Settings};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -29,6 +31,8 @@
         /// Result of the attempt.
         result: AttemptResult,
     },
+    /// The settings have changed; their classes have the positions of the node's class table.
+    SettingsChanged(Box<Settings>),
     /// Discovery has sent an endpoint list.
     EndpointListReceived(EndpointList),
     /// A call to discovery has failed.
@@ -44,8 +48,8 @@
     pub received_at: Instant,
     /// Time after `received_at` at which the client stops waiting.
     pub timeout: Duration,
-    /// Class of the request.
-    pub class: ClassId,
+    /// Class of the request, as it was when the request was read.
+    pub class: Rc<RequestClass>,
     /// Number by which the key is hashed; `None` for a request without a key.
     pub key: Option<u64>,
     /// Work at an endpoint that the client expects the request to cost.
--- a/crates/node/src/driver/open_request.rs
+++ b/crates/node/src/driver/open_request.rs
@@ -1,6 +1,7 @@
 //! Open requests: requests that have no final response yet, or an attempt in flight.
 
 use super::messages::{ClientRequest, FinalResponse, NETWORK_MARGIN};
+use crate::classes::RequestClass;
 use crate::upstream::{AttemptLimits, ForwardedRequest};
 use bytes::Bytes;
 use slatelink_policy::{ClassId, EndpointId, Status};
@@ -25,7 +26,7 @@
     /// Shared with the attempts, and set when `response_sender` becomes `None`. An attempt that has
     /// not written its first byte by then never writes it.
     canceled: Rc<Cell<bool>>,
-    class: ClassId,
+    class: Rc<RequestClass>,
     received_at: Instant,
     /// Latest deadline of an attempt.
     deadline: Instant,
@@ -74,8 +75,8 @@
     }
 
     /// Returns the request's class.
-    pub const fn class(&self) -> ClassId {
-        self.class
+    pub fn class(&self) -> ClassId {
+        self.class.id
     }
 
     /// Returns the latest time at which the client is sent a response.
@@ -140,7 +141,7 @@
             endpoint: attempt.endpoint.clone(),
             latency: attempt.started_at.elapsed(),
         };
-        observer.attempt_ended(self.class, &ended.endpoint, status);
+        observer.attempt_ended(self.class.id, &ended.endpoint, status);
         if let Some(body) = body {
             let served = FinalResponse::Served(body);
             self.respond_from(Some(&ended.endpoint), served, observer);
@@ -171,7 +172,7 @@
             FinalResponse::Shed { .. } => RequestOutcome::Shed,
             FinalResponse::Failed => RequestOutcome::Failed,
         };
-        observer.request_completed(self.class, endpoint, self.received_at.elapsed(), outcome);
+        observer.request_completed(self.class.id, endpoint, self.received_at.elapsed(), outcome);
         // Fails if the client has disconnected and the event has not reached the driver yet.
         let _ = sender.send(response);
     }
@@ -180,7 +181,7 @@
     pub fn disconnect(&mut self, observer: &dyn Observer) {
         drop(self.close());
         observer.request_completed(
-            self.class,
+            self.class.id,
             self.last_endpoint(),
             self.received_at.elapsed(),
             RequestOutcome::ClientDisconnected,
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -1,6 +1,7 @@
 //! Reasons why a node cannot start or has failed.
 
 use crate::budget::BudgetError;
+use slatelink_config::platform::ConfigError;
 use slatelink_telemetry::TelemetryError;
 use std::io;
 use std::net::SocketAddr;
@@ -28,6 +29,9 @@
     /// The limits of the process and the settings allow no usable connection budget.
     #[error(transparent)]
     Budget(#[from] BudgetError),
+    /// The configuration file cannot be compared with later ones.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
     /// Telemetry cannot start.
     #[error(transparent)]
     Telemetry(#[from] TelemetryError),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod body;
 mod budget;
+mod classes;
 mod connections;
 pub mod control;
 mod discovery;
--- a/crates/node/src/multiget.rs
+++ b/crates/node/src/multiget.rs
@@ -178,8 +178,7 @@
 
     /// Returns the longest timeout of all classes.
     fn max_timeout(&self) -> Duration {
-        let timeouts = self.context.classes.iter().map(|class| class.max_timeout);
-        timeouts.max().unwrap_or_default()
+        self.context.classes.borrow().max_timeout()
     }
 
     /// Reads a request, starts its items and returns a response that streams their lines.
@@ -190,7 +189,7 @@
     ) -> Result<HttpResponse, MultiGetError> {
         let received_at = Instant::now();
         let request = MultiGetRequest::read(request, handle, &self.context, &self.settings).await?;
-        handle.on_request(request.parameters.class.0);
+        handle.on_request(request.parameters.class.id.0);
         let deadline = received_at + request.parameters.timeout;
         let (sender, finished_items) = channel(ITEM_QUEUE_CAPACITY);
         let items = Items {
--- a/crates/node/src/multiget/items.rs
+++ b/crates/node/src/multiget/items.rs
@@ -74,7 +74,7 @@
         let started_at = Instant::now();
         let parameters = RequestParameters {
             timeout: self.deadline.saturating_duration_since(started_at),
-            ..self.parameters
+            ..self.parameters.clone()
         };
         let message = ForwardedRequest {
             method: Method::GET,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,7 +3,7 @@
 use crate::body::BodyMemory;
 use crate::budget::ConnectionBudget;
 use crate::connections::ConnectionManager;
-use crate::discovery::{self, DiscoveryOptions};
+use crate::discovery::{self, DiscoveryOptions, ListTimings};
 use crate::driver::{Driver, DriverEvent, DriverOptions};
 use crate::multiget::MultiGet;
 use crate::server::{serve, ClientConnection, DescriptorSource, ServerContext};
@@ -67,6 +67,8 @@
     connections: Rc<ConnectionManager>,
     upstream: Rc<Upstream>,
     server: Rc<ServerContext>,
+    /// Shared with the discovery client.
+    list_timings: Rc<Cell<ListTimings>>,
 }
 
 impl Node {
@@ -109,9 +111,32 @@
             connections,
             upstream,
             server,
+            list_timings: Rc::new(Cell::new(ListTimings::new(settings))),
         }
     }
 
+    /// Applies changed settings to all parts, in one step between two events. Requests that were
+    /// read before keep their class.
+    pub fn apply_settings(&self, mut settings: Settings) {
+        let names = {
+            let mut classes = self.server.classes.borrow_mut();
+            classes.replace(&mut settings);
+            classes.names()
+        };
+        self.server.tenants.replace(settings.tenants.clone());
+        self.connections
+            .set_class_limits(self.budget.class_limits(&names));
+        self.telemetry.classes_changed(&names);
+        self.upstream
+            .set_timeouts(settings.connect_timeout, settings.keepalive);
+        self.list_timings.set(ListTimings::new(&settings));
+        // Fails only after the driver has ended, and with it the node.
+        let _ = self
+            .server
+            .events
+            .send(DriverEvent::SettingsChanged(Box::new(settings)));
+    }
+
     /// Spawns the tasks that close connections after their idle timeout and report the connection
     /// counts.
     pub fn spawn_maintenance(&self) {
@@ -175,8 +200,7 @@
             address: start.discovery_address.clone(),
             version: holds_list.then_some(start.known_endpoints.version),
             pushed,
-            drain_grace: settings.drain_grace,
-            max_poll_interval: settings.max_poll_interval,
+            timings: self.list_timings.clone(),
             max_list_bytes: self.budget.max_list_bytes,
             random: fastrand::Rng::with_seed(start.seed),
             events,
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -24,14 +24,14 @@
 pub use submit::submit_request;
 
 use crate::body::BodyMemory;
+use crate::classes::ClassTable;
 use crate::driver::DriverEvent;
 use crate::shutdown::ShutdownStage;
 use crate::upstream::OpenRequestIds;
 use slatelink_policy::{Name, Settings};
 use slatelink_telemetry::Log;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 
@@ -39,21 +39,12 @@
 /// largest body, it bounds the request data that the node holds for a connection.
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
 
-/// A request class that clients may name.
-#[derive(Clone, Debug)]
-pub struct RequestClass {
-    /// Name of the class in `Req-Kind`.
-    pub name: Name,
-    /// Longest timeout of a request of the class; a longer `Req-Deadline-Ms` is reduced to it.
-    pub max_timeout: Duration,
-}
-
 /// State shared by all client connections.
 pub struct ServerContext {
-    /// All request classes, indexed by [`ClassId`](slatelink_policy::ClassId).
-    pub classes: Vec<RequestClass>,
+    /// Request classes that clients may name in `Req-Kind`.
+    pub classes: RefCell<ClassTable>,
     /// Tenants that a request may name as its owner; empty if requests have none.
-    pub tenants: Vec<Name>,
+    pub tenants: RefCell<Vec<Name>>,
     /// Whether the health check succeeds while the node is serving.
     pub ready: Rc<Cell<bool>>,
     /// Stage of the node's shutdown.
@@ -83,13 +74,9 @@
         descriptors: DescriptorSource,
         response_memory: BodyMemory,
     ) -> Self {
-        let classes = settings.classes.iter().map(|class| RequestClass {
-            name: class.name.clone(),
-            max_timeout: class.deadline,
-        });
         Self {
-            classes: classes.collect(),
-            tenants: settings.tenants.clone(),
+            classes: RefCell::new(ClassTable::new(&settings.classes)),
+            tenants: RefCell::new(settings.tenants.clone()),
             ready,
             stage,
             events,
--- a/crates/node/src/server/parameters.rs
+++ b/crates/node/src/server/parameters.rs
@@ -1,10 +1,11 @@
 //! Parameters of a request, read from its headers.
 
 use super::ServerContext;
+use crate::classes::RequestClass;
 use crate::upstream::{IDEMPOTENCY_KEY, REQ_DEADLINE, REQ_ID};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::HeaderMap;
-use slatelink_policy::ClassId;
+use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -78,12 +79,12 @@
 }
 
 /// Parameters of a request for the decision module, apart from its key.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 pub struct RequestParameters {
     /// Time for which the client waits for the response.
     pub timeout: Duration,
-    /// Class of the request.
-    pub class: ClassId,
+    /// Class of the request, as it was when the headers were read.
+    pub class: Rc<RequestClass>,
     /// Work at an endpoint that the client expects the request to cost.
     pub expected_work: Option<Duration>,
     /// Whether the class exceeds its quota of open requests, or no memory is left for the body.
@@ -103,7 +104,7 @@
     let cost = parse_number(headers, &REQ_COST, ParameterError::UnreadableCost)?;
     // No client waits longer than the timeout of its class, and a longer timeout would keep the
     // request's resources in use for as long.
-    let max_timeout = context.classes[class.0].max_timeout;
+    let max_timeout = class.definition.deadline;
     Ok(RequestParameters {
         timeout: Duration::from_millis(timeout.into()).min(max_timeout),
         class,
@@ -113,13 +114,15 @@
 }
 
 /// Parses the class that the request names.
-fn parse_class(context: &ServerContext, headers: &HeaderMap) -> Result<ClassId, ParameterError> {
+fn parse_class(
+    context: &ServerContext,
+    headers: &HeaderMap,
+) -> Result<Rc<RequestClass>, ParameterError> {
     let kind = text_value(headers, &REQ_KIND)?.ok_or(ParameterError::MissingKind)?;
     context
         .classes
-        .iter()
-        .position(|class| class.name.as_str() == kind)
-        .map(ClassId)
+        .borrow()
+        .find(kind)
         .ok_or(ParameterError::UnknownKind)
 }
 
@@ -127,11 +130,12 @@
 /// accepted.
 fn check_owner(context: &ServerContext, headers: &HeaderMap) -> Result<(), ParameterError> {
     let owner = text_value(headers, &REQ_OWNER)?;
-    if context.tenants.is_empty() {
+    let tenants = context.tenants.borrow();
+    if tenants.is_empty() {
         return Ok(());
     }
     let owner = owner.ok_or(ParameterError::MissingOwner)?;
-    if context.tenants.iter().any(|name| name.as_str() == owner) {
+    if tenants.iter().any(|name| name.as_str() == owner) {
         Ok(())
     } else {
         Err(ParameterError::UnknownOwner)
--- a/crates/node/src/server/request.rs
+++ b/crates/node/src/server/request.rs
@@ -80,7 +80,7 @@
         .register(headers.id)
         .ok_or(RequestError::DuplicateId)?;
     let mut parameters = headers.parameters;
-    let class_over_quota = connection.on_request(parameters.class.0);
+    let class_over_quota = connection.on_request(parameters.class.id.0);
     let memory_exhausted = body.unread.is_some() || !has_response_memory(context, connection);
     parameters.over_quota = class_over_quota || memory_exhausted;
     let message = ForwardedRequest {
--- a/crates/node/src/startup.rs
+++ b/crates/node/src/startup.rs
@@ -3,10 +3,10 @@
 use crate::budget::{ConnectionBudget, ResourceLimits};
 use crate::error::NodeError;
 use crate::node::{DriverStart, Node, ServerState};
-use crate::reload::reload_on_hangup;
+use crate::reload::Reloader;
 use crate::shutdown::{exit_code, shut_down_gracefully, wait_for_termination, ShutdownStage};
 use slatelink_config::operators;
-use slatelink_config::platform::Config;
+use slatelink_config::platform::{Config, ReloadBaseline};
 use slatelink_policy::Name;
 use slatelink_telemetry::audit::StopSignal;
 use slatelink_telemetry::{LogFormat, Telemetry};
@@ -40,6 +40,7 @@
     let telemetry = Telemetry::start(&features, &classes, log_format)?;
     let termination_signals = telemetry.termination_signals()?;
     announce(&config, &listeners.clients, &telemetry)?;
+    let baseline = ReloadBaseline::new(&config)?;
     drop(config.contents);
 
     let (stage_sender, stage) = watch::channel(ShutdownStage::Serving);
@@ -50,15 +51,15 @@
         stage,
         events: events.clone(),
     };
-    let node = Node::new(&config.settings, budget, telemetry, server);
+    let node = Rc::new(Node::new(&config.settings, budget, telemetry, server));
     node.spawn_maintenance();
     let (discovery_sender, discovery_address) = watch::channel(config.discovery);
-    let telemetry = node.telemetry.clone();
-    spawn_local(reload_on_hangup(
-        signals.hangup,
-        discovery_sender,
-        telemetry,
-    ));
+    let reloader = Reloader {
+        node: node.clone(),
+        discovery: discovery_sender,
+        baseline,
+    };
+    spawn_local(reloader.run(signals.hangup));
     let discovery_client = node.spawn_driver(DriverStart {
         settings: config.settings,
         seed: config.seed,
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -27,7 +27,7 @@
 use slatelink_admission::Budget;
 use slatelink_config::EndpointList;
 use slatelink_policy::{Availability, Endpoint, EndpointId};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -51,7 +51,7 @@
     /// Memory for the bodies of responses.
     response_memory: BodyMemory,
     /// Timeout of connecting to an endpoint.
-    connect_timeout: Duration,
+    connect_timeout: Cell<Duration>,
     /// Determines the timeout of idle connections.
     idle_history: RefCell<IdleHistory>,
 }
@@ -73,11 +73,19 @@
             budget,
             clients,
             response_memory,
-            connect_timeout,
+            connect_timeout: Cell::new(connect_timeout),
             idle_history: RefCell::new(IdleHistory::new(idle_timeout, Instant::now())),
         }
     }
 
+    /// Changes the timeout of connecting and the time after which endpoints close idle connections.
+    pub fn set_timeouts(&self, connect_timeout: Duration, keepalive: Duration) {
+        self.connect_timeout.set(connect_timeout);
+        self.idle_history
+            .borrow_mut()
+            .set_max_idle_timeout(keepalive / IDLE_TIMEOUT_DIVISOR);
+    }
+
     /// Applies discovery's record of an endpoint. A new endpoint is added once its address is
     /// known.
     pub fn update_endpoint(&self, endpoint: &Endpoint, address: Option<SocketAddr>) {
--- a/crates/node/src/upstream/checkout.rs
+++ b/crates/node/src/upstream/checkout.rs
@@ -28,7 +28,7 @@
             return Ok(connection);
         }
         let lease = self.lease().await?;
-        timeout(self.connect_timeout, connect(pool, lease))
+        timeout(self.connect_timeout.get(), connect(pool, lease))
             .await
             .unwrap_or(Err(io::ErrorKind::TimedOut.into()))
     }
--- a/crates/node/src/upstream/idle_history.rs
+++ b/crates/node/src/upstream/idle_history.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Changes the idle timeout that applies if no drops are known.
+    pub(super) fn set_max_idle_timeout(&mut self, max_idle_timeout: Duration) {
+        self.max_idle_timeout = max_idle_timeout;
+    }
+
     /// Records a request on a connection that had been idle for this time, and whether the request
     /// was lost.
     pub(super) fn record(&mut self, idle_time: Duration, lost: bool, now: Instant) {
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -13,4 +13,6 @@
 pub use event::Event;
 pub use identifiers::{EndpointId, Name, RequestId, Timestamp};
 pub use request::{CacheResult, LoadReport, Outcome, Request, Status};
-pub use settings::{CacheMode, Class, ClassId, DeduplicationScope, Idempotency, Settings};
+pub use settings::{
+    CacheMode, Class, ClassId, ClassTerms, DeduplicationScope, Idempotency, Settings,
+};
--- a/crates/policy/src/api/event.rs
+++ b/crates/policy/src/api/event.rs
@@ -1,6 +1,6 @@
 //! Input of a balancer: events at the node.
 
-use super::{Endpoint, EndpointUpdate, Outcome, Request, RequestId};
+use super::{Endpoint, EndpointUpdate, Outcome, Request, RequestId, Settings};
 use std::sync::Arc;
 
 /// An event that the node reports to the balancer.
@@ -16,6 +16,12 @@
     AttemptEnded(Outcome),
     /// The client disconnected; the request needs no response.
     RequestCanceled(RequestId),
+    /// The settings have changed. Requests that have arrived keep the terms of their class, and no
+    /// more attempts than both the previous and the changed settings allow.
+    ///
+    /// A class has the same position as in the previous settings. A position may name another class
+    /// only if no request of the earlier class is left; state of the earlier class is discarded.
+    SettingsChanged(Box<Settings>),
     /// The delay of an [`Action::Wake`](crate::Action::Wake) has elapsed.
     Timer,
 }
--- a/crates/policy/src/api/request.rs
+++ b/crates/policy/src/api/request.rs
@@ -1,6 +1,6 @@
 //! Requests and the outcomes of their attempts.
 
-use super::{ClassId, EndpointId, RequestId, Timestamp};
+use super::{ClassId, ClassTerms, EndpointId, RequestId, Timestamp};
 use std::time::Duration;
 
 /// A request from a client. Each request gets exactly one final response.
@@ -10,6 +10,9 @@
     pub id: RequestId,
     /// Class; `None` if the settings do not define the request's class.
     pub class: Option<ClassId>,
+    /// Terms of the class when the client's request was read; `None` for those of the settings in
+    /// force when the event is handled.
+    pub class_terms: Option<ClassTerms>,
     /// Hash of the object that is read or written; requests with the same key prefer the same
     /// endpoint.
     pub key: Option<u64>,
@@ -30,6 +33,7 @@
         Self {
             id: id.into(),
             class: None,
+            class_terms: None,
             key: None,
             deadline,
             expected_work: None,
--- a/crates/policy/src/api/settings.rs
+++ b/crates/policy/src/api/settings.rs
@@ -1,9 +1,11 @@
-//! Start-up settings: request classes, cache mode, limits and durations.
+//! Settings, given at start-up and changed by an event: request classes, cache mode, limits and
+//! durations.
 
 use super::Name;
 use std::time::Duration;
 
-/// Position of a class in [`Settings::classes`].
+/// Position of a class in [`Settings::classes`]. Changed settings keep the positions of their
+/// classes, see [`Event::SettingsChanged`](crate::Event::SettingsChanged).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClassId(pub usize);
 
@@ -35,6 +37,16 @@
     NonIdempotent,
 }
 
+/// What the class of a request determines for the decisions on it. A request keeps these terms from
+/// its arrival to its end, whatever happens to its class meanwhile.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClassTerms {
+    /// Effect of a repeat.
+    pub idempotency: Idempotency,
+    /// Latency objective.
+    pub latency_objective: Duration,
+}
+
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -48,6 +60,16 @@
     pub deadline: Duration,
 }
 
+impl Class {
+    /// Returns the terms of a request that arrives now.
+    pub fn terms(&self) -> ClassTerms {
+        ClassTerms {
+            idempotency: self.idempotency,
+            latency_objective: self.latency_objective,
+        }
+    }
+}
+
 impl Default for Class {
     /// Returns the class used for requests without a class: non-idempotent, never repeated.
     fn default() -> Self {
@@ -72,7 +94,8 @@
     },
 }
 
-/// Start-up settings. `Default` provides a value for every setting, for callers that set only some.
+/// Settings of a balancer. `Default` provides a value for every setting, for callers that set only
+/// some.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Number of nodes that share the endpoints.
--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -3,15 +3,17 @@
 //! A new request is dispatched (`balancer/dispatch.rs`): shed, queued or sent to the endpoint
 //! selected by `balancer/selection.rs`. The outcome of an attempt is evaluated and reported to each
 //! mechanism (`balancer/outcome.rs`); a request without a final response is then dispatched again.
-//! Updates of the endpoint list go to the endpoint table.
+//! Updates of the endpoint list go to the endpoint table, changed settings to all mechanisms
+//! (`balancer/settings_change.rs`).
 
 mod dispatch;
 mod outcome;
 mod selection;
+mod settings_change;
 
 use crate::api::{
-    Action, Availability, CacheMode, Class, Endpoint, EndpointUpdate, Event, Request, RequestId,
-    Settings, Timestamp,
+    Action, Availability, CacheMode, Class, ClassTerms, Endpoint, EndpointUpdate, Event, Request,
+    RequestId, Settings, Timestamp,
 };
 use crate::cached_keys::{CachedKeys, RecentlyServedKeys};
 use crate::concurrency_limit::ConcurrencyBounds;
@@ -65,8 +67,7 @@
 impl Balancer {
     /// Returns a balancer without endpoints. `seed` should differ between nodes.
     pub fn new(mut settings: Settings, seed: u64) -> Self {
-        // The last class is used for requests without a class, which are treated as non-idempotent.
-        settings.classes.push(Class::default());
+        add_default_class(&mut settings);
         let concurrency = ConcurrencyBounds::new(settings.nodes);
         Self {
             random: Random::new(seed),
@@ -98,6 +99,7 @@
             Event::Request(request) => self.on_request(request, now, actions),
             Event::AttemptEnded(outcome) => self.on_attempt_ended(&outcome, now, actions),
             Event::RequestCanceled(id) => self.on_request_canceled(&id),
+            Event::SettingsChanged(settings) => self.replace_settings(*settings, now),
             Event::Timer => self.wake_at = None,
         }
         self.poll_discovery_when_due(now, actions);
@@ -149,7 +151,10 @@
     }
 
     fn on_request(&mut self, request: Request, now: Timestamp, actions: &mut Vec<Action>) {
-        let pending = PendingRequest::new(request, self.random.draw(), now);
+        let terms = self.terms(&request);
+        let max_attempts = self.settings.max_attempts;
+        let dither = self.random.draw();
+        let pending = PendingRequest::new(request, terms, max_attempts, dither, now);
         if pending.request.over_quota {
             self.finish_unserved(pending, now, actions);
         } else {
@@ -210,8 +215,11 @@
         request.class.map_or(no_class, |id| id.0.min(no_class))
     }
 
-    fn class(&self, request: &Request) -> &Class {
-        &self.settings.classes[self.class_index(request)]
+    /// Returns the terms of a request that has just arrived.
+    fn terms(&self, request: &Request) -> ClassTerms {
+        request
+            .class_terms
+            .unwrap_or_else(|| self.settings.classes[self.class_index(request)].terms())
     }
 
     /// Checks whether the endpoint is the origin of a cache-aside fleet.
@@ -255,3 +263,8 @@
                 .is_some_and(|key| !self.recently_served_keys.contains(key, state))
     }
 }
+
+/// Appends the class of requests without a class, which are treated as non-idempotent.
+fn add_default_class(settings: &mut Settings) {
+    settings.classes.push(Class::default());
+}
--- a/crates/policy/src/balancer/dispatch.rs
+++ b/crates/policy/src/balancer/dispatch.rs
@@ -2,7 +2,7 @@
 //! sent, queued, or finished without being served.
 
 use super::Balancer;
-use crate::api::{Action, Request, Timestamp};
+use crate::api::{Action, ClassTerms, Request, Timestamp};
 use crate::hashing::routing_key;
 use crate::idempotency;
 use crate::pending::{Attempt, BreakerEpochs, PendingRequest};
@@ -82,7 +82,7 @@
             return None;
         }
         let request = &pending.request;
-        let objective = self.class(request).latency_objective;
+        let objective = pending.terms.latency_objective;
         let average = self.latencies.average(self.class_index(request));
         let expiry = (pending.arrived + objective).min(request.deadline);
         queue::next_dispatch(now, objective, Duration::from_secs_f64(average), expiry)
@@ -100,7 +100,7 @@
             None => self.retry_budget.earn(),
         }
         let request = &pending.request;
-        let idempotency = self.class(request).idempotency;
+        let idempotency = pending.terms.idempotency;
         let timeout = request.deadline.since(now);
         let deduplicated_for =
             idempotency::remaining_deduplication_time(idempotency, &pending, now);
@@ -171,10 +171,9 @@
             self.load_shedder.record_bad();
         }
         let request = &pending.request;
-        let idempotency = self.class(request).idempotency;
-        let may_retry = idempotency::client_may_retry(idempotency, &pending);
+        let may_retry = idempotency::client_may_retry(pending.terms.idempotency, &pending);
         if may_retry && now < request.deadline {
-            let retry_after = self.retry_after(request, now);
+            let retry_after = self.retry_after(pending.terms, now);
             let id = pending.request.id;
             actions.push(Action::Shed { id, retry_after });
         } else {
@@ -186,12 +185,11 @@
     /// Returns the Retry-After of a shed request: the time until the origin's breaker admits its
     /// first trial, and at least a short delay. The minimum is short, because another node may
     /// receive the repeated request and have capacity.
-    fn retry_after(&self, request: &Request, now: Timestamp) -> Duration {
+    fn retry_after(&self, terms: ClassTerms, now: Timestamp) -> Duration {
         let mut endpoints = self.endpoints.iter();
         let origin = endpoints.find(|state| self.is_origin(&state.endpoint));
         let breaker = origin.map_or(&self.origin.breaker, |state| &state.breaker);
-        let objective = self.class(request).latency_objective;
-        let short_delay = objective.mul_f64(RETRY_AFTER_FRACTION);
+        let short_delay = terms.latency_objective.mul_f64(RETRY_AFTER_FRACTION);
         let open_for = breaker.open_until().map(|until| until.since(now));
         open_for
             .map_or(short_delay, |time| time.max(short_delay))
--- a/crates/policy/src/balancer/outcome.rs
+++ b/crates/policy/src/balancer/outcome.rs
@@ -2,12 +2,13 @@
 
 use super::Balancer;
 use crate::api::{
-    Action, BreakerScope, CacheMode, CacheResult, LoadReport, Outcome, Request, Status, Timestamp,
+    Action, BreakerScope, CacheMode, CacheResult, ClassTerms, LoadReport, Outcome, Request, Status,
+    Timestamp,
 };
 use crate::breaker::{CallResult, Verdict, COOLDOWN};
 use crate::hashing::routing_key;
 use crate::outlier;
-use crate::pending::{Attempt, BreakerEpochs};
+use crate::pending::{Attempt, BreakerEpochs, PendingRequest};
 use crate::slow_start;
 use std::time::Duration;
 
@@ -36,6 +37,8 @@
     fetched: bool,
     /// Position of the request's class.
     class: usize,
+    /// Latency objective of the request.
+    latency_objective: Duration,
     /// Epochs of the breakers when the attempt was sent.
     epochs: BreakerEpochs,
     /// Whether the endpoint had recently reported an empty queue, before this attempt ended.
@@ -102,13 +105,7 @@
         let Some(index) = pending.end_attempt(outcome) else {
             return self.store_pending(pending);
         };
-        self.record_outcome(
-            &pending.request,
-            &pending.attempts[index],
-            outcome,
-            now,
-            actions,
-        );
+        self.record_outcome(&pending, index, outcome, now, actions);
         pending.finished |= outcome.answered;
         self.dispatch(pending, now, actions);
     }
@@ -116,17 +113,19 @@
     /// Reports the outcome of an attempt to each mechanism.
     fn record_outcome(
         &mut self,
-        request: &Request,
-        attempt: &Attempt,
+        pending: &PendingRequest,
+        attempt_index: usize,
         outcome: &Outcome,
         now: Timestamp,
         actions: &mut Vec<Action>,
     ) {
+        let request = &pending.request;
+        let attempt = &pending.attempts[attempt_index];
         let position = self
             .endpoints
             .position(&outcome.endpoint, attempt.incarnation);
         self.update_zone_breaker(attempt, outcome.status, now, actions);
-        let evaluation = self.evaluate(request, attempt, outcome, position, now);
+        let evaluation = self.evaluate(request, pending.terms, attempt, outcome, position, now);
         self.update_caches(request, position, outcome, &evaluation);
         self.update_origin_breaker(&evaluation, now, actions);
         if outcome.status == Status::Ok {
@@ -146,6 +145,7 @@
     fn evaluate(
         &mut self,
         request: &Request,
+        terms: ClassTerms,
         attempt: &Attempt,
         outcome: &Outcome,
         position: Option<usize>,
@@ -158,10 +158,10 @@
         let fetched = outcome.cache_result == Some(CacheResult::Miss)
             && self.settings.mode == CacheMode::ReadThrough;
         let origin_at_fault = self.origin.on_attempt_ended(attempt, status, now) || fetched;
-        let objective = self.class(request).latency_objective;
+        let latency_objective = terms.latency_objective;
         let time_allowed = self
             .latencies
-            .time_allowed(request.expected_work, objective);
+            .time_allowed(request.expected_work, latency_objective);
         let LoadReport {
             utilization,
             queue_length,
@@ -174,6 +174,7 @@
             result: call_result(status, timeout_without_queue, origin_at_fault),
             fetched,
             class: self.class_index(request),
+            latency_objective,
             epochs: attempt.epochs,
             recent_queue_was_empty,
             timeout_without_queue,
@@ -258,8 +259,9 @@
         {
             return;
         }
-        let objective = self.settings.classes[evaluation.class].latency_objective;
-        let expected = request.expected_work.unwrap_or(objective);
+        let expected = request
+            .expected_work
+            .unwrap_or(evaluation.latency_objective);
         let expected = expected.as_secs_f64().max(MIN_EXPECTED_WORK_SECONDS);
         self.kind_speeds.record(&endpoint.kind, latency, expected);
     }
--- a/crates/policy/src/balancer/selection.rs
+++ b/crates/policy/src/balancer/selection.rs
@@ -27,7 +27,8 @@
         exclude_likely_misses: bool,
         now: Timestamp,
     ) -> Option<usize> {
-        if pending.attempts.len() >= self.settings.max_attempts as usize {
+        let max_attempts = self.settings.max_attempts.min(pending.max_attempts);
+        if pending.attempts.len() >= max_attempts as usize {
             return None;
         }
         let is_eligible =
@@ -70,9 +71,8 @@
         }
         let endpoint = &state.endpoint;
         let class = self.class_index(&pending.request);
-        let idempotency = self.settings.classes[class].idempotency;
         endpoint.availability == Availability::Ready
-            && idempotency::may_attempt(idempotency, pending, endpoint, now)
+            && idempotency::may_attempt(pending.terms.idempotency, pending, endpoint, now)
             && state.breaker.admits(now)
             && state.class_breakers[class].admits(now)
             && self.zones.admits(&endpoint.zone, now)
--- a/crates/policy/src/endpoint_table.rs
+++ b/crates/policy/src/endpoint_table.rs
@@ -5,8 +5,9 @@
 //! same id. Attempts sent to an earlier incarnation give no information about the current one and
 //! do not count as in flight there.
 
-use crate::api::{Availability, Endpoint, EndpointId, Timestamp};
+use crate::api::{Availability, Class, Endpoint, EndpointId, Timestamp};
 use crate::breaker::{CircuitBreaker, WINDOW};
+use crate::class_states::carry_over;
 use crate::concurrency_limit::{ConcurrencyBounds, ConcurrencyLimit};
 use crate::hashing::endpoint_hash;
 use crate::slow_start::SlotUsage;
@@ -145,6 +146,22 @@
         (self.states[index].incarnation == incarnation).then_some(index)
     }
 
+    /// Adapts the breakers of classes to changed classes; see [`carry_over`].
+    pub(crate) fn replace_classes(&mut self, before: &[Class], after: &[Class], now: Timestamp) {
+        for state in &mut self.states {
+            carry_over(&mut state.class_breakers, before, after, |_| {
+                CircuitBreaker::new(CLASS_WINDOW, now)
+            });
+        }
+    }
+
+    /// Leaves no sends in the current slot of slow start, whose number has a new meaning.
+    pub(crate) fn restart_slow_start_slots(&mut self, slot: u64) {
+        for state in &mut self.states {
+            state.slow_start = SlotUsage::exhausted(slot);
+        }
+    }
+
     /// Removes the endpoints that are missing from a complete list.
     pub(crate) fn retain_listed(&mut self, list: &[Endpoint]) {
         self.states
--- a/crates/policy/src/latency.rs
+++ b/crates/policy/src/latency.rs
@@ -2,6 +2,7 @@
 //! the endpoint.
 
 use crate::api::Class;
+use crate::class_states::carry_over;
 use std::time::Duration;
 
 /// Fraction of the latency objective after which a response is late. Less than 1, so that load is
@@ -26,13 +27,17 @@
 impl LatencyTracker {
     /// Returns a tracker whose averages start at the latency objectives.
     pub(crate) fn new(classes: &[Class]) -> Self {
-        let objectives = classes.iter().map(|class| class.latency_objective);
         Self {
-            averages: objectives.map(|time| time.as_secs_f64()).collect(),
+            averages: classes.iter().map(initial_average).collect(),
             mean_work: 0.0,
         }
     }
 
+    /// Adapts the averages to changed classes; see [`carry_over`].
+    pub(crate) fn replace_classes(&mut self, before: &[Class], after: &[Class]) {
+        carry_over(&mut self.averages, before, after, initial_average);
+    }
+
     /// Returns the average latency of a class, in seconds.
     pub(crate) fn average(&self, class: usize) -> f64 {
         self.averages[class]
@@ -53,3 +58,8 @@
         objective.mul_f64(fraction.clamp(LATE_THRESHOLD_FRACTION, 1.0))
     }
 }
+
+/// Returns the initial average latency of a class, in seconds.
+fn initial_average(class: &Class) -> f64 {
+    class.latency_objective.as_secs_f64()
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod balancer;
 mod breaker;
 mod cached_keys;
+mod class_states;
 mod concurrency_limit;
 mod decay;
 mod endpoint_speed;
--- a/crates/policy/src/origin_protection.rs
+++ b/crates/policy/src/origin_protection.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Applies a changed number of nodes.
+    pub(crate) fn set_nodes(&mut self, nodes: u32, bounds: ConcurrencyBounds) {
+        self.min_limit = MIN_LIMIT_ALL_NODES / f64::from(nodes.max(1));
+        self.is_large_deployment = bounds.is_large_deployment();
+    }
+
     /// Multiplies the counts by a factor from [`Decay::advance`](crate::decay::Decay::advance).
     pub(crate) fn decay(&mut self, factor: f64) {
         self.likely_misses.scale(factor);
--- a/crates/policy/src/pending.rs
+++ b/crates/policy/src/pending.rs
@@ -1,6 +1,6 @@
 //! State of a request from its arrival to its end, with its attempts.
 
-use crate::api::{Endpoint, Outcome, Request, Status, Timestamp};
+use crate::api::{ClassTerms, Endpoint, Outcome, Request, Status, Timestamp};
 
 /// Epochs of the breakers that guard an attempt, at the time of its sending.
 #[derive(Clone, Copy, Debug)]
@@ -38,6 +38,10 @@
 pub(crate) struct PendingRequest {
     /// The request as sent by the client.
     pub(crate) request: Request,
+    /// Terms of the request's class at its arrival.
+    pub(crate) terms: ClassTerms,
+    /// Maximum number of attempts at its arrival.
+    pub(crate) max_attempts: u32,
     /// Attempts in the order of sending; only the last can be in flight.
     pub(crate) attempts: Vec<Attempt>,
     /// Random number, uniform between 0 and 1, drawn once per request; rounds fractional limits up
@@ -51,9 +55,17 @@
 
 impl PendingRequest {
     /// Returns a request that arrives at `now`.
-    pub(crate) fn new(request: Request, dither: f64, now: Timestamp) -> Self {
+    pub(crate) fn new(
+        request: Request,
+        terms: ClassTerms,
+        max_attempts: u32,
+        dither: f64,
+        now: Timestamp,
+    ) -> Self {
         Self {
             request,
+            terms,
+            max_attempts,
             attempts: Vec::new(),
             dither,
             arrived: now,
--- a/crates/policy/src/zone_breakers.rs
+++ b/crates/policy/src/zone_breakers.rs
@@ -35,6 +35,11 @@
 }
 
 impl ZoneBreakers {
+    /// Removes all breakers.
+    pub(crate) fn clear(&mut self) {
+        self.zones.clear();
+    }
+
     /// Removes the breakers of zones without an endpoint.
     pub(crate) fn retain_zones_of(&mut self, table: &EndpointTable) {
         self.zones
--- a/crates/telemetry/src/hotlist.rs
+++ b/crates/telemetry/src/hotlist.rs
@@ -28,11 +28,22 @@
     keys: HotKeys,
 }
 
+impl ClassList {
+    fn new(class: &Name, capacity: usize, window: Duration) -> Self {
+        Self {
+            class: class.clone(),
+            keys: HotKeys::new(capacity, window),
+        }
+    }
+}
+
 /// Counts the keys of requests by class.
 pub struct HotList {
     started_at: Instant,
     /// Time window over which rates are averaged.
     window: Duration,
+    /// Configured number of keys of each class.
+    capacity: usize,
     lists: RefCell<Vec<ClassList>>,
     sender: BoundedSender,
 }
@@ -53,19 +64,39 @@
                 max_capacity,
             });
         }
-        let list = |class: &Name| ClassList {
-            class: class.clone(),
-            keys: HotKeys::new(capacity, window),
-        };
+        let list = |class| ClassList::new(class, capacity, window);
         Ok(Self {
             started_at: Instant::now(),
             window,
+            capacity,
             lists: RefCell::new(classes.iter().map(list).collect()),
             // One print at a time: another print requested meanwhile would add nothing.
             sender: writer.sender(1),
         })
     }
 
+    /// See [`crate::Telemetry::classes_changed`]. A new class gets a list of the configured capacity,
+    /// or of what the other lists leave of the memory.
+    pub fn classes_changed(&self, classes: &[Name]) {
+        let lists = &mut *self.lists.borrow_mut();
+        lists.truncate(classes.len());
+        let mut kept: Vec<_> = std::mem::take(lists).into_iter().map(Some).collect();
+        kept.resize(classes.len(), None);
+        for (kept, class) in kept.iter_mut().zip(classes) {
+            kept.take_if(|list| list.class != *class);
+        }
+        let used: usize = kept.iter().flatten().map(|list| list.keys.capacity()).sum();
+        let mut left = max_capacity(1).saturating_sub(used);
+        for (kept, class) in kept.into_iter().zip(classes) {
+            let list = kept.unwrap_or_else(|| {
+                let capacity = self.capacity.min(left);
+                left -= capacity;
+                ClassList::new(class, capacity, self.window)
+            });
+            lists.push(list);
+        }
+    }
+
     /// Counts a received request for this key.
     pub fn request_received(&self, class: ClassId, key: &str) {
         if let Some(list) = self.lists.borrow_mut().get_mut(class.0) {
--- a/crates/telemetry/src/hotlist/space_saving.rs
+++ b/crates/telemetry/src/hotlist/space_saving.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Returns the maximum number of keys.
+    pub(super) const fn capacity(&self) -> usize {
+        self.capacity
+    }
+
     /// Counts a request for this key.
     pub(super) fn count(&mut self, key: &str, now: Instant) {
         self.total += 1;
--- a/crates/telemetry/src/hotlist/tests.rs
+++ b/crates/telemetry/src/hotlist/tests.rs
@@ -163,3 +163,28 @@
     assert!((later / recent - (-1.0f64).exp()).abs() < 1e-9);
     assert_eq!(list.entries[0].count, 600);
 }
+
+// Guards against counts that move to another class when classes change, and against added classes
+// that exceed the memory limit.
+#[test]
+fn lists_stay_with_their_classes_and_within_the_memory_limit_when_classes_change() {
+    let writer = Writer::start().unwrap();
+    let names = |names: &[&str]| -> Vec<Name> { names.iter().copied().map(Name::from).collect() };
+    let capacity = max_capacity(2) - 10;
+    let hot_list = HotList::new(capacity, WINDOW, &names(&["a", "b"]), &writer).unwrap();
+    hot_list.request_received(ClassId(0), "key of a");
+    hot_list.request_received(ClassId(1), "key of b");
+    hot_list.classes_changed(&names(&["a", "new", "added"]));
+    let totals = || {
+        let lists = hot_list.lists.borrow();
+        let totals = lists.iter().map(|list| list.keys.total);
+        totals.collect::<Vec<_>>()
+    };
+    assert_eq!(totals(), [1, 0, 0]);
+    hot_list.request_received(ClassId(2), "key of added");
+    assert_eq!(totals(), [1, 0, 1]);
+    let lists = hot_list.lists.borrow();
+    let capacities = lists.iter().map(|list| list.keys.capacity());
+    assert_eq!(capacities.clone().max(), Some(capacity));
+    assert!(capacities.sum::<usize>() <= max_capacity(1));
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -136,6 +136,17 @@
         }
     }
 
+    /// Reports that the classes of requests have changed; `classes` are their names by position. A
+    /// position may have another name only if no request of the earlier class is open.
+    pub fn classes_changed(&self, classes: &[Name]) {
+        if let Some(metrics) = &self.metrics {
+            metrics.classes_changed(classes);
+        }
+        if let Some(hotlist) = &self.hotlist {
+            hotlist.classes_changed(classes);
+        }
+    }
+
     /// Reports that the node stops because of this signal, and flushes pending data. Data that is
     /// not written within the timeouts is abandoned.
     pub async fn shut_down(&self, stop_signal: StopSignal) {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -42,6 +42,8 @@
     emitter: Emitter,
     counters: Counters,
     timer_limit: TimerLimit,
+    /// By class: the class name as a tag value.
+    classes: Vec<String>,
     /// By class: number of requests received and not completed.
     open_requests: Vec<u64>,
     /// Connection statistics of the last sample.
@@ -56,8 +58,6 @@
 pub struct Metrics {
     format: MetricsFormat,
     flush_interval: Duration,
-    /// By class: the class name as a tag value.
-    classes: Vec<String>,
     no_endpoint: EndpointId,
     log: Log,
     state: RefCell<State>,
@@ -84,16 +84,13 @@
         let metrics = Self {
             format,
             flush_interval: settings.flush_interval(),
-            classes: classes
-                .iter()
-                .map(|name| escape_tag(format, name.as_str()).into_owned())
-                .collect(),
             no_endpoint: NONE_TAG.into(),
             log,
             state: RefCell::new(State {
                 emitter,
                 counters: Counters::default(),
                 timer_limit: TimerLimit::default(),
+                classes: tag_values(format, classes),
                 open_requests: vec![0; classes.len()],
                 connections: ConnectionStats::default(),
                 breaker_open: BTreeMap::new(),
@@ -103,6 +100,15 @@
         Ok((metrics, finished_batches))
     }
 
+    /// See [`crate::Telemetry::classes_changed`].
+    pub fn classes_changed(&self, classes: &[Name]) {
+        let state = &mut *self.state.borrow_mut();
+        // The counts so far belong to the earlier names.
+        self.emit_counters(state);
+        state.classes = tag_values(self.format, classes);
+        state.open_requests.resize(classes.len(), 0);
+    }
+
     /// See [`crate::Observer::request_received`].
     pub fn request_received(&self, class: ClassId) {
         if let Some(open) = self.state.borrow_mut().open_requests.get_mut(class.0) {
@@ -134,7 +140,8 @@
         );
         if state.timer_limit.admit(Instant::now()) {
             let endpoint = escape_tag(self.format, endpoint.as_str());
-            let tags = [("kind", self.class_name(class)), ("host", &endpoint)];
+            let class = class_name(&state.classes, class);
+            let tags = [("kind", class), ("host", &endpoint)];
             let latency_ms = rounded_ms(latency);
             state.emitter.emit(&Metric::new(
                 "req.time",
@@ -251,7 +258,7 @@
         if !state.emitter.buffer.is_half_full() {
             self.emit_counters(state);
         }
-        for (class, &open) in self.classes.iter().zip(&state.open_requests) {
+        for (class, &open) in state.classes.iter().zip(&state.open_requests) {
             let tags = [("kind", class.as_str())];
             state.emitter.emit(&Metric::gauge("req.open", &tags, open));
         }
@@ -277,7 +284,7 @@
         for (series, count) in state.counters.take() {
             let endpoint = escape_tag(self.format, series.endpoint.as_str());
             let tags = [
-                ("kind", self.class_name(series.class())),
+                ("kind", class_name(&state.classes, series.class())),
                 ("host", &endpoint),
                 (series.name.outcome_tag(), series.outcome),
             ];
@@ -302,10 +309,18 @@
             ));
         }
     }
+}
 
-    fn class_name(&self, class: ClassId) -> &str {
-        self.classes.get(class.0).map_or(NONE_TAG, String::as_str)
-    }
+/// Returns the names of classes as tag values.
+fn tag_values(format: MetricsFormat, classes: &[Name]) -> Vec<String> {
+    classes
+        .iter()
+        .map(|name| escape_tag(format, name.as_str()).into_owned())
+        .collect()
+}
+
+fn class_name(classes: &[String], class: ClassId) -> &str {
+    classes.get(class.0).map_or(NONE_TAG, String::as_str)
 }
 
 /// Returns the duration in milliseconds, rounded to the nearest.
--- a/crates/telemetry/src/metrics/tests.rs
+++ b/crates/telemetry/src/metrics/tests.rs
@@ -305,3 +305,24 @@
     assert_eq!(std::fs::read(&path).unwrap(), b"half\nwhole\n");
     std::fs::remove_file(&path).unwrap();
 }
+
+// Guards against counts and gauges that are written under the name of another class when a position
+// is given to a new class.
+#[test]
+fn counts_before_a_change_of_classes_have_the_names_of_that_time() {
+    let lines = lines("statsd", |metrics| {
+        let endpoint = EndpointId::from("s");
+        metrics.attempt_ended(ClassId(0), &endpoint, Status::Ok);
+        metrics.classes_changed(&["new".into(), "put".into()]);
+        metrics.attempt_ended(ClassId(0), &endpoint, Status::Ok);
+        metrics.request_received(ClassId(1));
+    });
+    for expected in [
+        "slatelink.attempt.count:1|c|#kind:look_up,host:s,outcome:ok",
+        "slatelink.attempt.count:1|c|#kind:new,host:s,outcome:ok",
+        "slatelink.req.open:0|g|#kind:new",
+        "slatelink.req.open:1|g|#kind:put",
+    ] {
+        assert!(lines.iter().any(|line| line == expected), "{lines:?}");
+    }
+}
--- a/crates/wire/src/parser/requests.rs
+++ b/crates/wire/src/parser/requests.rs
@@ -31,6 +31,7 @@
             class: fields
                 .text("cls")
                 .and_then(|name| self.class_id(instance, name)),
+            class_terms: None,
             key: fields.optional("object")?,
             deadline: Timestamp::from_micros(fields.required("valid_until_us")?),
             expected_work: fields
