--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -315,3 +315,6 @@
         }),
     }
 }
+
+#[cfg(test)]
+mod tests;
