Bodies: count a request's body until its last attempt has ended

The bytes of a request's body were part of its connection's lease, which ends when the client leaves, while an attempt in flight still holds the body.

Cause: the memory had the life of the connection and not of the body.

Change: a reservation of bytes of its own, which the request to forward and the items of a multi-get call hold; the lease keeps the connection's bytes alone.

Evidence: the_memory_of_a_body_outlives_its_connection; the models of the budget and of the table now include reservations.

--- a/crates/admission/src/budget.rs
+++ b/crates/admission/src/budget.rs
@@ -169,6 +169,19 @@
         limit.min(state.max_descriptors - reserved_by_others)
     }
 
+    /// Reserves bytes. Returns `None` if the budget does not have them.
+    pub fn reserve_bytes(&self, bytes: usize) -> Option<ByteReservation> {
+        let state = &mut *self.0.borrow_mut();
+        if bytes > state.max_bytes.saturating_sub(state.usage.bytes) {
+            return None;
+        }
+        state.usage.bytes += bytes;
+        Some(ByteReservation {
+            budget: self.clone(),
+            bytes,
+        })
+    }
+
     /// Leases a descriptor for a connection of this kind. Dropping the lease releases the
     /// descriptor.
     pub fn lease(&self, kind: ConnectionKind) -> Result<Lease, LeaseError> {
@@ -192,6 +205,11 @@
 }
 
 impl Lease {
+    /// Returns the budget of the lease.
+    pub fn budget(&self) -> &Budget {
+        &self.budget
+    }
+
     /// Changes the number of leased bytes to `bytes`.
     ///
     /// Returns `false` and leaves the lease unchanged if the increase exceeds the budget. A
@@ -208,6 +226,20 @@
     }
 }
 
+/// Bytes reserved for a message, beside those of its connection; released on drop. A message may
+/// outlive its connection.
+#[derive(Debug)]
+pub struct ByteReservation {
+    budget: Budget,
+    bytes: usize,
+}
+
+impl Drop for ByteReservation {
+    fn drop(&mut self) {
+        self.budget.0.borrow_mut().usage.bytes -= self.bytes;
+    }
+}
+
 impl Drop for Lease {
     fn drop(&mut self) {
         let state = &mut *self.budget.0.borrow_mut();
--- a/crates/admission/src/connections/events.rs
+++ b/crates/admission/src/connections/events.rs
@@ -55,11 +55,7 @@
 
     /// Records that the response to the request is ready and about to be written.
     pub fn on_response(&mut self, now: Duration, id: ConnectionId) {
-        let active_bytes = self.limits.active_bytes;
-        let class = self.entry_mut(id).and_then(|entry| {
-            entry.lease.try_set_bytes(active_bytes);
-            entry.class.take()
-        });
+        let class = self.entry_mut(id).and_then(|entry| entry.class.take());
         self.remove_from_class(class);
         self.enter_phase(now, id, Phase::WritingResponse);
     }
--- a/crates/admission/src/connections/memory.rs
+++ b/crates/admission/src/connections/memory.rs
@@ -3,6 +3,7 @@
 
 use super::eviction::MAX_SCANNED;
 use super::{CloseCause, ConnectionId, ConnectionTable, Phase, AWAITING_MEMORY};
+use crate::budget::ByteReservation;
 use std::fmt;
 use std::time::Duration;
 
@@ -61,19 +62,20 @@
         Some(found)
     }
 
-    /// Reserves `bytes` for a request until its response, in addition to the bytes of a connection
-    /// in use.
+    /// Reserves `bytes` for the body of a request, in addition to the bytes of a connection in use.
+    /// The body may outlive the connection, while an attempt is in flight.
     ///
-    /// Returns `false` if the budget has no memory for the request; the request must then be shed.
-    pub fn reserve_request_bytes(&mut self, id: ConnectionId, bytes: usize) -> bool {
-        let bytes = self.limits.active_bytes.saturating_add(bytes);
-        let reserved = self
-            .entry_mut(id)
-            .is_none_or(|entry| entry.lease.try_set_bytes(bytes));
-        if !reserved {
+    /// Returns `None` if the budget has no memory for the body; the request must then be shed.
+    pub fn reserve_request_bytes(
+        &mut self,
+        id: ConnectionId,
+        bytes: usize,
+    ) -> Option<ByteReservation> {
+        let reservation = self.entry(id)?.lease.budget().reserve_bytes(bytes);
+        if reservation.is_none() {
             self.on_memory_refusal();
         }
-        reserved
+        reservation
     }
 
     /// Counts a request that is to be shed because no memory is left for its bodies.
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -12,7 +12,7 @@
 mod linked_lists;
 mod timer_wheel;
 
-pub use budget::{Budget, ConnectionKind, Lease, LeaseError, Quota, Usage};
+pub use budget::{Budget, ByteReservation, ConnectionKind, Lease, LeaseError, Quota, Usage};
 pub use connections::{
     AddressQuotaExceeded, CloseCause, ConnectionId, ConnectionLimits, ConnectionStats,
     ConnectionTable, Directive, KeepAlive, MemoryShortage, Phase,
--- a/crates/admission/tests/budget.rs
+++ b/crates/admission/tests/budget.rs
@@ -1,6 +1,6 @@
 //! The budget of descriptors and bytes, compared with a list of the open leases.
 
-use slatelink_admission::{Budget, ConnectionKind, Lease, LeaseError, Quota};
+use slatelink_admission::{Budget, ByteReservation, ConnectionKind, Lease, LeaseError, Quota};
 
 /// A lease with its kind and expected number of bytes.
 struct TrackedLease {
@@ -18,6 +18,8 @@
     max_bytes: usize,
     budget: Budget,
     leased: Vec<TrackedLease>,
+    /// Reservations beside the leases, with their bytes.
+    reserved: Vec<(usize, ByteReservation)>,
 }
 
 impl Model {
@@ -41,12 +43,18 @@
             max_bytes,
             budget: budget.expect("the reservations, at most a third each, fit"),
             leased: Vec::new(),
+            reserved: Vec::new(),
         }
     }
 
     fn step(&mut self) {
-        match self.random.u8(0..4) {
+        match self.random.u8(0..6) {
             0 | 1 => self.lease(),
+            4 => self.reserve(),
+            5 if !self.reserved.is_empty() => {
+                let index = self.random.usize(0..self.reserved.len());
+                self.reserved.swap_remove(index);
+            }
             2 if !self.leased.is_empty() => {
                 let index = self.random.usize(0..self.leased.len());
                 self.leased.swap_remove(index);
@@ -90,13 +98,24 @@
         }
     }
 
+    fn reserve(&mut self) {
+        let requested_bytes = self.random.usize(0..2_000);
+        let fits = self.bytes() + requested_bytes <= self.max_bytes;
+        let reservation = self.budget.reserve_bytes(requested_bytes);
+        assert_eq!(reservation.is_some(), fits, "seed {}", self.seed);
+        self.reserved
+            .extend(reservation.map(|reservation| (requested_bytes, reservation)));
+    }
+
     fn descriptors(&self, kind: ConnectionKind) -> usize {
         let of_kind = |leased: &&TrackedLease| leased.kind == kind;
         self.leased.iter().filter(of_kind).count()
     }
 
     fn bytes(&self) -> usize {
-        self.leased.iter().map(|leased| leased.bytes).sum()
+        let leased: usize = self.leased.iter().map(|leased| leased.bytes).sum();
+        let reserved: usize = self.reserved.iter().map(|(bytes, _)| bytes).sum();
+        leased + reserved
     }
 
     fn check(&self) {
@@ -128,6 +147,7 @@
             model.check();
         }
         model.leased.clear();
+        model.reserved.clear();
         assert_eq!(
             model.budget.usage(),
             Default::default(),
--- a/crates/admission/tests/connections.rs
+++ b/crates/admission/tests/connections.rs
@@ -225,3 +225,23 @@
     while !table.advance(ms(9_000), 100, &mut Vec::new()) {}
     assert_eq!(table.directive(id), Directive::Abort);
 }
+
+// Guards against the body of a request that is no longer counted once its client has disconnected,
+// although an attempt still holds it.
+#[test]
+fn the_memory_of_a_body_outlives_its_connection() {
+    let quota = Quota {
+        reserved: 0,
+        limit: 2,
+    };
+    let budget = Budget::new(2, [quota; 3], 1_000).expect("the quotas fit");
+    let mut table = ConnectionTable::new(ConnectionLimits::default());
+    let lease = budget.lease(ConnectionKind::Client).expect("a descriptor");
+    let id = table.insert(ms(0), address(1), lease);
+    let body = table.reserve_request_bytes(id, 900).expect("the body fits");
+    assert!(table.reserve_request_bytes(id, 101).is_none());
+    table.remove(id);
+    assert_eq!(budget.usage().bytes, 900);
+    drop(body);
+    assert_eq!(budget.usage().bytes, 0);
+}
--- a/crates/admission/tests/properties.rs
+++ b/crates/admission/tests/properties.rs
@@ -7,7 +7,8 @@
 use common::{address, ms};
 use events::{check, Step};
 use slatelink_admission::{
-    Budget, ConnectionKind, ConnectionLimits, ConnectionTable, Directive, Phase, Quota,
+    Budget, ByteReservation, ConnectionKind, ConnectionLimits, ConnectionTable, Directive, Phase,
+    Quota,
 };
 use std::time::Duration;
 
@@ -25,6 +26,8 @@
     now: Duration,
     /// Connection and class of each request.
     in_flight: Vec<(u32, usize)>,
+    /// Memory of the requests' bodies, which may outlive their connections.
+    bodies: Vec<ByteReservation>,
 }
 
 impl Model {
@@ -47,6 +50,7 @@
             budget: Budget::new(MAX_DESCRIPTORS, quotas, MAX_BYTES).expect("the quotas fit"),
             now: Duration::ZERO,
             in_flight: Vec::new(),
+            bodies: Vec::new(),
         }
     }
 
@@ -81,7 +85,8 @@
         }
         self.table.on_bytes_read(self.now, id);
         self.table.on_request_head(self.now, id);
-        self.table.reserve_request_bytes(id, bytes);
+        let body = self.table.reserve_request_bytes(id, bytes);
+        self.bodies.extend(body);
         let in_flight_in_class = self
             .in_flight
             .iter()
@@ -97,6 +102,7 @@
 
     fn pass_time(&mut self, elapsed: Duration) {
         self.now += elapsed;
+        self.bodies.pop();
         let mut woken = Vec::new();
         while !self.table.advance(self.now, 3, &mut woken) {}
         for id in woken {
@@ -128,6 +134,7 @@
     }
 
     fn remove_all(mut self) {
+        self.bodies.clear();
         let ids: Vec<_> = self.table.ids().collect();
         for id in ids {
             self.table.remove(id);
--- a/crates/node/src/connections/handle.rs
+++ b/crates/node/src/connections/handle.rs
@@ -3,7 +3,9 @@
 use super::socket::Socket;
 use super::ConnectionManager;
 use bytes::{Bytes, BytesMut};
-use slatelink_admission::{ConnectionId, ConnectionTable, Directive, KeepAlive, Phase};
+use slatelink_admission::{
+    ByteReservation, ConnectionId, ConnectionTable, Directive, KeepAlive, Phase,
+};
 use std::cell::RefMut;
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
@@ -67,9 +69,8 @@
         self.table().on_request(self.now(), self.id, class)
     }
 
-    /// Reserves memory for the body of a request until its response. Returns `false` if the memory
-    /// is not available.
-    pub fn reserve_request_bytes(&self, bytes: usize) -> bool {
+    /// Reserves memory for the body of a request. Returns `None` if the memory is not available.
+    pub fn reserve_request_bytes(&self, bytes: usize) -> Option<ByteReservation> {
         self.table().reserve_request_bytes(self.id, bytes)
     }
 
--- a/crates/node/src/multiget.rs
+++ b/crates/node/src/multiget.rs
@@ -194,6 +194,7 @@
         let (sender, finished_items) = channel(ITEM_QUEUE_CAPACITY);
         let items = Items {
             context: self.context.clone(),
+            _body_reservation: request.body_reservation,
             permits: self.item_permits.clone(),
             parameters: request.parameters,
             deadline,
--- a/crates/node/src/multiget/items.rs
+++ b/crates/node/src/multiget/items.rs
@@ -7,6 +7,7 @@
 use crate::upstream::ForwardedRequest;
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
+use slatelink_admission::ByteReservation;
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::mpsc::Sender;
@@ -19,6 +20,8 @@
 pub(super) struct Items {
     /// Context shared with the client port.
     pub context: Rc<ServerContext>,
+    /// Memory of the request's body, from which the items were read.
+    pub _body_reservation: Rc<ByteReservation>,
     /// One permit for each item of all requests that may hold a response at once.
     pub permits: Arc<Semaphore>,
     /// Parameters of each item, except its timeout.
@@ -82,6 +85,7 @@
             id,
             idempotency_key: None,
             body: Bytes::new(),
+            _body_reservation: None,
         };
         let response =
             submit_request(&self.context, started_at, key_number, parameters, message).await;
--- a/crates/node/src/multiget/request.rs
+++ b/crates/node/src/multiget/request.rs
@@ -10,8 +10,10 @@
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request};
 use serde::Deserialize;
+use slatelink_admission::ByteReservation;
 use slatelink_config::operators::MultiGetSettings;
 use std::collections::HashSet;
+use std::rc::Rc;
 
 /// The only path that is served.
 const PATH: &str = "/multi";
@@ -22,11 +24,12 @@
     pub parameters: RequestParameters,
     /// Items in the client's order, with unique ids.
     pub items: Vec<Item>,
+    /// Memory of the body, from which the items were read.
+    pub body_reservation: Rc<ByteReservation>,
 }
 
 impl MultiGetRequest {
-    /// Reads a complete request and checks it. The memory of its body is reserved on the connection
-    /// until the response.
+    /// Reads a complete request and checks it, after memory for its body was reserved.
     pub async fn read(
         request: Request<Incoming>,
         handle: &ConnectionHandle,
@@ -36,12 +39,16 @@
         let (head, body) = request.into_parts();
         check_head(&head)?;
         let parameters = parse_parameters(context, &head.headers).map_err(RequestError::from)?;
-        if !handle.reserve_request_bytes(stated_length(&body, MAX_BODY_BYTES)) {
-            return Err(MultiGetError::MemoryExhausted);
-        }
+        let body_reservation = handle
+            .reserve_request_bytes(stated_length(&body, MAX_BODY_BYTES))
+            .ok_or(MultiGetError::MemoryExhausted)?;
         let body = read_body(body).await.map_err(RequestError::from)?;
         let items = parse_items(&body, settings.max_items())?;
-        Ok(Self { parameters, items })
+        Ok(Self {
+            parameters,
+            items,
+            body_reservation: Rc::new(body_reservation),
+        })
     }
 }
 
--- a/crates/node/src/server/request.rs
+++ b/crates/node/src/server/request.rs
@@ -14,6 +14,7 @@
 use hyper::header::{HeaderValue, CONNECTION, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode};
+use slatelink_admission::ByteReservation;
 use std::hash::{DefaultHasher, Hasher};
 use tokio::time::Instant;
 
@@ -89,6 +90,7 @@
         id,
         idempotency_key: headers.idempotency_key,
         body: body.bytes,
+        _body_reservation: body.reservation,
     };
     let final_response = submit_request(context, received_at, key, parameters, message).await;
     // Dropped only now, because hyper drains a body that is dropped unread, or reads no more from
@@ -154,6 +156,8 @@
 struct RequestBody {
     /// The complete body, or nothing if `unread` is set.
     bytes: Bytes,
+    /// Memory of `bytes`.
+    reservation: Option<ByteReservation>,
     /// A body that was not read for lack of memory; its request is to be shed.
     unread: Option<Incoming>,
 }
@@ -163,14 +167,17 @@
     connection: &ConnectionHandle,
     body: Incoming,
 ) -> Result<RequestBody, BodyError> {
-    if !connection.reserve_request_bytes(stated_length(&body, MAX_BODY_BYTES)) {
+    let reservation = connection.reserve_request_bytes(stated_length(&body, MAX_BODY_BYTES));
+    if reservation.is_none() {
         return Ok(RequestBody {
             bytes: Bytes::new(),
+            reservation,
             unread: Some(body),
         });
     }
     Ok(RequestBody {
         bytes: read_body(body).await?,
+        reservation,
         unread: None,
     })
 }
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -9,6 +9,7 @@
 use hyper::header::{HeaderName, HeaderValue, HOST};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use slatelink_admission::ByteReservation;
 use slatelink_policy::{CacheResult, LoadReport, Status};
 use slatelink_wire::read_load;
 use std::net::SocketAddr;
@@ -42,6 +43,8 @@
     pub idempotency_key: Option<HeaderValue>,
     /// The complete body.
     pub body: Bytes,
+    /// Memory of the body, until the last attempt has ended.
+    pub _body_reservation: Option<ByteReservation>,
 }
 
 impl ForwardedRequest {
