Review case 7: after a given-up watch, a silent one hides a drain for 10 s

Seen: after 40 s of quiet the node closes its first, unanswered watch; 0.4 s later both open watches fall silent, 0.1 s later two of nine servers drain. The node's next call comes about 10.3 s after the drain, and 83 to 121 requests go to the draining servers later than 6.3 s after it.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod http;
 mod record;
+mod silence;
 mod stalled;
 
 use record::Record;
@@ -24,6 +25,7 @@
     record.line(format!("case {case}, trouble: {trouble}"));
     let result = match case.as_str() {
         "stalled" => stalled::run(root, &record, trouble),
+        "silence" => silence::run(root, &record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     match result {
