--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod fleet;
 mod http;
+mod improper;
 mod record;
 mod silence;
 mod stalled;
@@ -25,6 +26,7 @@
     record.line(format!("case {case}, trouble: {trouble}"));
     let result = match case.as_str() {
         "stalled" => stalled::run(root, &record, trouble),
+        "improper" => improper::run(root, &record, trouble),
         "silence" => silence::run(root, &record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
