Review case 7: a node restarted in an outage of discovery uses its old pushed list

Seen: where lists are pushed, a node started anew while discovery is down for 8 s is ready after 2.3 s with the list of its configuration, and sends 104 to 133 requests to two servers whose drain its agent had before the start, up to 7.8 s after it.

--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -63,14 +63,20 @@
 
     /// Returns the entry of this server in discovery's list.
     pub fn entry(&self, index: usize, health: &str) -> String {
-        let site = ["boston", "worcester", "providence"][index % 3];
-        let class = ["fast-1c", "slow-1c"][index % 2];
+        self.entry_in(
+            ["boston", "worcester", "providence"][index % 3],
+            ["fast-1c", "slow-1c"][index % 2],
+            index / 5,
+            health,
+        )
+    }
+
+    /// Returns the entry of this server in a zone, of a kind, in a cell.
+    pub fn entry_in(&self, site: &str, class: &str, block: usize, health: &str) -> String {
         format!(
-            "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"{site}\",\"class\":\"{class}\",\"block\":{},\
+            "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"{site}\",\"class\":\"{class}\",\"block\":{block},\
              \"health\":\"{health}\",\"share\":1.0,\"born_ms\":0}}",
-            self.name,
-            self.address,
-            index / 5
+            self.name, self.address
         )
     }
 }
@@ -97,6 +103,8 @@
     /// Connections that have fallen silent.
     silent: HashSet<u64>,
     connections: u64,
+    /// Whether discovery is down: nothing is answered, and connections stay open.
+    down: bool,
     /// Watches that the node closed before they were answered, by the time of the close.
     given_up: Vec<Instant>,
     /// Calls: time, connection, text.
@@ -126,6 +134,7 @@
                 open: HashSet::new(),
                 silent: HashSet::new(),
                 connections: 0,
+                down: false,
                 given_up: Vec::new(),
                 calls: 0,
             })),
@@ -159,6 +168,13 @@
         open.len()
     }
 
+    /// Sets whether discovery is down. At its return it answers the calls that still wait.
+    pub fn set_down(&self, down: bool) {
+        self.state.lock().unwrap().down = down;
+        let what = if down { "down" } else { "back" };
+        self.record.line(format!("discovery is {what}"));
+    }
+
     /// Returns when the node closed watches that were not answered.
     pub fn given_up(&self) -> Vec<Instant> {
         self.state.lock().unwrap().given_up.clone()
@@ -219,7 +235,7 @@
         loop {
             {
                 let state = self.state.lock().unwrap();
-                let silent = state.silent.contains(&id);
+                let silent = state.down || state.silent.contains(&id);
                 let newer = after.is_none_or(|after| state.seq > after);
                 if !silent && (newer || Instant::now() >= wait_ends) {
                     let body = Self::list(&state, after);
@@ -269,6 +285,8 @@
 /// What a node is started with.
 pub struct NodeOptions<'a> {
     pub name: &'a str,
+    /// Where clients connect; any free port if there is none.
+    pub listen: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub memory_mb: u32,
     pub sockets: u32,
@@ -299,7 +317,10 @@
         ));
         fs::create_dir_all(folder.join("tmp"))?;
         // A free port: bound for a moment, then left to the node.
-        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let address = match options.listen {
+            Some(address) => address,
+            None => TcpListener::bind("127.0.0.1:0")?.local_addr()?,
+        };
         let config = format!(
             "{{\"name\":\"{}\",\"listen\":\"{address}\",\"discovery\":\"{}\",\"seed\":\"8c1f30d27a5be964\",\
              \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":{},\"settings\":{}}}",
@@ -332,7 +353,8 @@
             child,
             folder,
         };
-        let deadline = Instant::now() + Duration::from_secs(10);
+        // The pages give a node 30 s to be ready.
+        let deadline = Instant::now() + Duration::from_secs(30);
         while Instant::now() < deadline {
             if let Some(status) = node.child.try_wait()? {
                 return Err(io::Error::other(format!("the node ended: {status}")));
@@ -342,7 +364,7 @@
             }
             thread::sleep(Duration::from_millis(20));
         }
-        Err(io::Error::other("the node is not ready after 10 s"))
+        Err(io::Error::other("the node is not ready after 30 s"))
     }
 
     fn is_ready(&self) -> bool {
--- a/review/standin-2/src/improper.rs
+++ b/review/standin-2/src/improper.rs
@@ -97,6 +97,7 @@
         root,
         &NodeOptions {
             name: "n0",
+            listen: None,
             discovery: discovery.address,
             memory_mb: 32,
             sockets: 256,
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod improper;
 mod record;
+mod restart;
 mod silence;
 mod stalled;
 
@@ -26,6 +27,7 @@
     record.line(format!("case {case}, trouble: {trouble}"));
     let result = match case.as_str() {
         "stalled" => stalled::run(root, &record, trouble),
+        "restart" => restart::run(root, &record, trouble),
         "improper" => improper::run(root, &record, trouble),
         "silence" => silence::run(root, &record, trouble),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/standin-2/src/stalled.rs
+++ b/review/standin-2/src/stalled.rs
@@ -47,6 +47,7 @@
         root,
         &NodeOptions {
             name: "n0",
+            listen: None,
             discovery: discovery.address,
             memory_mb: MEMORY_MB,
             sockets: SOCKETS,
