--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -46,7 +46,9 @@
 
 impl Outcome {
     pub fn seconds(&self) -> f64 {
-        self.ended.saturating_duration_since(self.sent).as_secs_f64()
+        self.ended
+            .saturating_duration_since(self.sent)
+            .as_secs_f64()
     }
 }
 
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -17,7 +17,6 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
@@ -83,14 +82,21 @@
 
 /// A cache server's body for a request: the path and the id, so that a client can check it.
 pub fn value_of(request: &Message) -> Vec<u8> {
-    format!("{} {}", request.target(), request.header("req-id").unwrap_or("")).into_bytes()
+    format!(
+        "{} {}",
+        request.target(),
+        request.header("req-id").unwrap_or("")
+    )
+    .into_bytes()
 }
 
 /// Serves each request after this time.
 pub fn serve_after(delay: Duration) -> Arc<Behaviour> {
     Arc::new(move |request, connection| {
         thread::sleep(delay);
-        connection.send(&answer("200 OK", &value_of(request))).is_ok()
+        connection
+            .send(&answer("200 OK", &value_of(request)))
+            .is_ok()
     })
 }
 
@@ -102,12 +108,13 @@
     open: HashSet<u64>,
     /// Connections that have fallen silent.
     silent: HashSet<u64>,
+    /// Number of connections so far.
     connections: u64,
     /// Whether discovery is down: nothing is answered, and connections stay open.
     down: bool,
-    /// Watches that the node closed before they were answered, by the time of the close.
+    /// When the node closed watches that were not answered.
     given_up: Vec<Instant>,
-    /// Calls: time, connection, text.
+    /// Number of calls so far.
     calls: u64,
 }
 
@@ -230,8 +237,9 @@
             state.calls += 1;
             state.calls
         };
-        self.record
-            .line(format!("discovery: call {call} on connection {id}: GET {target}"));
+        self.record.line(format!(
+            "discovery: call {call} on connection {id}: GET {target}"
+        ));
         loop {
             {
                 let state = self.state.lock().unwrap();
@@ -310,11 +318,8 @@
             .lines()
             .find_map(|line| line.strip_prefix("run = \"")?.strip_suffix('"'))
             .ok_or_else(|| io::Error::other("the deploy file has no run line"))?;
-        let folder = std::env::temp_dir().join(format!(
-            "review-2-{}-{}",
-            std::process::id(),
-            options.name
-        ));
+        let folder =
+            std::env::temp_dir().join(format!("review-2-{}-{}", std::process::id(), options.name));
         fs::create_dir_all(folder.join("tmp"))?;
         // A free port: bound for a moment, then left to the node.
         let address = match options.listen {
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -4,18 +4,15 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-/// A message as read from a connection.
+/// A message as read from a connection, without its body.
 #[derive(Debug)]
 pub struct Message {
     /// First line: the request line or the status line.
     pub start: String,
     /// Header names in lower case, with their values.
     pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
     /// When the first byte was read.
     pub first_byte: Instant,
-    /// When the last byte was read.
-    pub last_byte: Instant,
 }
 
 impl Message {
@@ -41,11 +38,6 @@
             .and_then(|text| text.parse().ok())
             .unwrap_or(0)
     }
-
-    pub fn closes(&self) -> bool {
-        self.header("connection")
-            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
-    }
 }
 
 /// A connection with the bytes that were read but not used yet.
@@ -123,21 +115,17 @@
         while self.buffer.len() < length {
             self.fill(until)?;
         }
-        let body = self.buffer.drain(..length).collect();
+        self.buffer.drain(..length);
         Ok(Message {
             start,
             headers,
-            body,
             first_byte,
-            last_byte: Instant::now(),
         })
     }
 
     /// Returns whether the peer has closed the connection, or sent something.
     pub fn peer_has_acted(&self) -> bool {
-        let _ = self
-            .stream
-            .set_read_timeout(Some(Duration::from_millis(5)));
+        let _ = self.stream.set_read_timeout(Some(Duration::from_millis(5)));
         match self.stream.peek(&mut [0]) {
             Ok(_) => true,
             Err(error) => !matches!(
--- a/review/standin-2/src/improper.rs
+++ b/review/standin-2/src/improper.rs
@@ -43,7 +43,11 @@
     Kind {
         name: "an HTTP/1.1 request with no Host",
         request: |id, proper| {
-            let host = if proper { "Host: service.internal\r\n" } else { "" };
+            let host = if proper {
+                "Host: service.internal\r\n"
+            } else {
+                ""
+            };
             format!(
                 "GET /api/{id} HTTP/1.1\r\n{host}Req-Id: {id}\r\nReq-Kind: lookup\r\nReq-Deadline-Ms: 1000\r\n\r\n"
             )
@@ -52,7 +56,11 @@
     Kind {
         name: "an HTTP/1.1 request with two different Hosts",
         request: |id, proper| {
-            let second = if proper { "" } else { "Host: other.internal\r\n" };
+            let second = if proper {
+                ""
+            } else {
+                "Host: other.internal\r\n"
+            };
             format!(
                 "GET /api/{id} HTTP/1.1\r\nHost: service.internal\r\n{second}Req-Id: {id}\r\nReq-Kind: lookup\r\n\
                  Req-Deadline-Ms: 1000\r\n\r\n"
@@ -87,7 +95,9 @@
             return false;
         }
         thread::sleep(Duration::from_millis(5));
-        connection.send(&answer("200 OK", &value_of(request))).is_ok()
+        connection
+            .send(&answer("200 OK", &value_of(request)))
+            .is_ok()
     });
     let servers: Vec<_> = (0..4)
         .map(|index| CacheServer::start(&format!("s-{index:08x}"), behaviour.clone()))
@@ -117,7 +127,11 @@
             let runs = runs.lock().unwrap().get(&id).copied().unwrap_or(0);
             record.line(format!(
                 "peer: {}, id {id}: status {}, run {runs} times",
-                if trouble { kind.name } else { "a proper request" },
+                if trouble {
+                    kind.name
+                } else {
+                    "a proper request"
+                },
                 status.map_or("none".to_owned(), |status| status.to_string())
             ));
             served += usize::from(status == Some(200));
@@ -135,7 +149,8 @@
     }
     drop(node);
     result.push(if broken {
-        "the rule is broken: peers that sent no proper request were served as though it had run".to_owned()
+        "the rule is broken: peers that sent no proper request were served as though it had run"
+            .to_owned()
     } else {
         "the rule held".to_owned()
     });
@@ -148,5 +163,8 @@
     let mut connection = Connection::new(stream);
     connection.send(request.as_bytes()).ok()?;
     let until = Instant::now() + Duration::from_secs(3);
-    connection.read(Some(until)).ok().map(|message| message.status())
+    connection
+        .read(Some(until))
+        .ok()
+        .map(|message| message.status())
 }
--- a/review/standin-2/src/restart.rs
+++ b/review/standin-2/src/restart.rs
@@ -107,7 +107,10 @@
             last = last.max(after);
             record.line_at(
                 *at,
-                format!("{}: request {id}, {after:.3} s after the node's start", server.name),
+                format!(
+                    "{}: request {id}, {after:.3} s after the node's start",
+                    server.name
+                ),
             );
         }
     }
--- a/review/standin-2/src/stalled.rs
+++ b/review/standin-2/src/stalled.rs
@@ -89,7 +89,9 @@
     });
     stop.store(true, Ordering::Relaxed);
     drop(node);
-    let crowd = crowd.and_then(|crowd| crowd.join().ok()).unwrap_or_default();
+    let crowd = crowd
+        .and_then(|crowd| crowd.join().ok())
+        .unwrap_or_default();
     let outcomes = outcomes.lock().unwrap();
     let mut counts = [0usize; 6];
     let (mut lost, mut lost_after) = (0, 0);
@@ -118,13 +120,18 @@
             Ending::Nothing => {
                 counts[5] += 1;
                 lost += 1;
-                lost_after += usize::from(outcome.sent > started + TROUBLE_FROM + BURST_INTERVAL * BURSTS);
+                lost_after +=
+                    usize::from(outcome.sent > started + TROUBLE_FROM + BURST_INTERVAL * BURSTS);
                 "LOST: taken, no answer 0.55 s after its time, not closed".to_owned()
             }
         };
         record.line_at(
             outcome.sent,
-            format!("client: request {} ends after {:.3} s: {text}", outcome.id, outcome.seconds()),
+            format!(
+                "client: request {} ends after {:.3} s: {text}",
+                outcome.id,
+                outcome.seconds()
+            ),
         );
     }
     let result = vec![
@@ -174,7 +181,10 @@
                 peers.push(peer);
             }
             crowd.most_at_once = crowd.most_at_once.max(peers.len());
-            record.line(format!("bad peers: {} are connected after burst {bursts}", peers.len()));
+            record.line(format!(
+                "bad peers: {} are connected after burst {bursts}",
+                peers.len()
+            ));
         }
         peers.retain_mut(|peer| {
             let mut bytes = [0; 4096];
@@ -203,7 +213,11 @@
     fn end(&mut self, peer: &Peer, how: &str, record: &Record) {
         let seconds = peer.since.elapsed().as_secs_f64();
         self.overdue += usize::from(!peer.answered && seconds > 3.0);
-        let answer = if peer.answered { "an error" } else { "no error" };
+        let answer = if peer.answered {
+            "an error"
+        } else {
+            "no error"
+        };
         record.line_at(
             peer.since,
             format!("bad peer: got {answer}; {how} after {seconds:.2} s"),
