--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -15,8 +15,12 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
@@ -339,7 +343,8 @@
         let config_path = folder.join("config.json");
         fs::write(&config_path, config)?;
         let log = fs::File::create(folder.join("log.txt"))?;
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        command
             .arg("-c")
             .arg(format!("ulimit -n {}; {run}", options.sockets))
             .current_dir(root)
@@ -351,8 +356,15 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
-            .process_group(0)
-            .spawn()?;
+            .process_group(0);
+        // The node ends with the stand-in, also if that is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            })
+        };
+        let child = command.spawn()?;
         let mut node = Self {
             address,
             child,
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,4 +1,4 @@
-//! Stand-ins and cases of the second independent review: `review-standin-2 CASE ROOT FOLDER`.
+//! Stand-ins and cases of the second independent review: `review-standin-2 CASE ROOT RECORD`.
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
 //! `TROUBLE=0` in the environment, the case runs without its disruption.
@@ -18,12 +18,19 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, root, folder] = arguments.as_slice() else {
-        eprintln!("usage: review-standin-2 CASE ROOT FOLDER");
+    let [_, case, root, path] = arguments.as_slice() else {
+        eprintln!("usage: review-standin-2 CASE ROOT RECORD");
         return ExitCode::from(2);
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let (root, record) = (Path::new(root), Record::new(Path::new(folder)));
+    let root = Path::new(root);
+    let record = match Record::create(Path::new(path)) {
+        Ok(record) => record,
+        Err(error) => {
+            eprintln!("{path}: {error}");
+            return ExitCode::from(2);
+        }
+    };
     record.line(format!("case {case}, trouble: {trouble}"));
     let result = match case.as_str() {
         "stalled" => stalled::run(root, &record, trouble),
@@ -32,13 +39,14 @@
         "silence" => silence::run(root, &record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
-    match result {
-        Ok((broken, lines)) => {
-            record.write(&lines);
-            ExitCode::from(u8::from(broken))
-        }
+    let (code, lines) = match result {
+        Ok((broken, lines)) => (u8::from(broken), lines),
+        Err(error) => (2, vec![format!("the case could not run: {error}")]),
+    };
+    match record.finish(&lines) {
+        Ok(()) => ExitCode::from(code),
         Err(error) => {
-            record.write(&[format!("the case could not run: {error}")]);
+            eprintln!("{path}: {error}");
             ExitCode::from(2)
         }
     }
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -1,26 +1,36 @@
 //! What was sent, answered and run, with times since the start of the case.
 
 use std::fs::File;
-use std::io::Write;
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+/// The lines so far, and the file that each is written to at once.
+struct Lines {
+    file: File,
+    lines: Vec<(Instant, String)>,
+}
+
 /// The record of a case. Clones share it.
 #[derive(Clone)]
 pub struct Record {
     path: PathBuf,
     started: Instant,
-    lines: Arc<Mutex<Vec<(Instant, String)>>>,
+    lines: Arc<Mutex<Lines>>,
 }
 
 impl Record {
-    pub fn new(folder: &Path) -> Self {
-        Self {
-            path: folder.join("record.txt"),
+    /// Creates the file.
+    pub fn create(path: &Path) -> io::Result<Self> {
+        Ok(Self {
+            path: path.to_owned(),
             started: Instant::now(),
-            lines: Arc::default(),
-        }
+            lines: Arc::new(Mutex::new(Lines {
+                file: File::create(path)?,
+                lines: Vec::new(),
+            })),
+        })
     }
 
     /// Adds a line.
@@ -30,7 +40,11 @@
 
     /// Adds a line for something that happened at this time.
     pub fn line_at(&self, at: Instant, text: impl Into<String>) {
-        self.lines.lock().unwrap().push((at, text.into()));
+        let text = text.into();
+        let mut lines = self.lines.lock().unwrap();
+        // Kept if the case is ended before its time; `finish` reports an error of the file.
+        let _ = writeln!(lines.file, "{:9.3} {text}", self.seconds(at));
+        lines.lines.push((at, text));
     }
 
     /// Seconds from the start of the case to this time.
@@ -38,20 +52,18 @@
         at.saturating_duration_since(self.started).as_secs_f64()
     }
 
-    /// Writes the file: the lines in the order of their times, then the result.
-    pub fn write(&self, result: &[String]) {
+    /// Writes the file anew: the lines in the order of their times, then the result.
+    pub fn finish(&self, result: &[String]) -> io::Result<()> {
         let mut lines = self.lines.lock().unwrap();
-        lines.sort_by_key(|(at, _)| *at);
+        lines.lines.sort_by_key(|(at, _)| *at);
         let mut text = String::new();
-        for (at, line) in lines.iter() {
+        for (at, line) in &lines.lines {
             text.push_str(&format!("{:9.3} {line}\n", self.seconds(*at)));
         }
         for line in result {
             text.push_str(&format!("result: {line}\n"));
             println!("{line}");
         }
-        if let Ok(mut file) = File::create(&self.path) {
-            let _ = file.write_all(text.as_bytes());
-        }
+        std::fs::write(&self.path, text)
     }
 }
