--- a/crates/admission/src/connections.rs
+++ b/crates/admission/src/connections.rs
@@ -33,15 +33,15 @@
 /// Identifier of a connection in the table; reused after the connection is removed.
 pub type ConnectionId = u32;
 
-/// Index of the only list of [`ConnectionTable::awaiting_memory`].
-const AWAITING_MEMORY: usize = 0;
-
 /// A connection in the table.
 #[derive(Debug)]
 struct Entry {
     lease: Lease,
     /// Time at which the connection entered its phase.
     phase_since: Duration,
+    /// Time from which the request timeout counts: the accept for the first request, the arrival of
+    /// the first byte for each further one.
+    request_since: Duration,
     /// Address of the client; `None` if connections per address are not limited.
     address: Option<IpAddr>,
     /// Class of the request in flight.
@@ -76,8 +76,6 @@
     fired: Vec<ConnectionId>,
     /// Number of accepted connections that wait for a descriptor.
     waiting: usize,
-    /// One list: connections that have bytes to be read but no memory to read them into.
-    awaiting_memory: LinkedLists,
     closed: [u64; CloseCause::ALL.len()],
     refused: [u64; CloseCause::ALL.len()],
 }
@@ -97,7 +95,6 @@
             in_flight_by_class: Vec::new(),
             fired: Vec::new(),
             waiting: 0,
-            awaiting_memory: LinkedLists::new(1),
             closed: [0; CloseCause::ALL.len()],
             refused: [0; CloseCause::ALL.len()],
         }
@@ -152,6 +149,7 @@
         self.entries[id as usize] = Some(Entry {
             lease,
             phase_since: now,
+            request_since: now,
             address,
             class: None,
             next_request_begun: false,
@@ -175,7 +173,6 @@
         self.closed[cause as usize] += 1;
         self.phases.remove(id);
         self.timers.cancel(id);
-        self.awaiting_memory.remove(id);
         self.remove_from_class(entry.class);
         if let Some(address) = entry.address {
             self.idle_by_address.remove(id);
--- a/crates/admission/src/connections/closing.rs
+++ b/crates/admission/src/connections/closing.rs
@@ -20,7 +20,7 @@
     /// The connection was idle for
     /// [`ConnectionLimits::idle_timeout`](super::ConnectionLimits::idle_timeout).
     IdleTimeout,
-    /// The connection was evicted to free its descriptor for another connection.
+    /// The connection was evicted to free its descriptor or its memory for another connection.
     Evicted,
     /// The connection closed with its response, because the number of connections in use had
     /// reached [`ConnectionLimits::keep_alive_limit`](super::ConnectionLimits::keep_alive_limit) or
@@ -127,13 +127,13 @@
         })
     }
 
-    /// Closes a connection for this cause: immediately while it reads a request or writes a
-    /// response, otherwise after the response to its request. On shutdown, requests and responses
-    /// in progress are also completed.
+    /// Closes a connection for this cause: immediately while it waits for memory, reads a request
+    /// or writes a response, otherwise after the response to its request. On shutdown, requests and
+    /// responses in progress are also completed.
     pub fn close(&mut self, id: ConnectionId, cause: CloseCause) {
         let in_progress = matches!(
             self.phase(id),
-            Phase::ReadingRequest | Phase::WritingResponse
+            Phase::AwaitingMemory | Phase::ReadingRequest | Phase::WritingResponse
         );
         let directive = if in_progress && cause != CloseCause::Shutdown {
             Directive::Abort
--- a/crates/admission/src/connections/events.rs
+++ b/crates/admission/src/connections/events.rs
@@ -1,18 +1,16 @@
 //! Events of a connection's requests, from the first byte to the end of the response.
 
-use super::{ConnectionId, ConnectionTable, Directive, Phase, AWAITING_MEMORY};
+use super::{ConnectionId, ConnectionTable, Directive, Phase};
 use std::time::Duration;
 
 impl ConnectionTable {
     /// Records that bytes were read from a connection.
     pub fn on_bytes_read(&mut self, now: Duration, id: ConnectionId) {
         match self.phase(id) {
-            // No new timeout: the timeout of the first request starts at the accept.
-            Phase::AwaitingFirstByte => {
-                self.phases.push_back(Phase::ReadingRequest as usize, id);
+            Phase::AwaitingFirstByte | Phase::AwaitingMemory | Phase::Idle | Phase::Parked => {
+                self.enter_phase(now, id, Phase::ReadingRequest);
             }
-            Phase::Idle | Phase::Parked => self.enter_phase(now, id, Phase::ReadingRequest),
-            Phase::ReadingRequest => {}
+            Phase::ReadingRequest | Phase::Lingering => {}
             Phase::Processing | Phase::WritingResponse => {
                 if let Some(entry) = self.entry_mut(id) {
                     entry.next_request_begun = true;
@@ -65,7 +63,7 @@
         if self.phase(id) != Phase::WritingResponse {
             return;
         }
-        let memory_short = !self.awaiting_memory.is_empty(AWAITING_MEMORY);
+        let memory_short = !self.phases.is_empty(Phase::AwaitingMemory as usize);
         let Some(entry) = self.entry_mut(id) else {
             return;
         };
@@ -79,12 +77,23 @@
         self.enter_phase(now, id, phase);
     }
 
+    /// Records that the node has shut down its side of a connection and keeps only the socket,
+    /// while the client may still be reading. The owner bounds the duration of this phase.
+    pub fn on_lingering(&mut self, now: Duration, id: ConnectionId) {
+        self.enter_phase(now, id, Phase::Lingering);
+        self.release_buffers(id);
+    }
+
     /// Moves a connection to a phase and sets the timeout of the phase.
     pub(super) fn enter_phase(&mut self, now: Duration, id: ConnectionId, phase: Phase) {
+        let request_begins = phase.precedes_request() && !self.phase(id).precedes_request();
         let Some(entry) = self.entry_mut(id) else {
             return;
         };
         entry.phase_since = now;
+        if request_begins {
+            entry.request_since = now;
+        }
         let address = entry.address;
         self.phases.push_back(phase as usize, id);
         self.set_timeout(now, id, phase);
--- a/crates/admission/src/connections/eviction.rs
+++ b/crates/admission/src/connections/eviction.rs
@@ -11,17 +11,20 @@
 /// Time after which a connection with an incomplete request may be evicted; most requests take a
 /// few packets.
 const REQUEST_EVICTION_AGE: Duration = Duration::from_millis(500);
+/// Time after which a connection that waits for memory may be evicted.
+const MEMORY_WAIT_EVICTION_AGE: Duration = Duration::from_millis(250);
 /// Maximum number of connections of a list that one search examines; bounds the duration of the
 /// search.
 pub(super) const MAX_SCANNED: usize = 64;
 
 /// Phases of the connections that count towards
 /// [`ConnectionLimits::keep_alive_limit`](super::ConnectionLimits).
-const IN_USE: [Phase; 4] = [
+const IN_USE: [Phase; 5] = [
     Phase::Processing,
     Phase::WritingResponse,
     Phase::Idle,
     Phase::Parked,
+    Phase::Lingering,
 ];
 
 /// Decision whether a connection stays open after its next response.
@@ -67,12 +70,13 @@
     ///
     /// Connections without a request are evicted first, so that a flood of such connections evicts
     /// only connections of the flood. The next candidates are connections whose request arrives
-    /// slowly. The last candidate is the longest idle connection, unless a connection was accepted
+    /// slowly, then those whose request has waited for memory. The last candidate is the longest idle connection, unless a connection was accepted
     /// so recently that its request may still arrive.
     pub fn evict_for_client(&mut self, now: Duration) -> Option<ConnectionId> {
         let evicted = self
             .oldest_unused(now)
             .or_else(|| self.oldest_in_phase(now, Phase::ReadingRequest, REQUEST_EVICTION_AGE))
+            .or_else(|| self.oldest_in_phase(now, Phase::AwaitingMemory, MEMORY_WAIT_EVICTION_AGE))
             .or_else(|| self.oldest_idle_if_none_awaits_first_byte(now))?;
         self.close(evicted, CloseCause::Evicted);
         Some(evicted)
@@ -119,7 +123,12 @@
 
     /// Returns the connection that entered a phase first and is not closing, if it entered the
     /// phase at least `age` ago.
-    fn oldest_in_phase(&self, now: Duration, phase: Phase, age: Duration) -> Option<ConnectionId> {
+    pub(super) fn oldest_in_phase(
+        &self,
+        now: Duration,
+        phase: Phase,
+        age: Duration,
+    ) -> Option<ConnectionId> {
         let oldest = self.first_not_closing(self.phases.iter(phase as usize))?;
         self.entry(oldest)
             .filter(|entry| now.saturating_sub(entry.phase_since) >= age)
--- a/crates/admission/src/connections/memory.rs
+++ b/crates/admission/src/connections/memory.rs
@@ -2,11 +2,15 @@
 //! memory to read.
 
 use super::eviction::MAX_SCANNED;
-use super::{CloseCause, ConnectionId, ConnectionTable, Phase, AWAITING_MEMORY};
+use super::{CloseCause, ConnectionId, ConnectionTable, Phase};
 use crate::budget::ByteReservation;
 use std::fmt;
 use std::time::Duration;
 
+/// Time after which a connection with an incomplete request is evicted while others wait for
+/// memory; shorter than the time that they wait.
+const MEMORY_EVICTION_AGE: Duration = Duration::from_millis(250);
+
 /// No memory is available to read from a connection, which waits until memory is released.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryShortage {
@@ -28,21 +32,25 @@
     /// Reserves the memory to read bytes that have arrived on a connection.
     ///
     /// On failure, the connection has to try again when
-    /// [`next_awaiting_memory`](Self::next_awaiting_memory) returns its id, and is closed if it
-    /// gets no memory within the request timeout.
+    /// [`next_awaiting_memory`](Self::next_awaiting_memory) returns its id, and is closed unread if
+    /// it gets no memory in time.
     pub fn on_readable(&mut self, now: Duration, id: ConnectionId) -> Result<(), MemoryShortage> {
         let active_bytes = self.limits.active_bytes;
         let Some(entry) = self.entry_mut(id) else {
             return Ok(());
         };
-        if entry.lease.try_set_bytes(active_bytes) {
-            self.awaiting_memory.remove(id);
+        let reserved = entry.lease.try_set_bytes(active_bytes);
+        let was_waiting = self.phase(id) == Phase::AwaitingMemory;
+        if reserved {
+            if was_waiting {
+                self.enter_phase(now, id, Phase::ReadingRequest);
+            }
             return Ok(());
         }
-        if self.phase(id).is_idle() {
-            self.enter_phase(now, id, Phase::ReadingRequest);
+        // The timeout starts at the first failure, and not again at a later one.
+        if !was_waiting {
+            self.enter_phase(now, id, Phase::AwaitingMemory);
         }
-        self.awaiting_memory.push_back(AWAITING_MEMORY, id);
         let parking = self.request_parking(id);
         Err(MemoryShortage { parking })
     }
@@ -88,6 +96,11 @@
         if self.phase(id).is_idle() {
             self.phases.push_back(Phase::Parked as usize, id);
         }
+        self.release_buffers(id);
+    }
+
+    /// Releases the memory of everything except the socket.
+    pub(super) fn release_buffers(&mut self, id: ConnectionId) {
         let parked_bytes = self.limits.parked_bytes;
         if let Some(entry) = self.entry_mut(id) {
             entry.park_requested = false;
@@ -95,12 +108,26 @@
         }
     }
 
-    /// Returns the connection that has waited longest for memory, after memory was released. Its
-    /// owner has to be woken and calls [`on_readable`](Self::on_readable) again.
-    pub fn next_awaiting_memory(&mut self) -> Option<ConnectionId> {
-        let next = self.awaiting_memory.first(AWAITING_MEMORY)?;
-        // Moved to the back: if the connection gets no memory, the next release wakes another one.
-        self.awaiting_memory.push_back(AWAITING_MEMORY, next);
-        Some(next)
+    /// Returns the connection that reads next, after memory was released. Its owner has to be woken
+    /// and calls [`on_readable`](Self::on_readable) again.
+    ///
+    /// The order is last in, first out: under overload the requests that are read have waited
+    /// little, and those that have waited longest are closed unread. First in, first out would read
+    /// every request late.
+    pub fn next_awaiting_memory(&self) -> Option<ConnectionId> {
+        self.phases.last(Phase::AwaitingMemory as usize)
+    }
+
+    /// Frees memory while connections wait for it: evicts connections whose request has been
+    /// incomplete for [`MEMORY_EVICTION_AGE`], at most one for each that waits. Appends to `woken`
+    /// the connections whose owners have to be woken, among them the one that reads next.
+    pub fn reclaim_memory(&mut self, now: Duration, woken: &mut Vec<ConnectionId>) {
+        for _ in 0..self.phases.len(Phase::AwaitingMemory as usize) {
+            let incomplete = self.oldest_in_phase(now, Phase::ReadingRequest, MEMORY_EVICTION_AGE);
+            let Some(incomplete) = incomplete else { break };
+            self.close(incomplete, CloseCause::Evicted);
+            woken.push(incomplete);
+        }
+        woken.extend(self.next_awaiting_memory());
     }
 }
--- a/crates/admission/src/connections/timeouts.rs
+++ b/crates/admission/src/connections/timeouts.rs
@@ -5,8 +5,15 @@
 
 /// Maximum time between the first byte and the end of a request; for the first request of a
 /// connection, between the accept and the end of the request. A client must get an error or a close
-/// within 3 s, whatever it sends or omits.
+/// within 3 s, whatever it sends or omits; the three timeouts of an incomplete request together are
+/// shorter.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time that a request has at least from the moment at which the node begins to read it, even if it
+/// has waited for memory or arrived as the connection was about to close.
+const MIN_READ_TIME: Duration = Duration::from_millis(300);
+/// Maximum time for which a request waits unread for memory. Its deadline is not known before it is
+/// read, and a client counts a request as lost 0.5 s after its deadline.
+const MEMORY_WAIT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum duration of writing a response; bounds the wait for a client that does not read.
 const RESPONSE_WRITE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Idle time after which a connection releases its buffers and parser; an active client sends its
@@ -34,17 +41,21 @@
 
     /// Sets the timeout of a phase that begins now.
     pub(super) fn set_timeout(&mut self, now: Duration, id: ConnectionId, phase: Phase) {
-        let timeout = match phase {
-            Phase::AwaitingFirstByte | Phase::ReadingRequest => REQUEST_TIMEOUT,
-            Phase::WritingResponse => RESPONSE_WRITE_TIMEOUT,
-            Phase::Idle | Phase::Parked => PARK_AFTER.min(self.limits.idle_timeout),
-            // The decision module bounds the time until the response.
-            Phase::Processing => {
+        let request_since = self.entry(id).map_or(now, |entry| entry.request_since);
+        let at = match phase {
+            Phase::AwaitingFirstByte => request_since + REQUEST_TIMEOUT,
+            Phase::AwaitingMemory => now + MEMORY_WAIT_TIMEOUT,
+            Phase::ReadingRequest => (request_since + REQUEST_TIMEOUT).max(now + MIN_READ_TIME),
+            Phase::WritingResponse => now + RESPONSE_WRITE_TIMEOUT,
+            Phase::Idle | Phase::Parked => now + PARK_AFTER.min(self.limits.idle_timeout),
+            // The decision module bounds the time until the response, and the owner of the
+            // connection bounds the time for which it lingers.
+            Phase::Processing | Phase::Lingering => {
                 self.timers.cancel(id);
                 return;
             }
         };
-        self.timers.set(id, now + timeout);
+        self.timers.set(id, at);
     }
 
     /// Handles a fired timer. Returns whether the owner of the connection has to be woken.
@@ -77,14 +88,11 @@
     /// Returns the close cause of a connection whose timeout has passed; `None` in a phase without
     /// a timeout.
     fn timeout_cause(&self, id: ConnectionId) -> Option<CloseCause> {
-        let awaits_memory = self.awaiting_memory.list_of(id).is_some();
         match self.phase(id) {
-            Phase::AwaitingFirstByte | Phase::ReadingRequest if awaits_memory => {
-                Some(CloseCause::MemoryLimit)
-            }
             Phase::AwaitingFirstByte => Some(CloseCause::FirstByteTimeout),
+            Phase::AwaitingMemory => Some(CloseCause::MemoryLimit),
             Phase::ReadingRequest => Some(CloseCause::RequestTimeout),
-            Phase::Processing => None,
+            Phase::Processing | Phase::Lingering => None,
             Phase::WritingResponse => Some(CloseCause::ResponseWriteTimeout),
             Phase::Idle | Phase::Parked => Some(CloseCause::IdleTimeout),
         }
--- a/crates/admission/src/linked_lists.rs
+++ b/crates/admission/src/linked_lists.rs
@@ -86,6 +86,11 @@
         id_to_option(self.lists[list].first)
     }
 
+    /// Returns the last id of a list.
+    pub fn last(&self, list: usize) -> Option<u32> {
+        id_to_option(self.lists[list].last)
+    }
+
     /// Iterates over the ids of a list, from first to last.
     pub fn iter(&self, list: usize) -> impl Iterator<Item = u32> + '_ {
         std::iter::successors(self.first(list), |&id| {
--- a/crates/admission/tests/connections_model.rs
+++ b/crates/admission/tests/connections_model.rs
@@ -93,8 +93,8 @@
             self.table.on_request_head(self.now, id);
             self.table.on_request(self.now, id, 0);
             *self.phase_mut(id) = Phase::Processing;
-        } else if *self.phase_mut(id) != Phase::AwaitingFirstByte {
-            *self.phase_mut(id) = Phase::ReadingRequest;
+        } else {
+            *self.phase_mut(id) = Phase::AwaitingMemory;
         }
     }
 
--- /dev/null
+++ b/crates/cli/tests/node_stalled_peers.rs
@@ -0,0 +1,129 @@
+//! Peers that stop in the middle of a request and stay, on a node process over loopback sockets.
+
+mod node_common;
+
+use node_common::*;
+use serde_json::json;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
+
+/// Time within which a peer that sends no proper request gets an error or a close.
+const CLOSE_WITHIN: Duration = Duration::from_secs(3);
+/// Deadline of the good requests, in milliseconds.
+const DEADLINE_MS: u64 = 1_000;
+/// A request is answered or its connection closed this long after its deadline at the latest; half
+/// a second, and 50 ms for sockets.
+const GRACE: Duration = Duration::from_millis(550);
+
+/// Start of a request whose other bytes never come.
+fn incomplete_request(number: usize) -> String {
+    let head = format!(
+        "PUT /api/{number:x} HTTP/1.1\r\nHost: s\r\nReq-Id: a{number:x}\r\nReq-Kind: read\r\n\
+         Req-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 65536\r\n\r\n"
+    );
+    match number % 3 {
+        0 => head[..head.len() - 10].to_owned(),
+        1 => head,
+        _ => head + &"v".repeat(1_024),
+    }
+}
+
+/// Connects and sends a part of a request.
+fn stall(node: SocketAddr, number: usize) -> std::io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(node)?;
+    stream.write_all(incomplete_request(number).as_bytes())?;
+    stream.set_nonblocking(true)?;
+    Ok(stream)
+}
+
+/// Checks whether the node has sent anything or closed the connection.
+fn is_answered_or_closed(stream: &mut TcpStream) -> bool {
+    let read = stream.read(&mut [0; 1_024]);
+    !matches!(read, Err(error) if error.kind() == ErrorKind::WouldBlock)
+}
+
+/// Starts `servers` servers, and a node with this much memory and this many descriptors.
+fn start_fleet(
+    servers: usize,
+    memory_mb: u64,
+    sockets: u32,
+) -> (Vec<CacheServer>, Discovery, Node) {
+    let (servers, discovery) = start_servers(servers, |_| {
+        Reply::Response(http_response("200 OK", "", "value"))
+    });
+    let mut node_config = config(discovery.address);
+    node_config["limits"] = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets});
+    let node = Node::ready(&node_config);
+    (servers, discovery, node)
+}
+
+/// Sends one good request. Returns whether it was served; `None` if the node neither answered nor
+/// closed the connection in time.
+fn send_good_request(node: SocketAddr, key: u64) -> Option<bool> {
+    let mut stream = TcpStream::connect(node).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_millis(DEADLINE_MS) + GRACE))
+        .unwrap();
+    if stream
+        .write_all(api_request("read", key, DEADLINE_MS).as_bytes())
+        .is_err()
+    {
+        return Some(false);
+    }
+    let mut start = [0; 12];
+    match stream.read(&mut start) {
+        Err(error) if error.kind() == ErrorKind::WouldBlock => None,
+        read => Some(read.is_ok() && start.ends_with(b" 200")),
+    }
+}
+
+/// Waits until every peer is answered or closed, and returns how many took longer than the limit.
+fn count_overdue(mut peers: Vec<(TcpStream, Instant)>) -> usize {
+    let mut overdue = 0;
+    wait_for("an answer or a close for every peer", || {
+        peers.retain_mut(|(stream, since)| {
+            let ended = is_answered_or_closed(stream);
+            overdue += usize::from(ended && since.elapsed() > CLOSE_WITHIN);
+            !ended
+        });
+        peers.is_empty()
+    });
+    overdue
+}
+
+// Guards against peers that stop in mid-request and hold memory past their timeout, so that good
+// requests are neither answered nor closed (review case 6).
+#[test]
+fn peers_that_stop_in_mid_request_are_closed_in_time_and_good_requests_are_answered() {
+    let (_servers, _discovery, node) = start_fleet(6, 32, 1_024);
+    let address = node.address;
+    let mut good_requests = Vec::new();
+    let mut overdue = Vec::new();
+    for burst in 0..3 {
+        let connect = |number| (stall(address, number).unwrap(), Instant::now());
+        let peers: Vec<_> = (0..300).map(connect).collect();
+        overdue.push(thread::spawn(move || count_overdue(peers)));
+        for key in 0..40 {
+            let send = move || send_good_request(address, 1_000 * burst + key);
+            good_requests.push(thread::spawn(send));
+            sleep(Duration::from_millis(50));
+        }
+    }
+    let outcomes: Vec<_> = good_requests
+        .into_iter()
+        .map(|request| request.join().unwrap())
+        .collect();
+    let lost = outcomes.iter().filter(|outcome| outcome.is_none()).count();
+    let served = outcomes.iter().filter(|o| **o == Some(true)).count();
+    assert_eq!(lost, 0, "of {} good requests", outcomes.len());
+    assert!(
+        served * 4 >= outcomes.len() * 3,
+        "{served} of {} good requests served",
+        outcomes.len()
+    );
+    for burst in overdue {
+        assert_eq!(burst.join().unwrap(), 0, "peers without an error or close");
+    }
+}
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -185,7 +185,8 @@
         let _ = timeout(LEASE_RETRY_INTERVAL, self.connection_closed.notified()).await;
     }
 
-    /// Ends connections whose timeout has expired, for as long as the node runs.
+    /// Ends connections whose timeout has expired, and those that are to release their memory to
+    /// waiting ones, for as long as the node runs.
     pub async fn sweep(self: Rc<Self>) {
         let mut ticks = interval(SWEEP_INTERVAL);
         let mut woken = Vec::with_capacity(BATCH_SIZE);
@@ -194,6 +195,15 @@
             while !self.advance_table(&mut woken) {
                 yield_now().await;
             }
+            self.reclaim_memory(&mut woken);
+        }
+    }
+
+    /// Evicts connections in favour of those that wait for memory. `woken` is an empty buffer.
+    fn reclaim_memory(&self, woken: &mut Vec<ConnectionId>) {
+        self.table.borrow_mut().reclaim_memory(self.now(), woken);
+        for id in woken.drain(..) {
+            self.wake(id);
         }
     }
 
@@ -225,9 +235,9 @@
         }
     }
 
-    /// Wakes the connection that has waited longest for memory.
+    /// Wakes the connection that reads next when memory was released, if one waits.
     fn wake_awaiting_memory(&self) {
-        let next = self.table.borrow_mut().next_awaiting_memory();
+        let next = self.table.borrow().next_awaiting_memory();
         self.wake_if_any(next);
     }
 }
--- a/crates/node/src/connections/handle.rs
+++ b/crates/node/src/connections/handle.rs
@@ -150,6 +150,9 @@
         if !self.table().may_linger(self.id) {
             return;
         }
+        self.table().on_lingering(self.now(), self.id);
+        *self.socket.read_ahead.borrow_mut() = BytesMut::new();
+        self.manager.wake_awaiting_memory();
         let deadline = last_write_at + LINGER_TIME;
         let mut first_byte = [0];
         tokio::select! {
@@ -184,7 +187,11 @@
     fn poll_memory(&self) -> Poll<bool> {
         let reserved = self.table().on_readable(self.now(), self.id);
         match reserved {
-            Ok(()) => Poll::Ready(true),
+            Ok(()) => {
+                // The released memory may suffice for more than one connection.
+                self.manager.wake_awaiting_memory();
+                Poll::Ready(true)
+            }
             Err(shortage) => {
                 self.manager.wake_if_any(shortage.parking);
                 Poll::Pending
