--- a/crates/cli/tests/node_stalled_peers.rs
+++ b/crates/cli/tests/node_stalled_peers.rs
@@ -6,6 +6,8 @@
 use serde_json::json;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
@@ -16,6 +18,8 @@
 /// A request is answered or its connection closed this long after its deadline at the latest; half
 /// a second, and 50 ms for sockets.
 const GRACE: Duration = Duration::from_millis(550);
+/// Time between SIGTERM and SIGKILL at the platform's longest deadlines.
+const EXIT_WITHIN: Duration = Duration::from_millis(3_700);
 
 /// Start of a request whose other bytes never come.
 fn incomplete_request(number: usize) -> String {
@@ -127,3 +131,35 @@
         assert_eq!(burst.join().unwrap(), 0, "peers without an error or close");
     }
 }
+
+// Guards against a shutdown that waits for peers that stop in mid-request, or that goes on
+// accepting connections for as long as peers connect again.
+#[test]
+fn node_exits_after_sigterm_although_stopped_peers_connect_again() {
+    let (_servers, _discovery, node) = start_fleet(1, 32, 256);
+    let address = node.address;
+    let stop = Arc::new(AtomicBool::new(false));
+    let peers_stop = stop.clone();
+    let peers = thread::spawn(move || {
+        let mut peers = Vec::new();
+        for number in 0.. {
+            if peers_stop.load(Ordering::Relaxed) {
+                break;
+            }
+            peers.retain_mut(|stream| !is_answered_or_closed(stream));
+            if peers.len() < 220 {
+                peers.extend(stall(address, number));
+            } else {
+                sleep(Duration::from_millis(1));
+            }
+        }
+    });
+    sleep(Duration::from_millis(1_000));
+    node.terminate();
+    let terminated_at = Instant::now();
+    assert!(node.wait_for_exit().success());
+    let elapsed = terminated_at.elapsed();
+    stop.store(true, Ordering::Relaxed);
+    peers.join().unwrap();
+    assert!(elapsed < EXIT_WITHIN, "the node exited after {elapsed:?}");
+}
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -222,6 +222,14 @@
 
     /// Closes all connections after their open requests; returns once all are closed.
     pub async fn close(&self) {
+        self.begin_close().await;
+        while !self.table.borrow().is_empty() {
+            self.wait_for_close().await;
+        }
+    }
+
+    /// Tells all present connections to close after their open requests.
+    pub async fn begin_close(&self) {
         let ids: Vec<_> = self.table.borrow().ids().collect();
         for batch in ids.chunks(BATCH_SIZE) {
             for id in batch {
@@ -230,9 +238,6 @@
             }
             yield_now().await;
         }
-        while !self.table.borrow().is_empty() {
-            self.wait_for_close().await;
-        }
     }
 
     /// Wakes the connection that reads next when memory was released, if one waits.
