Requests: count the wait for a descriptor or memory towards the deadline

Cause: a request counted as received when its head was read. One that had waited unread for memory, or whose connection had waited for a descriptor, was forwarded with the whole time that its client stated, so an attempt told its server more than was left to the client (slack: 0.15 s).

Change: ReadDelay sums these waits; the request counts as received that much earlier. A connection without unread bytes has no delay.

--- a/crates/cli/tests/node_stalled_peers.rs
+++ b/crates/cli/tests/node_stalled_peers.rs
@@ -7,7 +7,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,11 @@
 const GRACE: Duration = Duration::from_millis(550);
 /// Time between SIGTERM and SIGKILL at the platform's longest deadlines.
 const EXIT_WITHIN: Duration = Duration::from_millis(3_700);
+/// Slack of the time that an attempt tells its server.
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+
+/// Number of requests that a test sends until one has waited for memory.
+const MAX_TRIES: u64 = 20;
 
 /// Start of a request whose other bytes never come.
 fn incomplete_request(number: usize) -> String {
@@ -163,3 +168,46 @@
     peers.join().unwrap();
     assert!(elapsed < EXIT_WITHIN, "the node exited after {elapsed:?}");
 }
+
+// Guards against a request that waits for memory and is then forwarded with its whole deadline,
+// although its client has less time left.
+#[test]
+fn time_for_which_a_request_waits_for_memory_counts_towards_its_deadline() {
+    let stated = Arc::new(Mutex::new(None));
+    let server_stated = stated.clone();
+    let server = CacheServer::start(move |request| {
+        let deadline_ms = request
+            .header("req-deadline-ms")
+            .and_then(|value| value.parse().ok())
+            .map(Duration::from_millis);
+        *server_stated.lock().unwrap() = deadline_ms.map(|left| (left, Instant::now()));
+        Reply::Response(http_response("200 OK", "", "value"))
+    });
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let mut node_config = config(discovery.address);
+    node_config["limits"]["memory_mb"] = json!(8);
+    let node = Node::ready(&node_config);
+    // A request that a busy machine delays on its way to the node waits for less time in the node,
+    // and shows nothing.
+    for key in 0..MAX_TRIES {
+        let _peers: Vec<_> = (0..30)
+            .map(|number| stall(node.address, number).unwrap())
+            .collect();
+        let sent_at = Instant::now();
+        let request = api_request("read", key, DEADLINE_MS);
+        let response = node.client().try_request(&request);
+        if response.is_none_or(|response| response.status() != 200) {
+            continue;
+        }
+        let (left, received_at) = stated.lock().unwrap().expect("a stated deadline");
+        let waited = received_at - sent_at;
+        if waited > DEADLINE_SLACK {
+            assert!(
+                left + waited <= Duration::from_millis(DEADLINE_MS) + DEADLINE_SLACK,
+                "after {waited:?} the server is told {left:?}"
+            );
+            return;
+        }
+    }
+    panic!("no request waited for memory and was served");
+}
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -13,6 +13,7 @@
 //! - [`ReportingSocket`] is the connection's socket as hyper uses it. It reports reads and writes.
 
 mod handle;
+mod read_delay;
 mod reporting_socket;
 mod socket;
 
@@ -20,6 +21,7 @@
 pub use reporting_socket::ReportingSocket;
 pub use socket::MAX_READ_AHEAD_BYTES;
 
+use read_delay::ReadDelay;
 use slatelink_admission::{
     Budget, CloseCause, ConnectionId, ConnectionKind, ConnectionLimits, ConnectionStats,
     ConnectionTable, Lease, LeaseError,
@@ -134,13 +136,16 @@
             // An idle connection of the same address is evicted and treated as already closed.
             self.wake(exceeded.evicted?);
         }
+        let accepted_at = Instant::now();
         let lease = self.lease(evict_other_kind).await;
+        let descriptor_wait = accepted_at.elapsed();
         let id = self.table.borrow_mut().insert(self.now(), address, lease);
         self.clear_waker(id);
         Some(ConnectionHandle {
             manager: self.clone(),
             id,
             socket: Socket::new(stream),
+            read_delay: ReadDelay::new(descriptor_wait),
         })
     }
 
--- a/crates/node/src/connections/handle.rs
+++ b/crates/node/src/connections/handle.rs
@@ -1,5 +1,6 @@
 //! One connection: reports its events to the table and executes the table's directives.
 
+use super::read_delay::ReadDelay;
 use super::socket::Socket;
 use super::ConnectionManager;
 use bytes::{Bytes, BytesMut};
@@ -12,7 +13,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, Instant};
 
 /// Time after the last write for which a connection stays open, unless its client closes it.
 /// Closing a socket with unread received bytes resets the connection, and the client would lose the
@@ -27,6 +28,8 @@
     pub(super) id: ConnectionId,
     /// Read and written by hyper through a [`ReportingSocket`](super::ReportingSocket).
     pub(super) socket: Socket,
+    /// Delay of the next request before the node began to read it.
+    pub(super) read_delay: ReadDelay,
 }
 
 impl ConnectionHandle {
@@ -63,6 +66,13 @@
         self.table().on_request_head(self.now(), self.id);
     }
 
+    /// Returns the time at which the request whose head was just read would have been read without a
+    /// shortage of descriptors or memory. Its client's deadline counts from then.
+    pub fn request_received_at(&self) -> Instant {
+        let now = Instant::now();
+        now.checked_sub(self.read_delay.take()).unwrap_or(now)
+    }
+
     /// Reports that a request of this class was read completely. Returns whether the open requests
     /// of the class exceed its quota.
     pub fn on_request(&self, class: usize) -> bool {
@@ -179,7 +189,10 @@
             (_, Directive::Abort) | (Poll::Ready(Err(_)), _) => Poll::Ready(false),
             (Poll::Ready(Ok(())), _) => self.poll_memory(),
             (Poll::Pending, Directive::Finish) => Poll::Ready(false),
-            (Poll::Pending, Directive::Continue | Directive::Park) => Poll::Pending,
+            (Poll::Pending, Directive::Continue | Directive::Park) => {
+                self.read_delay.reset();
+                Poll::Pending
+            }
         }
     }
 
@@ -188,11 +201,13 @@
         let reserved = self.table().on_readable(self.now(), self.id);
         match reserved {
             Ok(()) => {
+                self.read_delay.end_wait(Instant::now());
                 // The released memory may suffice for more than one connection.
                 self.manager.wake_awaiting_memory();
                 Poll::Ready(true)
             }
             Err(shortage) => {
+                self.read_delay.begin_wait(Instant::now());
                 self.manager.wake_if_any(shortage.parking);
                 Poll::Pending
             }
--- a/crates/node/src/server/request.rs
+++ b/crates/node/src/server/request.rs
@@ -16,7 +16,6 @@
 use hyper::{Method, Request, StatusCode};
 use slatelink_admission::ByteReservation;
 use std::hash::{DefaultHasher, Hasher};
-use tokio::time::Instant;
 
 /// Path of the health check.
 const HEALTH_PATH: &str = "/healthz";
@@ -55,7 +54,7 @@
     connection: &ConnectionHandle,
     request: Request<Incoming>,
 ) -> Result<HttpResponse, RequestError> {
-    let received_at = Instant::now();
+    let received_at = connection.request_received_at();
     let (head, body) = request.into_parts();
     let target = head
         .uri
