Discovery: verify the watches after every call that ends unanswered

Cause: a change counts as told 6 s after a call was refused, lost or given up, until another call is answered. The same holds for superseded calls that are reset or dropped, among them those to a previous address.

Change: CallsInFlight records when a call first ended unanswered, whoever ended it; an answer clears it. The open watches are then verified by a hedged poll after 1.5 to 2.5 s. Calls that expire wake the client. Renewed watches are closed two at a time in every second interval, followed by the verification and at once by a renewal (a change right after an answer counts as told).

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -5,7 +5,9 @@
 //! delivers changes, looks like a watch without changes. Without a list it *polls* for the complete
 //! list. After a failed call it waits for the decision module's request to poll, which follows the
 //! decision module's backoff, and for the client's own backoff where the failure requires one. The
-//! next watch is *verified* by a poll, and calls after late failures are *hedged*.
+//! next watch is *verified* by a poll, and calls after late failures are *hedged*. The open watches
+//! are also verified after any other call that ends unanswered, among them the watches that the
+//! client closes itself.
 //!
 //! | module | concern |
 //! | --- | --- |
--- a/crates/node/src/discovery/in_flight.rs
+++ b/crates/node/src/discovery/in_flight.rs
@@ -1,7 +1,8 @@
 //! The calls to discovery in flight.
 //!
 //! A superseded call is kept for a while, because the node is notified of an answer once discovery
-//! has written it (see `notified`), whether or not the node still waits for the answer.
+//! has written it (see `notified`), whether or not the node still waits for the answer. Every call
+//! that ends unanswered, whoever ends it, counts as a failed call until another call is answered.
 
 use super::call::CallOutcome;
 use std::future::{poll_fn, Future};
@@ -56,6 +57,8 @@
 pub struct CallsInFlight {
     calls: Vec<CallInFlight>,
     started: u64,
+    /// When a call first ended unanswered, with no answer since.
+    unanswered_since: Option<Instant>,
 }
 
 impl CallsInFlight {
@@ -65,6 +68,7 @@
         if self.calls.len() >= MAX_CALLS {
             let oldest = self.calls.iter().position(|call| call.read_until.is_some());
             self.calls.remove(oldest.unwrap_or(0));
+            self.record_unanswered();
         }
         self.started += 1;
         let id = CallId(self.started);
@@ -77,6 +81,17 @@
         id
     }
 
+    /// Returns when a call first ended unanswered, if no call has been answered since.
+    pub fn unanswered_since(&self) -> Option<Instant> {
+        self.unanswered_since
+    }
+
+    /// Returns the end of the time in which the answer to some superseded call is read; the
+    /// earliest, if there are several.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.calls.iter().filter_map(|call| call.read_until).min()
+    }
+
     /// Marks calls as superseded. Their answers are read for another `read_for`.
     pub fn supersede(&mut self, ids: impl IntoIterator<Item = CallId>, read_for: Duration) {
         let until = Instant::now() + read_for;
@@ -106,6 +121,10 @@
         for index in 0..self.calls.len() {
             if let Poll::Ready(outcome) = self.calls[index].future.as_mut().poll(context) {
                 let CallInFlight { id, generation, .. } = self.calls.remove(index);
+                match outcome.result {
+                    Ok(_) => self.unanswered_since = None,
+                    Err(_) => self.record_unanswered(),
+                }
                 return Poll::Ready(CompletedCall {
                     id,
                     generation,
@@ -119,9 +138,19 @@
         Poll::Pending
     }
 
-    fn drop_expired(&mut self) {
+    /// Drops the superseded calls whose answers are no longer read.
+    pub fn drop_expired(&mut self) {
         let now = Instant::now();
+        let calls = self.calls.len();
         self.calls
             .retain(|call| call.read_until.is_none_or(|until| now < until));
+        if self.calls.len() < calls {
+            self.record_unanswered();
+        }
+    }
+
+    /// Records that a call has ended unanswered.
+    fn record_unanswered(&mut self) {
+        self.unanswered_since.get_or_insert_with(Instant::now);
     }
 }
--- a/crates/node/src/discovery/notified.rs
+++ b/crates/node/src/discovery/notified.rs
@@ -16,7 +16,7 @@
 //!   stalled watch looks like a watch without changes, which is why watches are renewed.
 //! - **Failed call**: after a call that was refused, reset, or closed by the node before its
 //!   answer, the node is notified of each change [`NOTIFIED_AFTER_FAILED_CALL`] after discovery had
-//!   the change and was reachable.
+//!   the change and was reachable, until another call is answered.
 //! - **No call**: a node that neither called nor kept a watch open for the configured polling
 //!   interval (`max_poll_interval`) is notified of all changes.
 //! - **Changed address**: a node that was reconfigured to use another discovery is notified of the
--- a/crates/node/src/discovery/renewal.rs
+++ b/crates/node/src/discovery/renewal.rs
@@ -1,4 +1,4 @@
-//! Checks of open watches: verification after a failed call, and renewal.
+//! Checks of open watches: verification after a call that ended unanswered, and renewal.
 
 use super::call::CallOutcome;
 use super::client::DiscoveryClient;
@@ -22,12 +22,14 @@
     WatchesEnded(CallOutcome),
     /// The watches remain open, verified or renewed.
     WatchesRemainOpen,
+    /// Only the newest watch remains open. It has to be verified.
+    RenewedWatchesClosed,
     /// The check failed; the watches are unchanged.
     Failed(DiscoveryError),
 }
 
 impl DiscoveryClient {
-    /// Polls to check whether a watch that was opened after a failed call has missed a change.
+    /// Polls to check whether the watches have missed a change, after a call that ended unanswered.
     pub(super) async fn verify_watch(&mut self, session: &mut WatchSession) -> CheckOutcome {
         let poll = Poll {
             address: session.address,
@@ -51,7 +53,8 @@
         }
     }
 
-    /// Renews the newest watch. After a failed renewal, or when the complete list is due, polls
+    /// Renews the newest watch, or closes the renewed watches if there are enough of them: their
+    /// verification and the renewal follow. After a failed renewal, or when the complete list is due, polls
     /// instead: the answer contains the changes that the watch has missed, and a new watch is then
     /// opened.
     pub(super) async fn renew_watch(&mut self, session: &mut WatchSession) -> CheckOutcome {
@@ -59,6 +62,10 @@
             .complete_list_due
             .is_some_and(|due| Instant::now() >= due);
         if !needs_complete_list && !self.failing {
+            if session.watches.renewed_limit_reached() {
+                session.watches.close_renewed(&mut self.in_flight);
+                return CheckOutcome::RenewedWatchesClosed;
+            }
             return self.open_renewal(session).await;
         }
         let request = if needs_complete_list {
@@ -112,7 +119,7 @@
             let awaited: Vec<_> = session.watches.open().chain([renewal]).collect();
             let completed = timeout_at(deadline, self.first_completed(&awaited)).await;
             let Ok(CompletedCall { id, outcome, .. }) = completed else {
-                session.watches.renew(renewal, &mut self.in_flight);
+                session.watches.renew(renewal);
                 return CheckOutcome::WatchesRemainOpen;
             };
             match outcome.result {
--- a/crates/node/src/discovery/tests.rs
+++ b/crates/node/src/discovery/tests.rs
@@ -8,4 +8,5 @@
 mod harness;
 mod pushed;
 mod renewal;
+mod unanswered;
 mod verification;
--- a/crates/node/src/discovery/timing.rs
+++ b/crates/node/src/discovery/timing.rs
@@ -59,6 +59,12 @@
     mean: Duration::from_millis(2100),
     jitter: 0.05,
 };
+/// Time from the unanswered end of a call to the poll that verifies the open watches. After a
+/// change of discovery's address, the first lists of most nodes have left the queue by then.
+pub const UNANSWERED_VERIFICATION_DELAY: Jittered = Jittered {
+    mean: Duration::from_millis(2000),
+    jitter: 0.25,
+};
 /// Time without an answer after which a poll that verifies a watch is hedged.
 pub const VERIFICATION_HEDGE_DELAY: Duration = Duration::from_millis(800);
 
@@ -113,5 +119,11 @@
             + POLL_TIMEOUT.as_millis()
             < NOTIFIED_AFTER_FAILED_CALL.as_millis()
     );
+    assert!(
+        UNANSWERED_VERIFICATION_DELAY.mean.as_millis() * 5 / 4
+            + VERIFICATION_HEDGE_DELAY.as_millis()
+            + POLL_TIMEOUT.as_millis()
+            < NOTIFIED_AFTER_FAILED_CALL.as_millis()
+    );
     assert!(EARLY_ANSWER_PAUSE.as_millis() < WATCH_CONTINUITY_GAP.as_millis());
 };
--- a/crates/node/src/discovery/watch.rs
+++ b/crates/node/src/discovery/watch.rs
@@ -5,7 +5,7 @@
 use super::renewal::CheckOutcome;
 use super::timing::{
     LATE_FAILURE_THRESHOLD, POLL_TIMEOUT, RENEWAL_BACKOFF, SUPERSEDED_READ_TIME,
-    WATCH_ANSWER_GRACE, WATCH_WAIT,
+    UNANSWERED_VERIFICATION_DELAY, WATCH_ANSWER_GRACE, WATCH_WAIT,
 };
 use super::watches::Watches;
 use crate::list_client::{DiscoveryError, ListRequest};
@@ -28,6 +28,19 @@
     unverified: bool,
     /// When to verify or renew the newest watch.
     next_check: Instant,
+    /// Verification of the watches that a call which ended unanswered requires.
+    verification: Option<Verification>,
+    /// Whether a renewal follows the next verification, because the renewed watches were closed.
+    renewal_due: bool,
+}
+
+/// A verification of the open watches.
+#[derive(Clone, Copy)]
+struct Verification {
+    /// When a call ended unanswered.
+    unanswered_since: Instant,
+    /// When to verify.
+    due: Instant,
 }
 
 impl WatchSession {
@@ -62,15 +75,31 @@
         let mut session = self.open_watch(address, version, connection);
         loop {
             let deadline = session.deadline();
+            let next_check = self.next_check(&mut session);
+            let wake_at = next_check.min(deadline);
+            // A superseded call that expires may require an earlier check.
+            let wake_at = self
+                .in_flight
+                .next_expiry()
+                .map_or(wake_at, |expiry| expiry.min(wake_at));
             let answer = self.watch_outcome(&mut session.watches);
-            if let Ok(outcome) = timeout_at(session.next_check.min(deadline), answer).await {
+            let outcome = match timeout_at(wake_at, answer).await {
+                Ok(None) => continue,
+                Ok(outcome) => outcome,
+                Err(_) => None,
+            };
+            if let Some(outcome) = outcome {
                 let waited = session.opened_at.elapsed();
                 self.failed_late = session.unverified
                     && outcome.result.is_err()
                     && (LATE_FAILURE_THRESHOLD..POLL_TIMEOUT).contains(&waited);
                 return outcome;
             }
-            if deadline <= session.next_check {
+            self.in_flight.drop_expired();
+            if wake_at < next_check.min(deadline) {
+                continue;
+            }
+            if deadline <= next_check {
                 session
                     .watches
                     .supersede(&mut self.in_flight, Duration::ZERO);
@@ -100,29 +129,68 @@
             opened_at,
             unverified: self.failing,
             next_check,
+            renewal_due: false,
+            verification: None,
             watches: Watches::new(self.start(address, request, connection)),
         }
     }
 
-    /// Checks the watches: by a verification after a failed call, otherwise by a renewal. Breaks if
-    /// the watches have ended.
+    /// Schedules the verification that a call which ended unanswered requires, unless the call has
+    /// been followed by an answer. After a failed call, the first check of the new watch is the
+    /// verification.
+    fn schedule_verification(&mut self, session: &mut WatchSession) {
+        let required_since = self
+            .in_flight
+            .unanswered_since()
+            .filter(|_| !self.failing && !session.unverified);
+        let scheduled_since = session.verification.map(|v| v.unanswered_since);
+        if required_since != scheduled_since {
+            session.verification = required_since.map(|unanswered_since| Verification {
+                unanswered_since,
+                due: unanswered_since + UNANSWERED_VERIFICATION_DELAY.draw(&mut self.random),
+            });
+        }
+    }
+
+    /// Returns the time of the next check.
+    fn next_check(&mut self, session: &mut WatchSession) -> Instant {
+        self.schedule_verification(session);
+        session
+            .verification
+            .map_or(session.next_check, |v| v.due.min(session.next_check))
+    }
+
+    /// Checks the watches: by a verification after a call that ended unanswered, otherwise by a
+    /// renewal. Breaks if the watches have ended.
     async fn check(&mut self, session: &mut WatchSession) -> ControlFlow<CallOutcome> {
         let checked_at = Instant::now();
-        let outcome = if session.unverified {
+        self.schedule_verification(session);
+        let verifies = session.unverified || session.verification.is_some();
+        let outcome = if verifies {
             self.verify_watch(session).await
         } else {
             self.renew_watch(session).await
         };
         match outcome {
             CheckOutcome::WatchesEnded(outcome) => return ControlFlow::Break(outcome),
+            // The node is notified at once of a change right after the verification's answer,
+            // unless a call follows.
+            CheckOutcome::WatchesRemainOpen if verifies && session.renewal_due => {
+                session.renewal_due = false;
+                session.next_check = Instant::now();
+            }
             CheckOutcome::WatchesRemainOpen => {
                 // A verification does not open a watch.
-                if !session.unverified {
+                if !verifies {
                     session.opened_at = checked_at;
                 }
                 session.unverified = false;
                 session.next_check = checked_at + self.renewal_delay();
             }
+            CheckOutcome::RenewedWatchesClosed => {
+                session.renewal_due = true;
+                session.next_check = checked_at + self.renewal_delay();
+            }
             CheckOutcome::Failed(error) if checked_at.elapsed() >= LATE_FAILURE_THRESHOLD => {
                 // The next call must start now. The open watches are read until their deadline.
                 self.failed_late = true;
@@ -142,16 +210,19 @@
     }
 
     /// Waits for the answer to a watch, or the failure of the newest watch. The remaining watches
-    /// are then superseded.
-    async fn watch_outcome(&mut self, watches: &mut Watches) -> CallOutcome {
-        loop {
-            let open: Vec<_> = watches.open().collect();
-            let completed = self.first_completed(&open).await;
-            watches.remove(completed.id);
-            if completed.outcome.result.is_ok() || watches.newest_failed() {
-                watches.supersede(&mut self.in_flight, SUPERSEDED_READ_TIME);
-                return completed.outcome;
-            }
+    /// are then superseded. Returns `None` when another call has completed, which may require an
+    /// earlier check.
+    async fn watch_outcome(&mut self, watches: &mut Watches) -> Option<CallOutcome> {
+        let completed = self.in_flight.next_completed().await;
+        if !watches.contains(completed.id) {
+            self.accept_superseded(completed);
+            return None;
         }
+        watches.remove(completed.id);
+        let ended = completed.outcome.result.is_ok() || watches.newest_failed();
+        ended.then(|| {
+            watches.supersede(&mut self.in_flight, SUPERSEDED_READ_TIME);
+            completed.outcome
+        })
     }
 }
--- a/crates/node/src/discovery/watches.rs
+++ b/crates/node/src/discovery/watches.rs
@@ -1,16 +1,21 @@
-//! The node's open watches at discovery: the newest watch, and the watch that it renewed.
+//! The node's open watches at discovery: the newest watch, and the watches that it renewed.
 
 use super::in_flight::{CallId, CallsInFlight};
-use super::timing::SUPERSEDED_READ_TIME;
 use std::time::Duration;
 
-/// The open watches, two at most. Superseded calls are not included.
+/// Number of renewed watches that stay open beside the newest one. A watch must be closed before
+/// the end of its wait.
+const MAX_RENEWED: usize = 2;
+
+/// The open watches. Superseded calls are not included.
 #[derive(Default)]
 pub struct Watches {
     newest: Option<CallId>,
-    /// The watch that the newest watch renewed. It stays open until the next renewal: closing it
-    /// would count as a failed call, and the newest watch may have been lost without an error.
-    previous: Option<CallId>,
+    /// The watches that were renewed since the last close, oldest first; [`MAX_RENEWED`] at most.
+    /// They stay open for a while, because a closed watch counts as a failed call, and the newest
+    /// watch may have been lost without an error. They are closed together, so that one
+    /// verification serves for all of them.
+    renewed: Vec<CallId>,
 }
 
 impl Watches {
@@ -18,13 +23,13 @@
     pub fn new(newest: CallId) -> Self {
         Self {
             newest: Some(newest),
-            previous: None,
+            renewed: Vec::new(),
         }
     }
 
-    /// Returns the open watches, the older watch first.
-    pub fn open(&self) -> impl Iterator<Item = CallId> {
-        self.previous.into_iter().chain(self.newest)
+    /// Returns the open watches, the oldest watch first.
+    pub fn open(&self) -> impl Iterator<Item = CallId> + '_ {
+        self.renewed.iter().copied().chain(self.newest)
     }
 
     /// Returns whether a call is an open watch.
@@ -37,20 +42,25 @@
         self.newest.is_none()
     }
 
-    /// Makes `renewal` the newest watch, and the former newest watch the previous watch. The former
-    /// previous watch is superseded.
-    pub fn renew(&mut self, renewal: CallId, in_flight: &mut CallsInFlight) {
-        if let Some(newest) = self.newest.replace(renewal) {
-            if let Some(oldest) = self.previous.replace(newest) {
-                in_flight.supersede([oldest], SUPERSEDED_READ_TIME);
-            }
-        }
+    /// Returns whether the renewed watches have to be closed before the next renewal.
+    pub fn renewed_limit_reached(&self) -> bool {
+        self.renewed.len() >= MAX_RENEWED
+    }
+
+    /// Makes `renewal` the newest watch. The former newest watch stays open.
+    pub fn renew(&mut self, renewal: CallId) {
+        self.renewed.extend(self.newest.replace(renewal));
+    }
+
+    /// Closes the renewed watches, after reading the answers that have arrived.
+    pub fn close_renewed(&mut self, in_flight: &mut CallsInFlight) {
+        in_flight.supersede(self.renewed.drain(..), Duration::ZERO);
     }
 
     /// Removes a completed watch.
     pub fn remove(&mut self, completed: CallId) {
         self.newest = self.newest.filter(|watch| *watch != completed);
-        self.previous = self.previous.filter(|watch| *watch != completed);
+        self.renewed.retain(|watch| *watch != completed);
     }
 
     /// Marks all watches as superseded. Their answers are read for `read_for`.
