--- a/crates/admission/src/connections/memory.rs
+++ b/crates/admission/src/connections/memory.rs
@@ -119,7 +119,7 @@
     }
 
     /// Frees memory while connections wait for it: evicts connections whose request has been
-    /// incomplete for [`MEMORY_EVICTION_AGE`], at most one for each that waits. Appends to `woken`
+    /// incomplete for 250 ms, at most one for each that waits. Appends to `woken`
     /// the connections whose owners have to be woken, among them the one that reads next.
     pub fn reclaim_memory(&mut self, now: Duration, woken: &mut Vec<ConnectionId>) {
         for _ in 0..self.phases.len(Phase::AwaitingMemory as usize) {
