Multi-get: count the wait for a descriptor towards the deadline

Cause: a multi-get call counted as received when its head was read. The port serves eight calls at once; the next one waited for a descriptor, and its items told their server the whole deadline.

Change: the call takes the time from its connection, as requests do. A connection on which nothing has arrived yet has no delay, whichever port it is on (ConnectionHandle::drive). The method is named take_received_at, since it resets the delay.

Evidence: time_for_which_a_call_waits_for_a_descriptor_counts_towards_its_deadline failed before (19,994 ms of 20,000 told after 600 ms) and passes now; node_multiget and node_stalled_peers pass.

--- a/crates/cli/tests/node_multiget/bounds.rs
+++ b/crates/cli/tests/node_multiget/bounds.rs
@@ -10,6 +10,12 @@
 };
 use serde_json::json;
 use std::process::Stdio;
+use std::time::Duration;
+
+/// Number of calls that the port serves at once.
+const MAX_CALLS: usize = 8;
+/// Slack of the time that an attempt tells its server, in milliseconds.
+const DEADLINE_SLACK_MS: u64 = 150;
 
 // Guards against a call with more items in flight than the setting `parallel` allows.
 #[test]
@@ -36,6 +42,45 @@
     assert_eq!(server.request_count(), 9);
 }
 
+// Guards against a call that waits for a descriptor and whose items are then forwarded with the
+// whole deadline, although the client has less time left.
+#[test]
+fn time_for_which_a_call_waits_for_a_descriptor_counts_towards_its_deadline() {
+    const DEADLINE_MS: u64 = 20_000;
+    const WAIT_MS: u64 = 600;
+    let gate = Gate::default();
+    let server_gate = gate.clone();
+    let server = CacheServer::start(move |request| {
+        server_gate.wait_until_open();
+        echo_target(request)
+    });
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::with_features(&config(discovery.address), MULTI_GET_FEATURES);
+    let address = multi_get_address(&node);
+    let start_call = |number: usize| {
+        let mut client = connect(address);
+        let body = json!([item(&format!("k{number}"), &format!("id{number}"))]).to_string();
+        client.send(&post_request(&body, DEADLINE_MS));
+        client
+    };
+    let mut calls: Vec<_> = (0..MAX_CALLS).map(start_call).collect();
+    wait_for("the items of all calls", || {
+        server.request_count() == MAX_CALLS
+    });
+    calls.push(start_call(MAX_CALLS));
+    std::thread::sleep(Duration::from_millis(WAIT_MS));
+    gate.open();
+    wait_for("the item of the waiting call", || {
+        server.request_count() == MAX_CALLS + 1
+    });
+    let received = server.received.lock().unwrap();
+    let stated = received[MAX_CALLS].header("req-deadline-ms").unwrap();
+    assert!(
+        stated.parse::<u64>().unwrap() <= DEADLINE_MS - WAIT_MS + DEADLINE_SLACK_MS,
+        "after {WAIT_MS} ms the server is told {stated} ms"
+    );
+}
+
 // Guards against items that use more descriptors than the node's limit, and against a multi-get
 // port that uses up the connections of other clients.
 #[test]
--- a/crates/node/src/connections/handle.rs
+++ b/crates/node/src/connections/handle.rs
@@ -67,8 +67,9 @@
     }
 
     /// Returns the time at which the request whose head was just read would have been read without a
-    /// shortage of descriptors or memory. Its client's deadline counts from then.
-    pub fn request_received_at(&self) -> Instant {
+    /// shortage of descriptors or memory. Its client's deadline counts from then. Called once for
+    /// each request: the delay is then reset.
+    pub fn take_received_at(&self) -> Instant {
         let now = Instant::now();
         now.checked_sub(self.read_delay.take()).unwrap_or(now)
     }
@@ -236,6 +237,9 @@
                 if Pin::new(&mut *http_connection).poll(cx).is_ready() {
                     return Poll::Ready(DriveOutcome::Closed);
                 }
+                if self.is_in_phase(Phase::AwaitingFirstByte) {
+                    self.read_delay.reset();
+                }
                 // hyper detects the end of the client's stream only while it has read no further
                 // bytes.
                 if self.is_in_phase(Phase::Processing) && self.poll_client_has_disconnected(cx) {
--- a/crates/node/src/multiget.rs
+++ b/crates/node/src/multiget.rs
@@ -33,7 +33,7 @@
 use tokio::sync::mpsc::channel;
 use tokio::sync::Semaphore;
 use tokio::task::{spawn_local, JoinSet};
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout, timeout_at};
 
 /// Unfinished items are canceled this long before the client's deadline. Later the driver would
 /// fail them at its own deadline, and the client would see them as failed instead of unfinished.
@@ -187,7 +187,7 @@
         handle: &ConnectionHandle,
         request: Request<Incoming>,
     ) -> Result<HttpResponse, MultiGetError> {
-        let received_at = Instant::now();
+        let received_at = handle.take_received_at();
         let request = MultiGetRequest::read(request, handle, &self.context, &self.settings).await?;
         handle.on_request(request.parameters.class.id.0);
         let deadline = received_at + request.parameters.timeout;
--- a/crates/node/src/server/request.rs
+++ b/crates/node/src/server/request.rs
@@ -54,7 +54,7 @@
     connection: &ConnectionHandle,
     request: Request<Incoming>,
 ) -> Result<HttpResponse, RequestError> {
-    let received_at = connection.request_received_at();
+    let received_at = connection.take_received_at();
     let (head, body) = request.into_parts();
     let target = head
         .uri
