--- a/crates/admission/src/connections/eviction.rs
+++ b/crates/admission/src/connections/eviction.rs
@@ -70,8 +70,9 @@
     ///
     /// Connections without a request are evicted first, so that a flood of such connections evicts
     /// only connections of the flood. The next candidates are connections whose request arrives
-    /// slowly, then those whose request has waited for memory. The last candidate is the longest idle connection, unless a connection was accepted
-    /// so recently that its request may still arrive.
+    /// slowly, then those whose request has waited for memory. The last candidate is the longest
+    /// idle connection, unless a connection was accepted so recently that its request may still
+    /// arrive.
     pub fn evict_for_client(&mut self, now: Duration) -> Option<ConnectionId> {
         let evicted = self
             .oldest_unused(now)
--- a/crates/admission/src/connections/memory.rs
+++ b/crates/admission/src/connections/memory.rs
@@ -119,8 +119,8 @@
     }
 
     /// Frees memory while connections wait for it: evicts connections whose request has been
-    /// incomplete for 250 ms, at most one for each that waits. Appends to `woken`
-    /// the connections whose owners have to be woken, among them the one that reads next.
+    /// incomplete for 250 ms, at most one for each that waits. Appends to `woken` the connections
+    /// whose owners have to be woken, among them the one that reads next.
     pub fn reclaim_memory(&mut self, now: Duration, woken: &mut Vec<ConnectionId>) {
         for _ in 0..self.phases.len(Phase::AwaitingMemory as usize) {
             let incomplete = self.oldest_in_phase(now, Phase::ReadingRequest, MEMORY_EVICTION_AGE);
--- a/crates/admission/tests/stalled_peers.rs
+++ b/crates/admission/tests/stalled_peers.rs
@@ -5,8 +5,8 @@
 
 use common::{address, ms};
 use slatelink_admission::{
-    Budget, ConnectionId, ConnectionKind, ConnectionLimits, ConnectionTable, Directive, Phase,
-    Quota,
+    Budget, CloseCause, ConnectionId, ConnectionKind, ConnectionLimits, ConnectionTable, Directive,
+    Phase, Quota,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -76,7 +76,7 @@
             (3..=5, Some(id)) => self.send_part(id),
             (6, Some(id)) => self.complete_request(id),
             (7, Some(id)) => self.respond(id),
-            (8, _) => self.shut_down_or_evict(),
+            (8, Some(id)) => self.close_or_evict(id),
             _ => self.sweep(),
         }
     }
@@ -128,14 +128,18 @@
         }
     }
 
-    /// Tells a connection to close for one of the causes that are not timeouts.
-    fn shut_down_or_evict(&mut self) {
-        let evicted = if self.random.bool() {
-            self.table.evict_for_client(self.now)
-        } else {
-            self.table.evict_for_upstream(self.now)
+    /// Tells a connection to close for one of the causes that are not timeouts; `id`, if the cause
+    /// is a shutdown.
+    fn close_or_evict(&mut self, id: ConnectionId) {
+        let closing = match self.random.u8(0..3) {
+            0 => self.table.evict_for_client(self.now),
+            1 => self.table.evict_for_upstream(self.now),
+            _ => {
+                self.table.close(id, CloseCause::Shutdown);
+                Some(id)
+            }
         };
-        evicted.into_iter().for_each(|id| self.poll(id));
+        closing.into_iter().for_each(|id| self.poll(id));
     }
 
     fn sweep(&mut self) {
--- a/crates/cli/tests/node_common/mod.rs
+++ b/crates/cli/tests/node_common/mod.rs
@@ -6,6 +6,7 @@
 mod cache_server;
 mod discovery;
 pub mod endpoint_pair;
+mod fleet;
 mod http;
 pub mod manual_discovery;
 mod node;
@@ -16,6 +17,7 @@
     endpoint_entry, start_servers, total_requests, write_pieces, CacheServer, Reply,
 };
 pub use discovery::Discovery;
+pub use fleet::start_limited_fleet;
 pub use http::{api_request, assert_shed, http_response, Client, Message};
 pub use node::{command, config, temporary_path, write_temporary_file, Node};
 pub use slow_server::SlowServer;
--- a/crates/cli/tests/node_memory.rs
+++ b/crates/cli/tests/node_memory.rs
@@ -26,19 +26,6 @@
         .collect()
 }
 
-/// Starts servers with the same reply, and a node with the tests' memory limit.
-fn start_fleet(
-    servers: usize,
-    sockets: u32,
-    reply: impl Fn(&Message) -> Reply + Clone + Send + Sync + 'static,
-) -> (Vec<CacheServer>, Discovery, Node) {
-    let (servers, discovery) = start_servers(servers, reply);
-    let mut node_config = config(discovery.address);
-    node_config["limits"] = json!({"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": sockets});
-    let node = Node::ready(&node_config);
-    (servers, discovery, node)
-}
-
 /// Sends a request of this class on each of `count` new connections.
 fn send_requests(node: &Node, count: u64, class: &str, deadline_ms: u64) -> Vec<Client> {
     let send = |key| {
@@ -74,8 +61,9 @@
 fn responses_that_arrive_in_small_pieces_stay_within_the_memory_limit() {
     let response = http_response("200 OK", "", &"v".repeat(MAX_BODY_BYTES));
     let pieces = split_message(&response, PIECE_BYTES);
-    let (_servers, _discovery, node) =
-        start_fleet(8, 256, move |_| Reply::Pieces(pieces.clone(), PIECE_PAUSE));
+    let (_servers, _discovery, node) = start_limited_fleet(8, MEMORY_MB, 256, move |_| {
+        Reply::Pieces(pieces.clone(), PIECE_PAUSE)
+    });
     let mut clients = send_requests(&node, 40, "read", 20_000);
     assert_eq!(count_served(&mut clients, MAX_BODY_BYTES), clients.len());
     assert_within_memory_limit(&node);
@@ -94,8 +82,9 @@
     response.push_str("0\r\n\r\n");
     let chunk_bytes = PIECE_BYTES + "100\r\n\r\n".len();
     let pieces = split_message(&response, chunk_bytes);
-    let (_servers, _discovery, node) =
-        start_fleet(8, 256, move |_| Reply::Pieces(pieces.clone(), PIECE_PAUSE));
+    let (_servers, _discovery, node) = start_limited_fleet(8, MEMORY_MB, 256, move |_| {
+        Reply::Pieces(pieces.clone(), PIECE_PAUSE)
+    });
     let mut clients = send_requests(&node, 40, "read", 20_000);
     assert_eq!(count_served(&mut clients, MAX_BODY_BYTES), clients.len());
     assert_within_memory_limit(&node);
@@ -106,7 +95,7 @@
 fn endless_responses_in_pieces_of_one_byte_stay_within_the_memory_limit() {
     let mut pieces = vec!["HTTP/1.1 200 OK\r\n\r\n".to_owned()];
     pieces.resize(MAX_BODY_BYTES, "v".to_owned());
-    let (_servers, _discovery, node) = start_fleet(8, 256, move |_| {
+    let (_servers, _discovery, node) = start_limited_fleet(8, MEMORY_MB, 256, move |_| {
         Reply::Pieces(pieces.clone(), Duration::from_micros(50))
     });
     let mut clients = send_requests(&node, 20, "once", 1_500);
@@ -120,8 +109,9 @@
 // Guards against requests that are held as the pieces in which they arrived.
 #[test]
 fn requests_that_arrive_in_small_pieces_stay_within_the_memory_limit() {
-    let (_servers, _discovery, node) =
-        start_fleet(8, 256, |_| Reply::Response(http_response("200 OK", "", "")));
+    let (_servers, _discovery, node) = start_limited_fleet(8, MEMORY_MB, 256, |_| {
+        Reply::Response(http_response("200 OK", "", ""))
+    });
     let senders: Vec<_> = (0..40u64)
         .map(|key| {
             let address = node.address;
@@ -154,7 +144,7 @@
 fn responses_of_more_clients_than_the_memory_allows_stay_within_the_memory_limit() {
     let gate = Gate::default();
     let server_gate = gate.clone();
-    let (servers, _discovery, node) = start_fleet(16, 1024, move |_| {
+    let (servers, _discovery, node) = start_limited_fleet(16, MEMORY_MB, 1024, move |_| {
         let response = http_response("200 OK", "", &"v".repeat(MAX_BODY_BYTES));
         let (most, rest) = response.split_at(response.len() - 1);
         Reply::Gated(most.to_owned(), server_gate.clone(), rest.to_owned())
--- a/crates/cli/tests/node_stalled_peers.rs
+++ b/crates/cli/tests/node_stalled_peers.rs
@@ -3,7 +3,6 @@
 mod node_common;
 
 use node_common::*;
-use serde_json::json;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -22,7 +21,6 @@
 const EXIT_WITHIN: Duration = Duration::from_millis(3_700);
 /// Slack of the time that an attempt tells its server.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
-
 /// Number of requests that a test sends until one has waited for memory.
 const MAX_TRIES: u64 = 20;
 
@@ -53,19 +51,9 @@
     !matches!(read, Err(error) if error.kind() == ErrorKind::WouldBlock)
 }
 
-/// Starts `servers` servers, and a node with this much memory and this many descriptors.
-fn start_fleet(
-    servers: usize,
-    memory_mb: u64,
-    sockets: u32,
-) -> (Vec<CacheServer>, Discovery, Node) {
-    let (servers, discovery) = start_servers(servers, |_| {
-        Reply::Response(http_response("200 OK", "", "value"))
-    });
-    let mut node_config = config(discovery.address);
-    node_config["limits"] = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets});
-    let node = Node::ready(&node_config);
-    (servers, discovery, node)
+/// Reply of the servers to good requests.
+fn serve(_: &Message) -> Reply {
+    Reply::Response(http_response("200 OK", "", "value"))
 }
 
 /// Sends one good request. Returns whether it was served; `None` if the node neither answered nor
@@ -106,7 +94,7 @@
 // requests are neither answered nor closed (review case 6).
 #[test]
 fn peers_that_stop_in_mid_request_are_closed_in_time_and_good_requests_are_answered() {
-    let (_servers, _discovery, node) = start_fleet(6, 32, 1_024);
+    let (_servers, _discovery, node) = start_limited_fleet(6, 32, 1_024, serve);
     let address = node.address;
     let mut good_requests = Vec::new();
     let mut overdue = Vec::new();
@@ -141,7 +129,7 @@
 // accepting connections for as long as peers connect again.
 #[test]
 fn node_exits_after_sigterm_although_stopped_peers_connect_again() {
-    let (_servers, _discovery, node) = start_fleet(1, 32, 256);
+    let (_servers, _discovery, node) = start_limited_fleet(1, 32, 256, serve);
     let address = node.address;
     let stop = Arc::new(AtomicBool::new(false));
     let peers_stop = stop.clone();
@@ -175,18 +163,14 @@
 fn time_for_which_a_request_waits_for_memory_counts_towards_its_deadline() {
     let stated = Arc::new(Mutex::new(None));
     let server_stated = stated.clone();
-    let server = CacheServer::start(move |request| {
+    let (_servers, _discovery, node) = start_limited_fleet(1, 8, 1_024, move |request| {
         let deadline_ms = request
             .header("req-deadline-ms")
             .and_then(|value| value.parse().ok())
             .map(Duration::from_millis);
         *server_stated.lock().unwrap() = deadline_ms.map(|left| (left, Instant::now()));
-        Reply::Response(http_response("200 OK", "", "value"))
+        serve(request)
     });
-    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
-    let mut node_config = config(discovery.address);
-    node_config["limits"]["memory_mb"] = json!(8);
-    let node = Node::ready(&node_config);
     // A request that a busy machine delays on its way to the node waits for less time in the node,
     // and shows nothing.
     for key in 0..MAX_TRIES {
--- a/crates/node/src/connections/read_delay.rs
+++ b/crates/node/src/connections/read_delay.rs
@@ -8,7 +8,7 @@
 ///
 /// The deadline that a request states counts from when its client sent it, so the delay is part of
 /// it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ReadDelay {
     /// Completed waits of the request.
     total: Cell<Duration>,
--- a/crates/node/src/discovery/in_flight.rs
+++ b/crates/node/src/discovery/in_flight.rs
@@ -139,7 +139,7 @@
     }
 
     /// Drops the superseded calls whose answers are no longer read.
-    pub fn drop_expired(&mut self) {
+    fn drop_expired(&mut self) {
         let now = Instant::now();
         let calls = self.calls.len();
         self.calls
--- a/crates/node/src/discovery/renewal.rs
+++ b/crates/node/src/discovery/renewal.rs
@@ -53,10 +53,10 @@
         }
     }
 
-    /// Renews the newest watch, or closes the renewed watches if there are enough of them: their
-    /// verification and the renewal follow. After a failed renewal, or when the complete list is due, polls
-    /// instead: the answer contains the changes that the watch has missed, and a new watch is then
-    /// opened.
+    /// Renews the newest watch, or closes the renewed watches if there are enough of them: a
+    /// verification and the renewal follow. After a failed renewal, or when the complete list is
+    /// due, polls instead: the answer contains the changes that the watch has missed, and a new
+    /// watch is then opened.
     pub(super) async fn renew_watch(&mut self, session: &mut WatchSession) -> CheckOutcome {
         let needs_complete_list = self
             .complete_list_due
--- a/crates/node/src/discovery/tests/unanswered.rs
+++ b/crates/node/src/discovery/tests/unanswered.rs
@@ -31,14 +31,14 @@
     calls
 }
 
-/// Answers every further call with a drain, `QUEUE_LIMIT` after its arrival.
-fn answer_with_drain(mut calls: UnboundedReceiver<PendingCall>) {
+/// Answers every further call with a drain of this version, `QUEUE_LIMIT` after its arrival.
+fn answer_with_drain(mut calls: UnboundedReceiver<PendingCall>, version: u64) {
     spawn_local(async move {
         while let Some(call) = calls.recv().await {
             spawn_local(async move {
                 sleep(QUEUE_LIMIT).await;
                 if call.is_open() {
-                    call.answer(&changes(2, &[("s-1", "draining")]));
+                    call.answer(&changes(version, &[("s-1", "draining")]));
                 }
                 std::future::pending::<()>().await;
             });
@@ -59,7 +59,7 @@
             stalled.push(call);
         }
         let changed_at = Instant::now();
-        answer_with_drain(discovery.calls);
+        answer_with_drain(discovery.calls, 2);
         let arrived_at = client.list_forwarded(2).await;
         drop(stalled);
         arrived_at - changed_at
@@ -108,7 +108,7 @@
             old_watch.reset();
             sleep(Duration::from_millis(200)).await;
             let changed_at = Instant::now();
-            answer_with_drain(current.calls);
+            answer_with_drain(current.calls, 2);
             let arrived_at = client.list_forwarded(2).await;
             drop(stalled);
             arrived_at - changed_at
@@ -141,12 +141,7 @@
                 );
             }
             let changed_at = Instant::now();
-            spawn_local(async move {
-                while let Some(call) = discovery.calls.recv().await {
-                    sleep(QUEUE_LIMIT).await;
-                    call.answer(&changes(3, &[("s-1", "draining")]));
-                }
-            });
+            answer_with_drain(discovery.calls, 3);
             let arrived_at = client.list_forwarded(3).await;
             drop(next);
             arrived_at - changed_at
--- a/crates/node/src/discovery/timing.rs
+++ b/crates/node/src/discovery/timing.rs
@@ -21,6 +21,11 @@
         self.mean
             .mul_f64(1.0 + self.jitter * (2.0 * random.f64() - 1.0))
     }
+
+    /// Returns the end of the range, in milliseconds.
+    const fn longest_millis(self) -> u128 {
+        (self.mean.as_millis() as f64 * (1.0 + self.jitter)).ceil() as u128
+    }
 }
 
 /// Wait that a watch requests; the longest that discovery grants. A stalled watch has to be
@@ -114,13 +119,13 @@
     assert!(POLL_TIMEOUT.as_millis() > QUEUE_LIMIT.as_millis());
     assert!(WATCH_VERIFICATION_DELAY.mean.as_millis() > QUEUE_LIMIT.as_millis());
     assert!(
-        WATCH_VERIFICATION_DELAY.mean.as_millis()
+        WATCH_VERIFICATION_DELAY.longest_millis()
             + VERIFICATION_HEDGE_DELAY.as_millis()
             + POLL_TIMEOUT.as_millis()
             < NOTIFIED_AFTER_FAILED_CALL.as_millis()
     );
     assert!(
-        UNANSWERED_VERIFICATION_DELAY.mean.as_millis() * 5 / 4
+        UNANSWERED_VERIFICATION_DELAY.longest_millis()
             + VERIFICATION_HEDGE_DELAY.as_millis()
             + POLL_TIMEOUT.as_millis()
             < NOTIFIED_AFTER_FAILED_CALL.as_millis()
--- a/crates/node/src/discovery/watch.rs
+++ b/crates/node/src/discovery/watch.rs
@@ -75,31 +75,23 @@
         let mut session = self.open_watch(address, version, connection);
         loop {
             let deadline = session.deadline();
-            let next_check = self.next_check(&mut session);
-            let wake_at = next_check.min(deadline);
+            let next_check = self.next_check(&mut session).min(deadline);
             // A superseded call that expires may require an earlier check.
-            let wake_at = self
-                .in_flight
-                .next_expiry()
-                .map_or(wake_at, |expiry| expiry.min(wake_at));
+            let expiry = self.in_flight.next_expiry().unwrap_or(next_check);
             let answer = self.watch_outcome(&mut session.watches);
-            let outcome = match timeout_at(wake_at, answer).await {
+            match timeout_at(next_check.min(expiry), answer).await {
+                Ok(Some(outcome)) => {
+                    let waited = session.opened_at.elapsed();
+                    self.failed_late = session.unverified
+                        && outcome.result.is_err()
+                        && (LATE_FAILURE_THRESHOLD..POLL_TIMEOUT).contains(&waited);
+                    return outcome;
+                }
                 Ok(None) => continue,
-                Ok(outcome) => outcome,
-                Err(_) => None,
-            };
-            if let Some(outcome) = outcome {
-                let waited = session.opened_at.elapsed();
-                self.failed_late = session.unverified
-                    && outcome.result.is_err()
-                    && (LATE_FAILURE_THRESHOLD..POLL_TIMEOUT).contains(&waited);
-                return outcome;
-            }
-            self.in_flight.drop_expired();
-            if wake_at < next_check.min(deadline) {
-                continue;
+                Err(_) if expiry < next_check => continue,
+                Err(_) => {}
             }
-            if deadline <= next_check {
+            if deadline == next_check {
                 session
                     .watches
                     .supersede(&mut self.in_flight, Duration::ZERO);
